--- /dev/null
+++ b/crates/verbenaring-cli/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point.
+
+fn main() {}
--- /dev/null
+++ b/crates/verbenaring-policy/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
