Add names, contracts and outcomes to the decision crate

Cause: every decision module needs the same names, time, contract terms and outcome classes. Conclusion: base for the other modules; no behaviour of the daemon yet.

--- a/crates/verbenaring-policy/src/lib.rs
+++ b/crates/verbenaring-policy/src/lib.rs
@@ -1,1 +1,14 @@
-//! Placeholder.
+//! Decisions of the verbenaring gateway.
+//!
+//! This crate has no sockets, clocks or tasks. Every decision takes typed
+//! views and a [`time::Moment`] and returns a value, so the daemon, the
+//! experiment tool and the model checker run the same code.
+
+pub mod contract;
+pub mod error;
+pub mod id;
+pub mod outcome;
+pub mod request;
+pub mod time;
+
+pub use error::{Error, Result};
--- /dev/null
+++ b/crates/verbenaring-policy/src/time.rs
@@ -0,0 +1,40 @@
+//! Time as data.
+//!
+//! Decisions never read a clock. The daemon converts the runtime's clock to
+//! a [`Moment`]; experiments and the model checker advance it themselves.
+
+use std::ops::{Add, Sub};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// Microseconds since an arbitrary start.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Moment(pub u64);
+
+impl Moment {
+    /// Time since `earlier`; zero if `earlier` is later.
+    pub fn since(self, earlier: Moment) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Moment {
+    type Output = Moment;
+
+    fn add(self, duration: Duration) -> Moment {
+        let micros = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
+        Moment(self.0.saturating_add(micros))
+    }
+}
+
+impl Sub<Duration> for Moment {
+    type Output = Moment;
+
+    fn sub(self, duration: Duration) -> Moment {
+        let micros = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
+        Moment(self.0.saturating_sub(micros))
+    }
+}
