--- /dev/null
+++ b/crates/verbenaring-testbed/src/service.rs
@@ -0,0 +1,166 @@
+//! Stand-in for a plain service with calls that must not run twice.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::{Request, StatusCode};
+use serde_json::{Value, json};
+use tokio::time::{Instant, sleep};
+
+use crate::error::Result;
+use crate::http::{self, Closed, ConnectionGate, Handler, Listener, Reply};
+
+/// Fixed settings of a plain service.
+#[derive(Debug, Clone)]
+pub struct ServiceSettings {
+    /// Time between arrival and execution.
+    pub delay: Duration,
+    /// Time during which connections are refused after a crash.
+    pub restart_time: Duration,
+}
+
+impl Default for ServiceSettings {
+    fn default() -> Self {
+        Self {
+            delay: Duration::from_millis(1),
+            restart_time: Duration::from_millis(500),
+        }
+    }
+}
+
+/// Faults of a plain service; each applies to every call while it is set.
+#[derive(Debug, Clone, Default)]
+pub struct ServiceFaults {
+    /// Refuses every connection.
+    pub down: bool,
+    /// Crashes when a call arrives, before executing it.
+    pub crash_before: bool,
+    /// Crashes after executing a call, before answering it.
+    pub crash_after: bool,
+    /// Executes a call and closes its connection without an answer.
+    pub lose_answer: bool,
+    /// Delay in addition to the configured one.
+    pub slow: Duration,
+}
+
+/// One executed call.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ExecutedCall {
+    /// Header `x-request-id`.
+    pub request_id: String,
+    /// Field `operation` of the JSON body, the business key.
+    pub operation: String,
+    /// HTTP method.
+    pub method: String,
+    /// Path of the call.
+    pub path: String,
+}
+
+#[derive(Debug)]
+struct ServiceCore {
+    settings: ServiceSettings,
+    faults: Mutex<ServiceFaults>,
+    calls: Mutex<Vec<ExecutedCall>>,
+    gate: Arc<ConnectionGate>,
+}
+
+/// Running plain service; dropping it stops it.
+#[derive(Debug)]
+pub struct ServiceServer {
+    core: Arc<ServiceCore>,
+    listener: Listener,
+}
+
+impl ServiceServer {
+    /// Starts a service on a free loopback port.
+    pub async fn start(settings: ServiceSettings) -> Result<Self> {
+        let core = Arc::new(ServiceCore {
+            settings,
+            faults: Mutex::default(),
+            calls: Mutex::default(),
+            gate: ConnectionGate::new(),
+        });
+        let listener = Listener::start(core.clone(), core.gate.clone()).await?;
+        Ok(Self { core, listener })
+    }
+
+    /// Address of the service.
+    pub fn address(&self) -> SocketAddr {
+        self.listener.address
+    }
+
+    /// Replaces the faults in force.
+    pub fn set_faults(&self, faults: ServiceFaults) {
+        self.core.gate.set_down(faults.down);
+        *self.core.faults.lock().unwrap() = faults;
+    }
+
+    /// Calls executed so far, in order of execution.
+    pub fn calls(&self) -> Vec<ExecutedCall> {
+        self.core.calls.lock().unwrap().clone()
+    }
+
+    /// Number of executions of one operation.
+    pub fn executions(&self, operation: &str) -> usize {
+        let calls = self.core.calls.lock().unwrap();
+        calls
+            .iter()
+            .filter(|call| call.operation == operation)
+            .count()
+    }
+
+    /// Closes all connections and stops.
+    pub async fn stop(self) {
+        self.listener.stop().await;
+    }
+}
+
+impl ServiceCore {
+    fn crash(&self) {
+        self.gate
+            .refuse_until(Instant::now() + self.settings.restart_time);
+    }
+
+    /// Runs a call to its end, also when its caller has disconnected.
+    async fn execute(self: Arc<Self>, call: ExecutedCall) -> Reply {
+        let faults = self.faults.lock().unwrap().clone();
+        sleep(self.settings.delay + faults.slow).await;
+        if faults.crash_before {
+            self.crash();
+            return Err(Closed);
+        }
+        self.calls.lock().unwrap().push(call.clone());
+        if faults.crash_after {
+            self.crash();
+        }
+        if faults.crash_after || faults.lose_answer {
+            return Err(Closed);
+        }
+        let body = json!({"operation": call.operation, "status": "executed"});
+        let response = http::json_response(StatusCode::OK, &body);
+        Ok(http::with_header(
+            response,
+            "x-request-id",
+            &call.request_id,
+        ))
+    }
+}
+
+impl Handler for ServiceCore {
+    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Reply {
+        let mut call = ExecutedCall {
+            request_id: http::header_text(&request, "x-request-id").to_owned(),
+            operation: String::new(),
+            method: request.method().to_string(),
+            path: request.uri().path().to_owned(),
+        };
+        let bytes = http::read_body(request).await?;
+        let body: Value = serde_json::from_slice(&bytes).unwrap_or_default();
+        call.operation = body["operation"].as_str().unwrap_or_default().to_owned();
+        tokio::spawn(self.execute(call))
+            .await
+            .unwrap_or(Err(Closed))
+    }
+}
