Add a deployment in one process and a first test of the whole path

Cause: the filter chain had not been exercised. Change: testbed gains a deployment builder and a small client; tests cover chat, streaming, authentication, forwarding to another region and refusal by residency.

--- a/crates/verbenaring-gateway/src/attempt.rs
+++ b/crates/verbenaring-gateway/src/attempt.rs
@@ -76,6 +76,19 @@
     /// A reused connection may close while the request is written, which
     /// leaves the outcome in doubt; calls that run at most once open their own.
     pub reuse: bool,
+    /// Whether the answer must carry the attempt identifier.
+    ///
+    /// Engines and nodes always echo it; a plain service may leave it out.
+    pub echo: EchoRule,
+}
+
+/// Whether an answer must carry the attempt identifier.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EchoRule {
+    /// The identifier must be present and match.
+    Required,
+    /// An identifier that is present must match.
+    IfPresent,
 }
 
 /// Sends tries to backend servers and nodes.
@@ -154,7 +167,7 @@
                 crashed: true,
                 ..AttemptFailure::unknown("backend_failed", describe(&error))
             }),
-            Ok(Ok(response)) => check_identity(response, request.attempt).inspect_err(|_| {
+            Ok(Ok(response)) => check_identity(response, request).inspect_err(|_| {
                 // Later answers on this connection would be shifted as well.
                 if let Some(connected) = connection.connection_metadata().as_ref() {
                     connected.poison();
@@ -175,6 +188,7 @@
             headers: &headers,
             body: Bytes::new(),
             reuse: true,
+            echo: EchoRule::IfPresent,
         };
         if let Ok((answer, _)) = self.start(&request) {
             tokio::spawn(tokio::time::timeout(Duration::from_secs(2), answer));
@@ -197,13 +211,17 @@
 
 fn check_identity(
     response: Response<Incoming>,
-    attempt: AttemptId,
+    request: &AttemptRequest<'_>,
 ) -> Result<Response<Incoming>, AttemptFailure> {
     let echoed = response
         .headers()
         .get(header::REQUEST_ID)
         .and_then(|value| value.to_str().ok());
-    if echoed == Some(attempt.to_string().as_str()) {
+    let matches = match echoed {
+        Some(echoed) => echoed == request.attempt.to_string(),
+        None => request.echo == EchoRule::IfPresent,
+    };
+    if matches {
         return Ok(response);
     }
     Err(AttemptFailure::unknown(
--- a/crates/verbenaring-gateway/src/controller.rs
+++ b/crates/verbenaring-gateway/src/controller.rs
@@ -22,7 +22,9 @@
 use verbenaring_protocol::header;
 
 use crate::account::AnswerRecord;
-use crate::attempt::{AttemptClient, AttemptFailure, AttemptRequest, is_refusal, json_headers};
+use crate::attempt::{
+    AttemptClient, AttemptFailure, AttemptRequest, EchoRule, is_refusal, json_headers,
+};
 use crate::authenticate::authenticate_caller;
 use crate::backend::{BackendState, BackendTable, WorkGuard};
 use crate::body::AnswerBody;
@@ -39,7 +41,7 @@
 use crate::route::{RouteTarget, TriedTargets, route_work};
 use crate::store::PlatformStore;
 use crate::timeline::{EventKind, TimelineRing};
-use crate::work::PendingWork;
+use crate::work::{PendingWork, WorkTarget};
 
 /// Largest answer that is collected before it is passed on.
 const MAX_WHOLE_ANSWER_BYTES: usize = 16 * 1024 * 1024;
@@ -227,6 +229,10 @@
                     headers: &work.headers,
                     body: work.body.clone(),
                     reuse: work.repeatable,
+                    echo: match &work.target {
+                        WorkTarget::Model(_) => EchoRule::Required,
+                        WorkTarget::Service(_) => EchoRule::IfPresent,
+                    },
                 };
                 let place = format!("{}/{}", self.settings.vm, terms.server);
                 (
@@ -287,6 +293,7 @@
             headers: &headers,
             body: work.body.clone(),
             reuse: work.repeatable,
+            echo: EchoRule::Required,
         };
         let guard = WorkGuard::new(&Arc::new(BackendState::default()), work.size.total());
         self.exchange(work, &request, guard, None).await
--- a/crates/verbenaring-testbed/src/lib.rs
+++ b/crates/verbenaring-testbed/src/lib.rs
@@ -5,6 +5,8 @@
 //! takes its time from that runtime's clock. Faults can be set while it runs.
 
 pub mod answer;
+pub mod client;
+pub mod deployment;
 pub mod engine;
 pub mod error;
 mod http;
--- /dev/null
+++ b/crates/verbenaring-testbed/tests/path.rs
@@ -0,0 +1,96 @@
+//! The whole path over real sockets: callers, nodes, engines, services, store.
+
+use verbenaring_testbed::client::TestClient;
+use verbenaring_testbed::deployment::{
+    CUSTOMER_KEY, CentreSpec, DeploymentSpec, TestDeployment, contract_document,
+};
+use verbenaring_testbed::expected_answer;
+
+async fn two_regions() -> TestDeployment {
+    let dublin = CentreSpec {
+        services: vec!["jobs"],
+        ..CentreSpec::default()
+    };
+    let cork = CentreSpec {
+        region: "cork",
+        name: "cork-a",
+        ..CentreSpec::default()
+    };
+    let spec = DeploymentSpec {
+        centres: vec![dublin, cork],
+        ..DeploymentSpec::default()
+    };
+    TestDeployment::start(&spec).await.unwrap()
+}
+
+/// A chat must return the whole answer to its own prompt, streamed or not.
+#[tokio::test]
+async fn chat_returns_own_answer() {
+    let deployment = two_regions().await;
+    let contract = contract_document("council", CUSTOMER_KEY, "dublin", &["dublin", "cork"]);
+    deployment.write("config/contract/council", &contract).await;
+    let client = TestClient::new(deployment.node(0).caller_address(), CUSTOMER_KEY);
+    for stream in [false, true] {
+        let answer = client.chat("the crank jams", 12, stream).await;
+        assert_eq!(
+            answer.status,
+            200,
+            "{}",
+            String::from_utf8_lossy(&answer.body)
+        );
+        assert_eq!(answer.chat_text(), expected_answer("the crank jams", 12));
+        assert!(!answer.broken);
+        assert!(
+            answer
+                .header("x-verbenaring-served-by")
+                .starts_with("dublin-a")
+        );
+    }
+    let refused = TestClient::new(deployment.node(0).caller_address(), "wrong");
+    let answer = refused.chat("the crank jams", 12, false).await;
+    assert_eq!(answer.status, 401);
+    assert_eq!(answer.header("x-verbenaring-outcome"), "not_run");
+    deployment.stop().await;
+}
+
+/// Work goes to another region only where the contract allows it.
+#[tokio::test]
+async fn residency_limits_forwarding() {
+    let mut dublin = CentreSpec {
+        engines: Vec::new(),
+        ..CentreSpec::default()
+    };
+    dublin.services = vec!["jobs"];
+    let cork = CentreSpec {
+        region: "cork",
+        name: "cork-a",
+        ..CentreSpec::default()
+    };
+    let spec = DeploymentSpec {
+        centres: vec![dublin, cork],
+        ..DeploymentSpec::default()
+    };
+    let deployment = TestDeployment::start(&spec).await.unwrap();
+    let free = contract_document("free", "free-key", "dublin", &["dublin", "cork"]);
+    let bound = contract_document("bound", "bound-key", "dublin", &["dublin"]);
+    deployment.write("config/contract/free", &free).await;
+    deployment.write("config/contract/bound", &bound).await;
+    let address = deployment.node(0).caller_address();
+
+    let answer = TestClient::new(address, "free-key")
+        .chat("a bung", 5, true)
+        .await;
+    assert_eq!(answer.chat_text(), expected_answer("a bung", 5));
+    assert!(
+        answer
+            .header("x-verbenaring-served-by")
+            .starts_with("cork-a-vm-0/")
+    );
+
+    let answer = TestClient::new(address, "bound-key")
+        .chat("a bung", 5, true)
+        .await;
+    assert_eq!(answer.status, 503);
+    assert_eq!(answer.header("x-verbenaring-outcome"), "not_run");
+    deployment.stop().await;
+}
