Add the operation ledger, the order lease and configuration books

Cause: operations that run at most once, engine orders and configuration need one set of decisions for the daemon and the model checker.

--- /dev/null
+++ b/crates/verbenaring-policy/src/ledger.rs
@@ -0,0 +1,405 @@
+//! Operations that run at most once.
+//!
+//! [`OperationLedger`] is the state machine of one attempt at one node. It
+//! takes events and returns actions and never performs I/O, so the daemon and
+//! the model checker run the same transitions. The specification is
+//! `docs/spec/ledger.md`.
+//!
+//! The point of no return is the answer to [`LedgerEvent::Connected`]: only
+//! there is [`LedgerAction::Send`] returned, and only while the claim is held.
+
+pub use crate::operation::{
+    ClaimBatch, KeyFault, OperationKey, OperationRecord, ReadAnswer, RecordState, RecordWrite,
+    StoredRecord, WriteAnswer, WriteCondition,
+};
+
+use crate::id::{AttemptId, Digest};
+use crate::outcome::RunOutcome;
+
+/// What happened to the attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum LedgerEvent {
+    /// Answer to the write with this serial.
+    Written(u32, WriteAnswer),
+    /// Answer to the read with this serial.
+    Read(u32, ReadAnswer),
+    /// The connection to the backend server is ready; no byte was sent.
+    Connected,
+    /// The first byte of the request was sent.
+    Sent,
+    /// No byte of the request was or will be sent on the connection.
+    Unsent,
+    /// The backend server refused the request before execution.
+    Refused,
+    /// The backend server answered completely with this status.
+    Finished(u16),
+    /// The connection broke, or the answer does not belong to the attempt.
+    Broken,
+    /// The deadline passed or the caller disconnected.
+    GaveUp,
+    /// The store answers again; sent to attempts with open clean-up.
+    StoreReturned,
+}
+
+/// Why the caller is told an outcome.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum VerdictReason {
+    /// The idempotency key is refused.
+    Key(KeyFault),
+    /// The key was used for another request.
+    DigestMismatch,
+    /// Another attempt holds the operation (`operation_in_progress`).
+    InProgress,
+    /// An earlier attempt ran and was answered with this status.
+    AlreadyDone(u16),
+    /// The claim could not be settled in time.
+    StoreUnreachable,
+    /// The deadline passed or the caller disconnected.
+    GaveUp,
+    /// No backend server took the request.
+    Refused,
+    /// The connection broke after the request may have been sent.
+    Broken,
+    /// This attempt ran and was answered with this status.
+    Finished(u16),
+}
+
+/// What the caller is told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct LedgerVerdict {
+    /// Outcome of this attempt, or of the earlier attempt in the record.
+    pub outcome: RunOutcome,
+    /// Reason of the outcome.
+    pub reason: VerdictReason,
+}
+
+/// What the driver has to do, in this order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum LedgerAction {
+    /// Write the record if the condition holds.
+    Write(RecordWrite),
+    /// Read the record (serial of the call).
+    Read(u32),
+    /// Connect to a backend server without sending a byte.
+    Connect,
+    /// Send the request once on the connection.
+    Send,
+    /// Answer the caller.
+    Tell(LedgerVerdict),
+}
+
+/// Identity of an attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct OperationAttempt {
+    /// Idempotency key of the caller.
+    pub key: OperationKey,
+    /// Keyed digest of the request.
+    pub digest: Digest,
+    /// Identifier of the attempt, new for every attempt.
+    pub attempt: AttemptId,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+enum Phase {
+    /// The claim was written; its answer is open.
+    Claiming,
+    /// The answer to the claim was lost; the read is open.
+    Settling,
+    /// The claim is held and nothing was sent.
+    Connecting,
+    /// The driver may send.
+    Sending,
+    /// At least one byte was sent.
+    Sent,
+    /// The outcome was written; the answer is open.
+    Recording(OperationRecord),
+    /// The abandonment was written under this condition; the answer is open.
+    Abandoning(WriteCondition),
+    /// Waits for the store to record the outcome.
+    RecordLater(OperationRecord),
+    /// Waits for the store to abandon the attempt.
+    AbandonLater(WriteCondition),
+    /// Nothing is left to do.
+    Closed,
+}
+
+/// State machine of one attempt at one node.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct OperationLedger {
+    attempt: OperationAttempt,
+    phase: Phase,
+    serial: u32,
+    /// Condition of the latest claim; its write may take effect late.
+    claim: WriteCondition,
+    /// Whether the store confirmed the claim.
+    confirmed: bool,
+    /// What the caller is told when the abandonment is settled.
+    verdict: Option<LedgerVerdict>,
+    told: bool,
+}
+
+type Actions = Vec<LedgerAction>;
+
+impl OperationLedger {
+    /// Checks the key and claims the operation.
+    pub fn start(attempt: OperationAttempt, wall_ms: u64) -> (Self, Actions) {
+        let mut ledger = Self {
+            attempt,
+            phase: Phase::Closed,
+            serial: 0,
+            claim: WriteCondition::Absent,
+            confirmed: false,
+            verdict: None,
+            told: false,
+        };
+        let actions = match attempt.key.check(wall_ms) {
+            Ok(()) => ledger.write_claim(WriteCondition::Absent),
+            Err(fault) => ledger.tell(RunOutcome::NotRun, VerdictReason::Key(fault)),
+        };
+        (ledger, actions)
+    }
+
+    /// Applies an event and returns what the driver has to do.
+    ///
+    /// Answers to earlier store calls and events that do not fit the phase
+    /// are ignored.
+    pub fn on(&mut self, event: LedgerEvent, wall_ms: u64) -> Actions {
+        match event {
+            LedgerEvent::Written(serial, answer) if serial == self.serial => {
+                self.on_written(answer, wall_ms)
+            }
+            LedgerEvent::Read(serial, answer) if serial == self.serial => {
+                self.on_read(answer, wall_ms)
+            }
+            LedgerEvent::Written(..) | LedgerEvent::Read(..) => Actions::new(),
+            LedgerEvent::GaveUp => self.on_gave_up(),
+            LedgerEvent::StoreReturned => self.on_store_returned(wall_ms),
+            _ => self.on_backend(event),
+        }
+    }
+
+    /// Whether the driver may forget the attempt.
+    pub fn is_closed(&self) -> bool {
+        self.phase == Phase::Closed
+    }
+
+    /// Whether the attempt belongs on the clean-up list and waits for
+    /// [`LedgerEvent::StoreReturned`].
+    pub fn awaits_store(&self) -> bool {
+        matches!(self.phase, Phase::RecordLater(_) | Phase::AbandonLater(_))
+    }
+
+    fn on_written(&mut self, answer: WriteAnswer, wall_ms: u64) -> Actions {
+        match (self.phase, answer) {
+            (Phase::Claiming, WriteAnswer::Applied) => self.hold(wall_ms),
+            (Phase::Claiming, WriteAnswer::Refused(found)) => self.judge(found, wall_ms),
+            (Phase::Claiming, WriteAnswer::Lost) => {
+                self.phase = Phase::Settling;
+                self.serial += 1;
+                vec![LedgerAction::Read(self.serial)]
+            }
+            (Phase::Recording(record), WriteAnswer::Lost) => {
+                self.phase = Phase::RecordLater(record);
+                Actions::new()
+            }
+            (Phase::Recording(_), _) => self.close(),
+            (Phase::Abandoning(_), WriteAnswer::Applied) => self.close(),
+            (Phase::Abandoning(_), WriteAnswer::Refused(found)) => self.settle_abandon(found),
+            (Phase::Abandoning(condition), WriteAnswer::Lost) => {
+                self.phase = Phase::AbandonLater(condition);
+                self.tell_verdict()
+            }
+            _ => Actions::new(),
+        }
+    }
+
+    fn on_read(&mut self, answer: ReadAnswer, wall_ms: u64) -> Actions {
+        match (self.phase, answer) {
+            (Phase::Settling, ReadAnswer::Found(found)) => self.judge(found, wall_ms),
+            (Phase::Settling, ReadAnswer::Lost) => self.give_up(VerdictReason::StoreUnreachable),
+            _ => Actions::new(),
+        }
+    }
+
+    fn on_gave_up(&mut self) -> Actions {
+        match self.phase {
+            Phase::Claiming | Phase::Settling => self.give_up(VerdictReason::StoreUnreachable),
+            Phase::Connecting => self.abandon(VerdictReason::GaveUp),
+            // The attempt goes on, so that its outcome can still be recorded.
+            Phase::Sending | Phase::Sent => self.tell(RunOutcome::Unknown, VerdictReason::GaveUp),
+            Phase::Abandoning(_) => self.tell_verdict(),
+            _ => Actions::new(),
+        }
+    }
+
+    fn on_store_returned(&mut self, wall_ms: u64) -> Actions {
+        let expired = self.attempt.key.check(wall_ms) == Err(KeyFault::Expired);
+        match self.phase {
+            // No attempt can claim an expired key, so nothing is blocked.
+            Phase::RecordLater(_) | Phase::AbandonLater(_) if expired => self.close(),
+            Phase::RecordLater(record) => self.write_outcome(record),
+            Phase::AbandonLater(condition) => self.write_abandon(condition),
+            _ => Actions::new(),
+        }
+    }
+
+    fn on_backend(&mut self, event: LedgerEvent) -> Actions {
+        match (self.phase, event) {
+            (Phase::Connecting, LedgerEvent::Connected) => {
+                self.phase = Phase::Sending;
+                vec![LedgerAction::Send]
+            }
+            (
+                Phase::Connecting,
+                LedgerEvent::Unsent | LedgerEvent::Refused | LedgerEvent::Broken,
+            ) => self.abandon(VerdictReason::Refused),
+            (Phase::Sending, LedgerEvent::Sent) => {
+                self.phase = Phase::Sent;
+                Actions::new()
+            }
+            (Phase::Sending, LedgerEvent::Unsent)
+            | (Phase::Sending | Phase::Sent, LedgerEvent::Refused) => {
+                self.abandon(VerdictReason::Refused)
+            }
+            (Phase::Sending | Phase::Sent, LedgerEvent::Finished(status)) => {
+                let mut actions = self.tell(RunOutcome::Ran, VerdictReason::Finished(status));
+                actions.extend(self.write_outcome(self.record(RecordState::Done(status))));
+                actions
+            }
+            (Phase::Sending | Phase::Sent, LedgerEvent::Broken | LedgerEvent::Unsent) => {
+                self.phase = Phase::Closed;
+                self.tell(RunOutcome::Unknown, VerdictReason::Broken)
+            }
+            _ => Actions::new(),
+        }
+    }
+
+    /// Decides from the current record while the claim is not settled.
+    fn judge(&mut self, found: Option<StoredRecord>, wall_ms: u64) -> Actions {
+        let Some(StoredRecord { record, revision }) = found else {
+            return self.claim_again(WriteCondition::Absent, wall_ms);
+        };
+        if record.attempt == self.attempt.attempt {
+            return match record.state {
+                RecordState::Claimed => self.hold(wall_ms),
+                _ => self.finish(RunOutcome::Unknown, VerdictReason::InProgress),
+            };
+        }
+        if !record.digest.matches(&self.attempt.digest) {
+            return self.finish(RunOutcome::NotRun, VerdictReason::DigestMismatch);
+        }
+        match record.state {
+            RecordState::Claimed => self.finish(RunOutcome::Unknown, VerdictReason::InProgress),
+            RecordState::Done(status) => {
+                self.finish(RunOutcome::Ran, VerdictReason::AlreadyDone(status))
+            }
+            RecordState::Abandoned => self.claim_again(WriteCondition::Revision(revision), wall_ms),
+        }
+    }
+
+    fn claim_again(&mut self, condition: WriteCondition, wall_ms: u64) -> Actions {
+        match self.attempt.key.check(wall_ms) {
+            Ok(()) => self.write_claim(condition),
+            Err(fault) => self.give_up(VerdictReason::Key(fault)),
+        }
+    }
+
+    /// The claim is ours. The key is checked again, because a claim that took
+    /// effect after the retention may have replaced a dropped record.
+    fn hold(&mut self, wall_ms: u64) -> Actions {
+        self.confirmed = true;
+        if let Err(fault) = self.attempt.key.check(wall_ms) {
+            return self.abandon(VerdictReason::Key(fault));
+        }
+        self.phase = Phase::Connecting;
+        vec![LedgerAction::Connect]
+    }
+
+    /// Stops an attempt whose claim is not settled. The abandonment has the
+    /// condition of the claim, so a claim that arrives later is refused.
+    fn give_up(&mut self, reason: VerdictReason) -> Actions {
+        self.phase = Phase::AbandonLater(self.claim);
+        self.tell(RunOutcome::NotRun, reason)
+    }
+
+    /// Releases a held claim of an attempt that is known not to run. The
+    /// caller is told afterwards, so that its retry can claim at once.
+    fn abandon(&mut self, reason: VerdictReason) -> Actions {
+        self.verdict = Some(LedgerVerdict {
+            outcome: RunOutcome::NotRun,
+            reason,
+        });
+        self.write_abandon(WriteCondition::Value(self.record(RecordState::Claimed)))
+    }
+
+    fn settle_abandon(&mut self, found: Option<StoredRecord>) -> Actions {
+        let own = self.record(RecordState::Claimed);
+        if found.is_some_and(|stored| stored.record == own) {
+            self.write_abandon(WriteCondition::Value(own))
+        } else if !self.confirmed && self.claim.holds(found.as_ref()) {
+            self.write_abandon(self.claim)
+        } else {
+            self.close()
+        }
+    }
+
+    fn write_claim(&mut self, condition: WriteCondition) -> Actions {
+        self.phase = Phase::Claiming;
+        self.claim = condition;
+        self.write(condition, RecordState::Claimed)
+    }
+
+    fn write_abandon(&mut self, condition: WriteCondition) -> Actions {
+        self.phase = Phase::Abandoning(condition);
+        self.write(condition, RecordState::Abandoned)
+    }
+
+    fn write_outcome(&mut self, record: OperationRecord) -> Actions {
+        self.phase = Phase::Recording(record);
+        let own = self.record(RecordState::Claimed);
+        self.write(WriteCondition::Value(own), record.state)
+    }
+
+    fn write(&mut self, condition: WriteCondition, state: RecordState) -> Actions {
+        self.serial += 1;
+        vec![LedgerAction::Write(RecordWrite {
+            serial: self.serial,
+            condition,
+            record: self.record(state),
+        })]
+    }
+
+    fn record(&self, state: RecordState) -> OperationRecord {
+        OperationRecord {
+            attempt: self.attempt.attempt,
+            digest: self.attempt.digest,
+            key_time_ms: self.attempt.key.time_ms(),
+            state,
+        }
+    }
+
+    fn close(&mut self) -> Actions {
+        self.phase = Phase::Closed;
+        self.tell_verdict()
+    }
+
+    fn finish(&mut self, outcome: RunOutcome, reason: VerdictReason) -> Actions {
+        self.phase = Phase::Closed;
+        self.tell(outcome, reason)
+    }
+
+    fn tell_verdict(&mut self) -> Actions {
+        match self.verdict {
+            Some(verdict) => self.tell(verdict.outcome, verdict.reason),
+            None => Actions::new(),
+        }
+    }
+
+    /// Tells the caller once; later verdicts have no listener.
+    fn tell(&mut self, outcome: RunOutcome, reason: VerdictReason) -> Actions {
+        if std::mem::replace(&mut self.told, true) {
+            return Actions::new();
+        }
+        vec![LedgerAction::Tell(LedgerVerdict { outcome, reason })]
+    }
+}
--- a/crates/verbenaring-policy/src/lib.rs
+++ b/crates/verbenaring-policy/src/lib.rs
@@ -4,9 +4,14 @@
 //! views and a [`time::Moment`] and returns a value, so the daemon, the
 //! experiment tool and the model checker run the same code.
 
+pub mod amendment;
+pub mod config;
 pub mod contract;
 pub mod error;
 pub mod id;
+pub mod lease;
+pub mod ledger;
+pub mod operation;
 pub mod outcome;
 pub mod request;
 pub mod time;
--- /dev/null
+++ b/crates/verbenaring-policy/tests/ledger.rs
@@ -0,0 +1,126 @@
+//! Key checks, store format, batches and single runs of the ledger.
+
+use verbenaring_policy::id::{AttemptId, Digest};
+use verbenaring_policy::ledger::*;
+use verbenaring_policy::operation::BATCH_CLAIMS;
+use verbenaring_policy::outcome::RunOutcome;
+
+const NOW: u64 = 1_800_000_000_000;
+const DAY: u64 = 24 * 3_600_000;
+
+fn key(time_ms: u64) -> OperationKey {
+    let text = uuid::Uuid::from_u128(u128::from(time_ms) << 80 | 0x7 << 76 | 0x8 << 60);
+    OperationKey::parse(&text.to_string()).unwrap()
+}
+
+fn attempt(number: u128) -> OperationAttempt {
+    OperationAttempt {
+        key: key(NOW),
+        digest: Digest::of(b"booking"),
+        attempt: AttemptId(uuid::Uuid::from_u128(number)),
+    }
+}
+
+fn claim_of(actions: &[LedgerAction]) -> RecordWrite {
+    match actions {
+        [LedgerAction::Write(write)] => *write,
+        other => panic!("expected one write, got {other:?}"),
+    }
+}
+
+/// A key accepted after its record was dropped would run an operation twice.
+#[test]
+fn keys_expire_before_records() {
+    assert_eq!(key(NOW).time_ms(), NOW);
+    assert!(key(NOW).check(NOW + DAY - 1).is_ok());
+    assert_eq!(key(NOW).check(NOW + DAY), Err(KeyFault::Expired));
+    assert!(key(NOW).check(NOW - 300_000).is_ok());
+    assert_eq!(key(NOW).check(NOW - 300_001), Err(KeyFault::Ahead));
+    let v4 = "6f1c1f0e-6f5c-4b4e-9a51-0d5c3f1d2a10";
+    assert_eq!(OperationKey::parse(v4), Err(KeyFault::NotVersion7));
+    let record = claim_of(&OperationLedger::start(attempt(1), NOW).1).record;
+    assert!(!record.may_drop(NOW + DAY + 299_999));
+    assert!(record.may_drop(NOW + DAY + 300_000));
+}
+
+/// Nodes of different builds share the records, so the format must not drift.
+#[test]
+fn record_format_is_stable() {
+    let mut record = claim_of(&OperationLedger::start(attempt(1), NOW).1).record;
+    record.state = RecordState::Done(201);
+    let digest = Digest::of(b"booking");
+    let text = format!(
+        "{{\"attempt\":\"00000000-0000-0000-0000-000000000001\",\"digest\":\"{digest}\",\
+         \"key_time_ms\":{NOW},\"state\":{{\"done\":201}}}}"
+    );
+    assert_eq!(serde_json::to_string(&record).unwrap(), text);
+    assert_eq!(
+        serde_json::from_str::<OperationRecord>(&text).unwrap(),
+        record
+    );
+}
+
+/// A reused key with another request must neither run nor show its outcome.
+#[test]
+fn another_digest_is_refused() {
+    let found = claim_of(&OperationLedger::start(attempt(1), NOW).1).record;
+    let mut second = attempt(2);
+    second.digest = Digest::of(b"other");
+    let (mut ledger, actions) = OperationLedger::start(second, NOW);
+    let stored = StoredRecord {
+        record: found,
+        revision: 1,
+    };
+    let answer = WriteAnswer::Refused(Some(stored));
+    let event = LedgerEvent::Written(claim_of(&actions).serial, answer);
+    let verdict = LedgerVerdict {
+        outcome: RunOutcome::NotRun,
+        reason: VerdictReason::DigestMismatch,
+    };
+    assert_eq!(ledger.on(event, NOW), [LedgerAction::Tell(verdict)]);
+    assert!(ledger.is_closed());
+}
+
+/// A store outage must neither keep the caller waiting nor lose the clean-up.
+#[test]
+fn outage_is_not_run_and_cleaned_up_later() {
+    let (mut ledger, actions) = OperationLedger::start(attempt(1), NOW);
+    let serial = claim_of(&actions).serial;
+    let read = ledger.on(LedgerEvent::Written(serial, WriteAnswer::Lost), NOW);
+    assert_eq!(read, [LedgerAction::Read(2)]);
+    let told = ledger.on(LedgerEvent::Read(2, ReadAnswer::Lost), NOW);
+    let verdict = LedgerVerdict {
+        outcome: RunOutcome::NotRun,
+        reason: VerdictReason::StoreUnreachable,
+    };
+    assert_eq!(told, [LedgerAction::Tell(verdict)]);
+    assert!(ledger.awaits_store());
+    let late = ledger.on(LedgerEvent::Written(serial, WriteAnswer::Applied), NOW);
+    assert!(late.is_empty(), "a late claim must not start the attempt");
+    let write = claim_of(&ledger.on(LedgerEvent::StoreReturned, NOW));
+    assert_eq!(write.condition, WriteCondition::Absent);
+    assert_eq!(write.record.state, RecordState::Abandoned);
+}
+
+/// The store refuses transactions above its limit and with a repeated key.
+#[test]
+fn batch_is_bounded_and_independent() {
+    let claim = claim_of(&OperationLedger::start(attempt(1), NOW).1);
+    let mut batch = ClaimBatch::default();
+    assert!(batch.add("0", claim));
+    assert!(!batch.add("0", claim));
+    assert!((1..BATCH_CLAIMS).all(|number| batch.add(&number.to_string(), claim)));
+    assert!(!batch.add("64", claim));
+    let short = batch.clone().settle(Some(vec![WriteAnswer::Applied; 3]));
+    assert!(
+        short
+            .into_iter()
+            .all(|(_, _, answer)| answer == WriteAnswer::Lost)
+    );
+    let whole = batch.settle(Some(vec![WriteAnswer::Applied; BATCH_CLAIMS]));
+    assert!(
+        whole
+            .into_iter()
+            .all(|(_, _, answer)| answer == WriteAnswer::Applied)
+    );
+}
