Add failure detection inside a data centre

Cause: entry VMs need to know which of their peers are live, without a coordination service and without removing healthy nodes when links or processes fail partially.

Change: module `membership` with `MemberTable`, a state machine after SWIM; its wire types are in `gossip`, its probes and timeouts in `probing`, the assignment by rendezvous hash in `rendezvous`. A rumour of a death only starts a suspicion; each node probes the suspect itself before it removes it.

Payloads: passing each payload on a limited number of times left nodes without the newest one in the test `payloads_spread`. The own payload is now part of each message and the others are passed on twice as often.

--- a/crates/verbenaring-policy/src/error.rs
+++ b/crates/verbenaring-policy/src/error.rs
@@ -34,6 +34,14 @@
         /// Revision in force.
         found: Revision,
     },
+    /// A gossip payload does not fit into a message.
+    #[error("payload of {bytes} bytes exceeds the limit of {limit} bytes")]
+    PayloadTooLarge {
+        /// Size of the payload.
+        bytes: usize,
+        /// Largest size allowed.
+        limit: usize,
+    },
 }
 
 /// Result of the decision layer.
--- a/crates/verbenaring-policy/src/lib.rs
+++ b/crates/verbenaring-policy/src/lib.rs
@@ -6,8 +6,12 @@
 
 pub mod contract;
 pub mod error;
+pub mod gossip;
 pub mod id;
+pub mod membership;
 pub mod outcome;
+mod probing;
+pub mod rendezvous;
 pub mod request;
 pub mod time;
 
