Add summaries of data centres and their exchange

Cause: each data centre needs the capacity, revision and addresses of the others at a cost that does not grow with the number of nodes.

Change: module `summary` with `CentreSummary`, `SummaryTable`, the choice of two delegates and the exchange by versions. Ages travel with summaries, so a relay does not make an old one look new.

Exchanges that all started at the same instant brought the same summaries more than once, and the test `each_version_is_sent_about_once_per_centre` failed. A node now spreads its exchanges over the period, with jitter.

--- a/crates/verbenaring-policy/src/lib.rs
+++ b/crates/verbenaring-policy/src/lib.rs
@@ -13,6 +13,7 @@
 mod probing;
 pub mod rendezvous;
 pub mod request;
+pub mod summary;
 pub mod time;
 
 pub use error::{Error, Result};
--- /dev/null
+++ b/crates/verbenaring-policy/src/summary.rs
@@ -0,0 +1,437 @@
+//! Constant-size summaries of data centres and their exchange.
+//!
+//! Two delegates per data centre publish its summary and exchange versions
+//! with delegates of a few other data centres each period; only summaries
+//! that one side lacks are sent. All nodes of a data centre do the same with
+//! one local peer, which is how the summaries reach them.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::seq::{IndexedRandom, IteratorRandom};
+use serde::{Deserialize, Serialize};
+
+use crate::contract::Revision;
+use crate::id::{CentreName, DataCentre, ModelName, VmId};
+use crate::rendezvous::rendezvous;
+use crate::time::Moment;
+
+/// Delegates of one data centre; the second covers the loss of the first.
+pub const DELEGATES: usize = 2;
+/// Most node addresses in a summary.
+pub const MAX_ADDRESSES: usize = 20;
+/// Most models in a summary.
+pub const MAX_MODELS: usize = 32;
+/// Most data centres in a table.
+pub const MAX_CENTRES: usize = 64;
+
+/// Delegates of `centre`, chosen by rendezvous hash over its live table.
+pub fn delegates<'a>(
+    centre: &CentreName,
+    live: impl IntoIterator<Item = &'a VmId>,
+) -> Vec<&'a VmId> {
+    rendezvous(centre.as_str(), live, DELEGATES)
+}
+
+/// Node that callers or other nodes can contact.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NodeAddress {
+    /// Node.
+    pub vm: VmId,
+    /// Address for messages between nodes.
+    pub address: SocketAddr,
+}
+
+/// What a data centre can take over for one model.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ModelSpare {
+    /// Unused capacity.
+    pub tokens_per_s: u32,
+    /// Expected wait of a new request.
+    pub wait_ms: u32,
+}
+
+/// Content of a summary as its publisher measures it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CentreStatus {
+    /// Live nodes, delegates first.
+    pub nodes: Vec<NodeAddress>,
+    /// Number of live nodes.
+    pub node_count: u32,
+    /// Spare capacity per model.
+    pub models: BTreeMap<ModelName, ModelSpare>,
+    /// Newest configuration revision in force.
+    pub revision: Revision,
+    /// Live nodes that have this revision.
+    pub nodes_in_force: u32,
+    /// Wall-clock time of the measurement, for display.
+    pub unix_ms: u64,
+}
+
+impl CentreStatus {
+    fn truncate(&mut self) {
+        self.nodes.truncate(MAX_ADDRESSES);
+        while self.models.len() > MAX_MODELS {
+            self.models.pop_last();
+        }
+    }
+
+    fn is_bounded(&self) -> bool {
+        self.nodes.len() <= MAX_ADDRESSES && self.models.len() <= MAX_MODELS
+    }
+}
+
+/// State of a data centre as other data centres see it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CentreSummary {
+    /// Data centre.
+    pub centre: DataCentre,
+    /// Version; grows over all publishers of the data centre.
+    pub version: u64,
+    /// Content.
+    pub status: CentreStatus,
+}
+
+/// Summary and its age, so that relaying does not make it look newer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AgedSummary {
+    /// Summary.
+    pub summary: CentreSummary,
+    /// Time since it was published.
+    pub age_ms: u32,
+}
+
+/// Step of an exchange.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum SummaryBody {
+    /// Versions that the sender has.
+    Offer(Vec<(CentreName, u64)>),
+    /// Summaries that the offering side lacks, and names of those wanted.
+    Reply {
+        /// Newer summaries.
+        newer: Vec<AgedSummary>,
+        /// Data centres whose offered version is newer.
+        wanted: Vec<CentreName>,
+    },
+    /// Summaries that were wanted.
+    Delivery(Vec<AgedSummary>),
+}
+
+/// Message between nodes of any two data centres.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SummaryMessage {
+    /// Data centre of the sender.
+    pub centre: CentreName,
+    /// Address for the reply.
+    pub sender: SocketAddr,
+    /// Step.
+    pub body: SummaryBody,
+}
+
+/// Message and the address to send it to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SummaryEnvelope {
+    /// Receiver.
+    pub to: SocketAddr,
+    /// Content.
+    pub message: SummaryMessage,
+}
+
+/// Identity and timing of a node's exchanges.
+#[derive(Debug, Clone)]
+pub struct SummarySettings {
+    /// Own data centre.
+    pub centre: DataCentre,
+    /// Own address.
+    pub address: SocketAddr,
+    /// Initial addresses in other data centres.
+    pub peers: Vec<SocketAddr>,
+    /// Time between exchanges.
+    pub exchange_period: Duration,
+    /// Other data centres that a delegate contacts each period.
+    pub fan_out: usize,
+    /// Least time between versions when nodes or counts change.
+    pub change_period: Duration,
+    /// Time between versions when only load changes.
+    pub publish_period: Duration,
+    /// Age at which a summary stops being used.
+    pub retention: Duration,
+    /// Age at which the addresses of a lost data centre are forgotten.
+    pub contact_retention: Duration,
+}
+
+impl SummarySettings {
+    /// Settings with timing that keeps the byte budget at 25 data centres.
+    pub fn new(centre: DataCentre, address: SocketAddr) -> Self {
+        Self {
+            centre,
+            address,
+            peers: Vec::new(),
+            exchange_period: Duration::from_secs(2),
+            fan_out: 2,
+            change_period: Duration::from_secs(2),
+            publish_period: Duration::from_secs(10),
+            retention: Duration::from_secs(60),
+            contact_retention: Duration::from_secs(24 * 3600),
+        }
+    }
+}
+
+#[derive(Debug, Clone)]
+struct SummaryEntry {
+    summary: CentreSummary,
+    received: Moment,
+    age_then: Duration,
+    unanswered: bool,
+}
+
+impl SummaryEntry {
+    fn age(&self, now: Moment) -> Duration {
+        self.age_then + now.since(self.received)
+    }
+}
+
+/// Newest summary of each data centre.
+#[derive(Debug, Clone)]
+pub struct SummaryTable {
+    settings: SummarySettings,
+    entries: BTreeMap<CentreName, SummaryEntry>,
+    next_exchange: Moment,
+    turn: usize,
+}
+
+impl SummaryTable {
+    /// Empty table.
+    pub fn new(mut settings: SummarySettings) -> Self {
+        let own = settings.address;
+        settings.peers.retain(|address| *address != own);
+        Self {
+            settings,
+            entries: BTreeMap::new(),
+            next_exchange: Moment(0),
+            turn: 0,
+        }
+    }
+
+    /// Summaries young enough to act on, that of the own data centre included.
+    pub fn fresh(&self, now: Moment) -> impl Iterator<Item = &CentreSummary> {
+        let retention = self.settings.retention;
+        self.entries
+            .values()
+            .filter(move |entry| entry.age(now) < retention)
+            .map(|entry| &entry.summary)
+    }
+
+    /// Newest known revision of any data centre, and who reported it.
+    pub fn newest_revision(&self, now: Moment) -> Option<(Revision, &CentreSummary)> {
+        self.fresh(now)
+            .map(|summary| (summary.status.revision, summary))
+            .max_by_key(|(revision, _)| *revision)
+    }
+
+    /// Publishes the own data centre if a new version is due; called by delegates.
+    ///
+    /// A new revision is published at once, a change of nodes or counts after
+    /// the change period, anything else after the publish period.
+    pub fn publish(&mut self, now: Moment, mut status: CentreStatus) -> bool {
+        status.truncate();
+        let centre = self.settings.centre.clone();
+        let known = self.entries.get(&centre.name);
+        let due = known.is_none_or(|known| {
+            let old = &known.summary.status;
+            let changed = status.nodes != old.nodes
+                || status.node_count != old.node_count
+                || status.nodes_in_force != old.nodes_in_force;
+            let age = known.age(now);
+            status.revision > old.revision
+                || changed && age >= self.settings.change_period
+                || age >= self.settings.publish_period
+        });
+        if !due {
+            return false;
+        }
+        // Wall-clock time lets a new delegate without a predecessor's version
+        // start above it; the increment covers clocks that run behind.
+        let least = known.map_or(0, |known| known.summary.version.saturating_add(1));
+        let summary = CentreSummary {
+            centre,
+            version: least.max(status.unix_ms),
+            status,
+        };
+        self.merge(now, AgedSummary { summary, age_ms: 0 })
+    }
+
+    /// Keeps the summary if it is newer than the known one.
+    pub fn merge(&mut self, now: Moment, aged: AgedSummary) -> bool {
+        let AgedSummary { summary, age_ms } = aged;
+        let age_then = Duration::from_millis(age_ms.into());
+        let known = self.entries.get(&summary.centre.name);
+        let newer = known.is_none_or(|known| known.summary.version < summary.version);
+        let fits = known.is_some() || self.entries.len() < MAX_CENTRES;
+        let expired = age_then >= self.settings.retention;
+        if !newer || !fits || expired || !summary.status.is_bounded() {
+            return false;
+        }
+        let newest = self.newest_revision(now).map(|(revision, _)| revision);
+        if newest.is_none_or(|newest| newest < summary.status.revision) {
+            self.next_exchange = now;
+        }
+        let entry = SummaryEntry {
+            received: now,
+            age_then,
+            unanswered: known.is_some_and(|known| known.unanswered),
+            summary,
+        };
+        self.entries
+            .insert(entry.summary.centre.name.clone(), entry);
+        true
+    }
+
+    /// Starts the exchange that is due: with one of the `local` addresses or,
+    /// if this node is a delegate, with another data centre.
+    ///
+    /// The exchanges of one period are spread over it: two at the same time
+    /// would bring the same summaries twice.
+    pub fn tick(
+        &mut self,
+        now: Moment,
+        local: &[SocketAddr],
+        is_delegate: bool,
+        rng: &mut impl Rng,
+    ) -> Option<SummaryEnvelope> {
+        if now < self.next_exchange {
+            return None;
+        }
+        let remote = if is_delegate {
+            self.settings.fan_out
+        } else {
+            0
+        };
+        let turns = remote + usize::from(!local.is_empty());
+        let share = 1.0 / turns.max(1) as f64;
+        let jitter = rng.random_range(0.75..1.25);
+        self.next_exchange = now + self.settings.exchange_period.mul_f64(share * jitter);
+        let forgotten = self.settings.contact_retention;
+        self.entries.retain(|_, entry| entry.age(now) < forgotten);
+        self.turn = (self.turn + 1) % turns.max(1);
+        let target = if self.turn < remote {
+            self.choose_remote(rng)
+        } else {
+            let own = self.settings.address;
+            let others = local.iter().copied().filter(|address| *address != own);
+            others.choose(rng)
+        };
+        let body = SummaryBody::Offer(self.versions(now));
+        target.map(|to| self.envelope(to, body))
+    }
+
+    /// Handles a step of an exchange and returns the next one.
+    pub fn receive(&mut self, now: Moment, message: SummaryMessage) -> Option<SummaryEnvelope> {
+        if let Some(entry) = self.entries.get_mut(&message.centre) {
+            entry.unanswered = false;
+        }
+        match message.body {
+            SummaryBody::Offer(versions) if versions.len() <= MAX_CENTRES => {
+                let body = self.reply(now, &versions);
+                Some(self.envelope(message.sender, body))
+            }
+            SummaryBody::Reply { newer, wanted } if newer.len() <= MAX_CENTRES => {
+                self.merge_all(now, newer);
+                let wanted = wanted.iter().take(MAX_CENTRES);
+                let summaries: Vec<_> = wanted
+                    .filter_map(|name| self.entries.get(name))
+                    .map(|entry| aged(entry, now))
+                    .collect();
+                let body = SummaryBody::Delivery(summaries);
+                let empty = SummaryBody::Delivery(Vec::new());
+                (body != empty).then(|| self.envelope(message.sender, body))
+            }
+            SummaryBody::Delivery(summaries) if summaries.len() <= MAX_CENTRES => {
+                self.merge_all(now, summaries);
+                None
+            }
+            _ => None,
+        }
+    }
+
+    fn merge_all(&mut self, now: Moment, summaries: Vec<AgedSummary>) {
+        for summary in summaries {
+            self.merge(now, summary);
+        }
+    }
+
+    fn versions(&self, now: Moment) -> Vec<(CentreName, u64)> {
+        self.fresh(now)
+            .map(|summary| (summary.centre.name.clone(), summary.version))
+            .collect()
+    }
+
+    /// An empty reply is sent too: it tells the other side that it was heard.
+    fn reply(&self, now: Moment, versions: &[(CentreName, u64)]) -> SummaryBody {
+        let offered: BTreeMap<_, _> = versions.iter().cloned().collect();
+        let lacks = |entry: &&SummaryEntry| {
+            let name = &entry.summary.centre.name;
+            let version = offered.get(name).copied();
+            version.is_none_or(|version| version < entry.summary.version)
+        };
+        let retention = self.settings.retention;
+        let newer = self
+            .entries
+            .values()
+            .filter(|entry| entry.age(now) < retention)
+            .filter(lacks)
+            .map(|entry| aged(entry, now))
+            .collect();
+        let is_newer = |name: &CentreName, version: u64| {
+            let known = self.entries.get(name);
+            known.is_none_or(|known| known.summary.version < version)
+        };
+        let wanted = offered
+            .iter()
+            .filter(|(name, version)| is_newer(name, **version))
+            .map(|(name, _)| name.clone())
+            .collect();
+        SummaryBody::Reply { newer, wanted }
+    }
+
+    /// Delegate of a random other data centre; any of its nodes if the last
+    /// exchange with the data centre was not answered.
+    fn choose_remote(&mut self, rng: &mut impl Rng) -> Option<SocketAddr> {
+        let own = &self.settings.centre.name;
+        let others = self.entries.values_mut();
+        let others = others.filter(|entry| entry.summary.centre.name != *own);
+        // Initial peers also bring together groups that lost each other's addresses.
+        let chosen = others.choose(rng).filter(|_| !rng.random_ratio(1, 16));
+        let Some(entry) = chosen else {
+            return self.settings.peers.choose(rng).copied();
+        };
+        let nodes = &entry.summary.status.nodes;
+        let count = if entry.unanswered {
+            nodes.len()
+        } else {
+            nodes.len().min(DELEGATES)
+        };
+        entry.unanswered = true;
+        nodes[..count].choose(rng).map(|node| node.address)
+    }
+
+    fn envelope(&self, to: SocketAddr, body: SummaryBody) -> SummaryEnvelope {
+        let message = SummaryMessage {
+            centre: self.settings.centre.name.clone(),
+            sender: self.settings.address,
+            body,
+        };
+        SummaryEnvelope { to, message }
+    }
+}
+
+fn aged(entry: &SummaryEntry, now: Moment) -> AgedSummary {
+    let age_ms = u32::try_from(entry.age(now).as_millis()).unwrap_or(u32::MAX);
+    AgedSummary {
+        summary: entry.summary.clone(),
+        age_ms,
+    }
+}
