--- a/crates/verbenaring-policy/src/lib.rs
+++ b/crates/verbenaring-policy/src/lib.rs
@@ -8,12 +8,17 @@
 pub mod config;
 pub mod contract;
 pub mod error;
+pub mod gossip;
 pub mod id;
 pub mod lease;
 pub mod ledger;
+pub mod membership;
 pub mod operation;
 pub mod outcome;
+mod probing;
+pub mod rendezvous;
 pub mod request;
+pub mod summary;
 pub mod time;
 
 pub use error::{Error, Result};
