--- a/crates/verbenaring-gateway/src/attempt.rs
+++ b/crates/verbenaring-gateway/src/attempt.rs
@@ -9,15 +9,20 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
+use hyper::client::conn::http1;
+use hyper::header::{CONTENT_TYPE, HOST, HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::client::legacy::connect::{CaptureConnection, HttpConnector, capture_connection};
 use hyper_util::client::legacy::{Client, ResponseFuture};
-use hyper_util::rt::{TokioExecutor, TokioTimer};
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use tokio::net::TcpStream;
+use tokio::time::Instant;
 use verbenaring_policy::id::AttemptId;
 use verbenaring_policy::outcome::RunOutcome;
 use verbenaring_protocol::header;
 
+use crate::route::RouteTarget;
+
 /// Idle connections to one server that are kept.
 const MAX_IDLE_CONNECTIONS: usize = 64;
 /// Time after which an idle connection is closed.
@@ -71,11 +76,6 @@
     pub headers: &'a HeaderMap,
     /// Body to send.
     pub body: Bytes,
-    /// Whether an idle connection may be used.
-    ///
-    /// A reused connection may close while the request is written, which
-    /// leaves the outcome in doubt; calls that run at most once open their own.
-    pub reuse: bool,
     /// Whether the answer must carry the attempt identifier.
     ///
     /// Engines and nodes always echo it; a plain service may leave it out.
@@ -95,26 +95,23 @@
 #[derive(Clone)]
 pub struct AttemptClient {
     pooled: Client<HttpConnector, Full<Bytes>>,
-    single: Client<HttpConnector, Full<Bytes>>,
+    connect_timeout: Duration,
 }
 
 impl AttemptClient {
     /// Client that gives up connecting after `connect_timeout`.
     pub fn new(connect_timeout: Duration) -> Self {
-        let build = |idle| {
-            let mut connector = HttpConnector::new();
-            connector.set_connect_timeout(Some(connect_timeout));
-            connector.set_nodelay(true);
-            Client::builder(TokioExecutor::new())
-                .pool_timer(TokioTimer::new())
-                .pool_idle_timeout(IDLE_TIMEOUT)
-                .pool_max_idle_per_host(idle)
-                .retry_canceled_requests(idle > 0)
-                .build(connector)
-        };
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(connect_timeout));
+        connector.set_nodelay(true);
+        let pooled = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE_TIMEOUT)
+            .pool_max_idle_per_host(MAX_IDLE_CONNECTIONS)
+            .build(connector);
         Self {
-            pooled: build(MAX_IDLE_CONNECTIONS),
-            single: build(0),
+            pooled,
+            connect_timeout,
         }
     }
 
@@ -123,28 +120,10 @@
         &self,
         request: &AttemptRequest<'_>,
     ) -> Result<(ResponseFuture, CaptureConnection), AttemptFailure> {
-        let refuse = |error: hyper::http::Error| {
-            AttemptFailure::not_run(
-                "invalid_request",
-                format!("request cannot be sent: {error}"),
-            )
-        };
-        let mut message = Request::builder()
-            .method(request.method)
-            .uri(format!("http://{}{}", request.address, request.path))
-            .body(Full::new(request.body.clone()))
-            .map_err(refuse)?;
-        *message.headers_mut() = request.headers.clone();
-        let identifier = HeaderValue::from_str(&request.attempt.to_string())
-            .map_err(|error| refuse(error.into()))?;
-        message.headers_mut().insert(header::REQUEST_ID, identifier);
-        let client = if request.reuse {
-            &self.pooled
-        } else {
-            &self.single
-        };
+        let uri = format!("http://{}{}", request.address, request.path);
+        let mut message = build_message(request, &uri)?;
         let connection = capture_connection(&mut message);
-        Ok((client.request(message), connection))
+        Ok((self.pooled.request(message), connection))
     }
 
     /// Sends a try and checks the head of its answer.
@@ -187,7 +166,6 @@
             path: &path,
             headers: &headers,
             body: Bytes::new(),
-            reuse: true,
             echo: EchoRule::IfPresent,
         };
         if let Ok((answer, _)) = self.start(&request) {
@@ -196,6 +174,93 @@
     }
 }
 
+impl AttemptClient {
+    /// Opens a connection of its own for a call that may not be repeated.
+    ///
+    /// An idle connection may close while a request is written, which leaves
+    /// the outcome in doubt. No byte of the request is sent here.
+    pub async fn connect(
+        &self,
+        address: SocketAddr,
+        place: Option<String>,
+        target: Option<RouteTarget>,
+    ) -> Result<AttemptConnection, AttemptFailure> {
+        let failed = |text: String| AttemptFailure::not_run("backend_unreachable", text);
+        let socket = tokio::time::timeout(self.connect_timeout, TcpStream::connect(address))
+            .await
+            .map_err(|_| failed(format!("{address} did not accept in time")))?
+            .map_err(|error| failed(format!("{address}: {error}")))?;
+        let (sender, connection) = http1::handshake(TokioIo::new(socket))
+            .await
+            .map_err(|error| failed(format!("{address}: {error}")))?;
+        tokio::spawn(connection);
+        Ok(AttemptConnection {
+            address,
+            place,
+            target,
+            sender,
+        })
+    }
+}
+
+/// Connection that carries one call.
+pub struct AttemptConnection {
+    /// Address of the backend server or node.
+    pub address: SocketAddr,
+    /// Node and server that run the call, if known.
+    pub place: Option<String>,
+    /// Counted work, released with the connection.
+    target: Option<RouteTarget>,
+    sender: http1::SendRequest<Full<Bytes>>,
+}
+
+impl AttemptConnection {
+    /// Whether the connection leads to another node.
+    pub fn is_peer(&self) -> bool {
+        matches!(self.target, Some(RouteTarget::Peer(_)))
+    }
+
+    /// Sends the call; any failure leaves its outcome in doubt.
+    pub async fn send(
+        mut self,
+        request: &AttemptRequest<'_>,
+        deadline: Instant,
+    ) -> Result<Response<Incoming>, AttemptFailure> {
+        let mut message = build_message(request, request.path)?;
+        let host = HeaderValue::from_str(&request.address.to_string())
+            .map_err(|error| unsendable(error.into()))?;
+        message.headers_mut().insert(HOST, host);
+        let answer = tokio::time::timeout_at(deadline, self.sender.send_request(message)).await;
+        let response = answer
+            .map_err(|_| AttemptFailure::unknown("deadline_exceeded", "no answer in time".into()))?
+            .map_err(|error| AttemptFailure::unknown("backend_failed", error.to_string()))?;
+        check_identity(response, request)
+    }
+}
+
+fn unsendable(error: hyper::http::Error) -> AttemptFailure {
+    AttemptFailure::not_run(
+        "invalid_request",
+        format!("request cannot be sent: {error}"),
+    )
+}
+
+fn build_message(
+    request: &AttemptRequest<'_>,
+    uri: &str,
+) -> Result<Request<Full<Bytes>>, AttemptFailure> {
+    let mut message = Request::builder()
+        .method(request.method)
+        .uri(uri)
+        .body(Full::new(request.body.clone()))
+        .map_err(unsendable)?;
+    *message.headers_mut() = request.headers.clone();
+    let identifier = HeaderValue::from_str(&request.attempt.to_string())
+        .map_err(|error| unsendable(error.into()))?;
+    message.headers_mut().insert(header::REQUEST_ID, identifier);
+    Ok(message)
+}
+
 /// Whether an engine refused a request before running it.
 pub fn is_refusal(status: StatusCode) -> bool {
     matches!(
--- a/crates/verbenaring-gateway/src/controller.rs
+++ b/crates/verbenaring-gateway/src/controller.rs
@@ -16,6 +16,7 @@
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode};
 use tokio::time::Instant;
+use tokio_util::task::TaskTracker;
 use uuid::Uuid;
 use verbenaring_policy::id::AttemptId;
 use verbenaring_policy::outcome::RunOutcome;
@@ -35,7 +36,9 @@
 use crate::identify::{identify_inference, identify_service};
 use crate::listener::RequestHandler;
 use crate::metrics::NodeMetrics;
+use crate::operation::{read_operation, run_operation};
 use crate::peer::{ForwardHead, PeerGate, SignedMessage};
+use crate::records::RecordStore;
 use crate::refusal::Refusal;
 use crate::relay::{RelayMode, RelayStream, has_foreign_identity};
 use crate::route::{RouteTarget, TriedTargets, route_work};
@@ -62,8 +65,10 @@
     pub client: AttemptClient,
     /// Gate for requests of other nodes.
     pub gate: PeerGate,
-    /// Platform store.
-    pub store: S,
+    /// Operation records in the platform store.
+    pub records: RecordStore<S>,
+    /// Running operations; a graceful shutdown waits for them.
+    pub operations: TaskTracker,
     /// Counters of the node.
     pub metrics: Arc<NodeMetrics>,
     /// Events of the node.
@@ -76,7 +81,12 @@
 pub type Outcome = Result<Response<AnswerBody>, Refusal>;
 
 impl<S: PlatformStore> NodeCore<S> {
-    async fn answer_caller(&self, parts: &Parts, body: Incoming, request: &Arc<str>) -> Outcome {
+    async fn answer_caller(
+        self: &Arc<Self>,
+        parts: &Parts,
+        body: Incoming,
+        request: &Arc<str>,
+    ) -> Outcome {
         let path = parts.uri.path();
         match (&parts.method, path) {
             (&Method::GET, "/healthz") => Ok(text_answer("ok\n")),
@@ -97,7 +107,7 @@
     }
 
     async fn answer_customer(
-        &self,
+        self: &Arc<Self>,
         entry: Arc<ContractEntry>,
         parts: &Parts,
         body: Incoming,
@@ -107,11 +117,21 @@
         if (&parts.method, path) == (&Method::GET, "/v1/models") {
             return Ok(json_answer(model_list(&entry)));
         }
+        if let (&Method::GET, Some(key)) = (&parts.method, path.strip_prefix("/v1/operations/")) {
+            let status = read_operation(self, &entry.terms.customer, key).await?;
+            return Ok(json_answer(
+                serde_json::to_string(&status).unwrap_or_default(),
+            ));
+        }
         let body = self.read_body(body).await?;
         let work = self.identify(entry, parts, body, request)?;
         self.timeline
             .record(EventKind::RequestAccepted, request, None);
-        self.run(work).await
+        if work.repeatable {
+            return self.run(work).await;
+        }
+        let key = header_text(&parts.headers, header::IDEMPOTENCY_KEY);
+        run_operation(self, work, key.as_deref()).await
     }
 
     fn identify(
@@ -228,7 +248,6 @@
                     path: &work.path,
                     headers: &work.headers,
                     body: work.body.clone(),
-                    reuse: work.repeatable,
                     echo: match &work.target {
                         WorkTarget::Model(_) => EchoRule::Required,
                         WorkTarget::Service(_) => EchoRule::IfPresent,
@@ -263,22 +282,8 @@
         peer: &PeerSettings,
         attempt: AttemptId,
     ) -> Result<Response<AnswerBody>, AttemptFailure> {
-        let head = ForwardHead {
-            visited: vec![self.settings.vm.clone()],
-            revision: work.entry.revision,
-            deadline_ms: remaining(work.deadline).as_millis() as u64,
-            attempt,
-            customer: work.entry.terms.customer.to_string(),
-        };
-        let message = SignedMessage {
-            method: work.method.as_str(),
-            path: &work.forward_path,
-            body: &work.body,
-            unix_ms: self.clock.unix_ms(),
-        };
-        let mut headers = work.headers.clone();
-        let key = self.gate.signing_key();
-        head.write(&mut headers, key, &peer.vm, &message)
+        let mut work = work.clone();
+        self.sign_forward(&mut work, peer, attempt)
             .ok_or_else(|| AttemptFailure {
                 outcome: RunOutcome::NotRun,
                 code: "invalid_request",
@@ -290,13 +295,40 @@
             attempt,
             method: &work.method,
             path: &work.forward_path,
-            headers: &headers,
+            headers: &work.headers,
             body: work.body.clone(),
-            reuse: work.repeatable,
             echo: EchoRule::Required,
         };
         let guard = WorkGuard::new(&Arc::new(BackendState::default()), work.size.total());
-        self.exchange(work, &request, guard, None).await
+        self.exchange(&work, &request, guard, None).await
+    }
+
+    /// Adds the forwarding headers to the request.
+    pub fn sign_forward(
+        &self,
+        work: &mut PendingWork,
+        peer: &PeerSettings,
+        attempt: AttemptId,
+    ) -> Option<()> {
+        let head = ForwardHead {
+            visited: vec![self.settings.vm.clone()],
+            revision: work.entry.revision,
+            deadline_ms: remaining(work.deadline).as_millis() as u64,
+            attempt,
+            customer: work.entry.terms.customer.to_string(),
+        };
+        let message = SignedMessage {
+            method: work.method.as_str(),
+            path: &work.forward_path,
+            body: &work.body,
+            unix_ms: self.clock.unix_ms(),
+        };
+        head.write(
+            &mut work.headers,
+            self.gate.signing_key(),
+            &peer.vm,
+            &message,
+        )
     }
 
     /// Sends one try and turns its answer into the answer for the caller.
@@ -448,7 +480,8 @@
         .into()
 }
 
-fn header_text(headers: &HeaderMap, name: &str) -> Option<String> {
+/// Header as text.
+pub fn header_text(headers: &HeaderMap, name: &str) -> Option<String> {
     headers
         .get(name)
         .and_then(|value| value.to_str().ok())
@@ -582,7 +615,8 @@
     serde_json::from_slice::<AnswerView>(body).map_or(0, |answer| answer.usage.completion_tokens)
 }
 
-fn caller_answer(
+/// Answer for the caller with the headers that are passed on.
+pub fn caller_answer(
     status: StatusCode,
     headers: &HeaderMap,
     body: AnswerBody,
--- a/crates/verbenaring-gateway/src/etcd.rs
+++ b/crates/verbenaring-gateway/src/etcd.rs
@@ -20,8 +20,8 @@
 
 use crate::error::StoreError;
 use crate::store::{
-    ChangeStream, PlatformStore, RangeAnswer, StoreChange, StoreResult, StoredValue, SwapOutcome,
-    SwapRequest,
+    ChangeStream, PlatformStore, RangeAnswer, StoreChange, StoreResult, StoredValue, SwapCondition,
+    SwapOutcome, SwapRequest,
 };
 
 /// Largest answer of the store: 6,800 contracts of a few KB each fit.
@@ -227,18 +227,26 @@
         }}),
         None => json!({ "request_delete_range": { "key": key } }),
     };
+    let compare = match &request.condition {
+        SwapCondition::Absent => json!({ "target": "MOD", "mod_revision": "0" }),
+        SwapCondition::Revision(revision) => {
+            json!({ "target": "MOD", "mod_revision": revision.to_string() })
+        }
+        SwapCondition::Value(value) => json!({ "target": "VALUE", "value": BASE64.encode(value) }),
+    };
     json!({
-        "compare": [{
-            "key": key,
-            "target": "MOD",
-            "result": "EQUAL",
-            "mod_revision": request.expected.to_string(),
-        }],
+        "compare": [with_key(compare, &key)],
         "success": [write],
         "failure": [{ "request_range": { "key": key } }],
     })
 }
 
+fn with_key(mut compare: Value, key: &str) -> Value {
+    compare["key"] = json!(key);
+    compare["result"] = json!("EQUAL");
+    compare
+}
+
 fn read_outcome(answer: &Value, revision: u64) -> StoreResult<SwapOutcome> {
     if answer["succeeded"].as_bool().unwrap_or(false) {
         return Ok(SwapOutcome::Written(revision));
--- a/crates/verbenaring-gateway/src/node.rs
+++ b/crates/verbenaring-gateway/src/node.rs
@@ -3,10 +3,12 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 use crate::attempt::AttemptClient;
 use crate::backend::BackendTable;
@@ -18,9 +20,13 @@
 use crate::listener::NodeListener;
 use crate::metrics::NodeMetrics;
 use crate::peer::PeerGate;
+use crate::records::RecordStore;
 use crate::timeline::{EventKind, TimelineRing};
 use crate::watcher::ConfigWatcher;
 
+/// Longest wait for operations whose records the platform store does not take.
+const OPERATION_LIMIT: Duration = Duration::from_secs(10);
+
 /// Sockets of a node, bound before anything is started.
 pub struct BoundNode {
     settings: NodeSettings,
@@ -67,7 +73,8 @@
             backends: BackendTable::default(),
             client: AttemptClient::new(settings.guards.connect_timeout),
             gate: PeerGate::new(&settings.vm, &settings.cluster_keys, clock.unix_ms()),
-            store: store.clone(),
+            records: RecordStore::start(store.clone()),
+            operations: TaskTracker::new(),
             metrics: Arc::new(NodeMetrics::default()),
             timeline: Arc::new(TimelineRing::new(&settings.vm)),
             stopping: AtomicBool::new(false),
@@ -97,7 +104,7 @@
 
 /// Node that serves requests; dropping it ends its background tasks.
 pub struct RunningNode {
-    core: Arc<NodeCore<Arc<EtcdStore>>>,
+    core: Arc<NodeCore<EtcdStore>>,
     servers: JoinSet<()>,
     shutdown: CancellationToken,
     background: tokio_util::sync::DropGuard,
@@ -105,7 +112,7 @@
 
 impl RunningNode {
     /// Shared state of the node.
-    pub fn core(&self) -> &Arc<NodeCore<Arc<EtcdStore>>> {
+    pub fn core(&self) -> &Arc<NodeCore<EtcdStore>> {
         &self.core
     }
 
@@ -122,6 +129,11 @@
             .record(EventKind::ShutdownStarted, "", None);
         self.shutdown.cancel();
         while self.servers.join_next().await.is_some() {}
+        self.core.operations.close();
+        let ended = tokio::time::timeout(OPERATION_LIMIT, self.core.operations.wait()).await;
+        if ended.is_err() {
+            log::warn!("operations are left unsettled: the platform store does not answer");
+        }
         drop(self.background);
     }
 }
--- /dev/null
+++ b/crates/verbenaring-gateway/src/operation.rs
@@ -0,0 +1,360 @@
+//! Calls that may not be repeated: drives the operation ledger.
+//!
+//! [`OperationLedger`] decides; this module performs its actions. The driver
+//! runs in a task of its own, so that the outcome is recorded even if the
+//! caller goes away.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http_body_util::{BodyExt, Limited};
+use hyper::{Response, StatusCode};
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+use uuid::Uuid;
+use verbenaring_policy::id::{AttemptId, Digest};
+use verbenaring_policy::ledger::{
+    LedgerAction, LedgerEvent, LedgerVerdict, OperationAttempt, OperationLedger, VerdictReason,
+};
+use verbenaring_policy::operation::{KeyFault, OperationKey, ReadAnswer, RecordState};
+use verbenaring_policy::outcome::RunOutcome;
+use verbenaring_protocol::header;
+use verbenaring_protocol::node::OperationStatus;
+
+use crate::attempt::{AttemptConnection, AttemptRequest, EchoRule};
+use crate::body::AnswerBody;
+use crate::controller::{NodeCore, Outcome, caller_answer, header_text};
+use crate::records::operation_key;
+use crate::refusal::Refusal;
+use crate::route::{RouteTarget, TriedTargets, route_work};
+use crate::store::PlatformStore;
+use crate::timeline::EventKind;
+use crate::work::PendingWork;
+
+/// Largest answer of a call that may not be repeated.
+const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+/// First and last delay before an unsettled record is tried again.
+const FIRST_CLEANUP: Duration = Duration::from_millis(500);
+const LAST_CLEANUP: Duration = Duration::from_secs(30);
+
+/// Answer of a backend server, held until the ledger releases it.
+type HeldAnswer = Response<AnswerBody>;
+
+struct OperationDriver<S: PlatformStore> {
+    core: Arc<NodeCore<S>>,
+    work: PendingWork,
+    store_key: String,
+    attempt: AttemptId,
+    connection: Option<AttemptConnection>,
+    answer: Option<HeldAnswer>,
+    reply: Option<oneshot::Sender<Outcome>>,
+}
+
+/// Runs a call that may not be repeated.
+pub async fn run_operation<S: PlatformStore>(
+    core: &Arc<NodeCore<S>>,
+    work: PendingWork,
+    key: Option<&str>,
+) -> Outcome {
+    let text = key.ok_or_else(|| {
+        bad_key("this call may not be repeated: send a UUID of version 7 as Idempotency-Key")
+    })?;
+    let key = OperationKey::parse(text).map_err(|fault| bad_key(&fault.to_string()))?;
+    let attempt = AttemptId(Uuid::new_v4());
+    let digest = request_digest(text, &work);
+    let (reply, outcome) = oneshot::channel();
+    let driver = OperationDriver {
+        core: core.clone(),
+        store_key: operation_key(&work.entry.terms.customer, text),
+        work,
+        attempt,
+        connection: None,
+        answer: None,
+        reply: Some(reply),
+    };
+    core.operations.spawn(driver.drive(OperationAttempt {
+        key,
+        digest,
+        attempt,
+    }));
+    let lost = Refusal::unknown("operation_lost", "operation ended without an outcome");
+    outcome.await.unwrap_or(Err(lost))
+}
+
+/// Outcome of an operation as recorded in the platform store.
+pub async fn read_operation<S: PlatformStore>(
+    core: &NodeCore<S>,
+    customer: &verbenaring_policy::id::CustomerId,
+    text: &str,
+) -> Result<OperationStatus, Refusal> {
+    OperationKey::parse(text).map_err(|fault| bad_key(&fault.to_string()))?;
+    let found = match core.records.read(&operation_key(customer, text)).await {
+        ReadAnswer::Found(found) => found,
+        ReadAnswer::Lost => {
+            let message = "platform store did not answer";
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            return Err(Refusal {
+                status,
+                ..Refusal::unknown("store_unreachable", message)
+            }
+            .with_retry_after(1));
+        }
+    };
+    let (state, outcome, status) = match found.map(|stored| stored.record.state) {
+        // A claim may still be under way, so absence does not prove anything.
+        None => ("absent", RunOutcome::Unknown, None),
+        Some(RecordState::Claimed) => ("claimed", RunOutcome::Unknown, None),
+        Some(RecordState::Done(status)) => ("done", RunOutcome::Ran, Some(status)),
+        Some(RecordState::Abandoned) => ("abandoned", RunOutcome::NotRun, None),
+    };
+    Ok(OperationStatus {
+        key: text.to_owned(),
+        state: state.to_owned(),
+        outcome,
+        status,
+    })
+}
+
+impl<S: PlatformStore> OperationDriver<S> {
+    async fn drive(mut self, attempt: OperationAttempt) {
+        let (mut ledger, actions) = OperationLedger::start(attempt, self.core.clock.unix_ms());
+        let mut pending = VecDeque::from(actions);
+        let mut delay = FIRST_CLEANUP;
+        loop {
+            while let Some(action) = pending.pop_front() {
+                let Some(event) = self.perform(action).await else {
+                    continue;
+                };
+                pending.extend(ledger.on(event, self.core.clock.unix_ms()));
+            }
+            if ledger.is_closed() {
+                break;
+            }
+            if !ledger.awaits_store() {
+                log::error!(
+                    "operation attempt {} stopped without an action",
+                    self.attempt
+                );
+                break;
+            }
+            tokio::time::sleep(delay).await;
+            delay = (2 * delay).min(LAST_CLEANUP);
+            pending.extend(ledger.on(LedgerEvent::StoreReturned, self.core.clock.unix_ms()));
+        }
+    }
+
+    async fn perform(&mut self, action: LedgerAction) -> Option<LedgerEvent> {
+        match action {
+            LedgerAction::Write(write) => {
+                let answer = self.core.records.write(&self.store_key, write).await;
+                Some(LedgerEvent::Written(write.serial, answer))
+            }
+            LedgerAction::Read(serial) => {
+                let answer = self.core.records.read(&self.store_key).await;
+                Some(LedgerEvent::Read(serial, answer))
+            }
+            LedgerAction::Connect => {
+                self.record(EventKind::OperationClaimed);
+                Some(self.connect().await)
+            }
+            LedgerAction::Send => Some(self.send().await),
+            LedgerAction::Tell(verdict) => {
+                self.tell(verdict);
+                None
+            }
+        }
+    }
+
+    async fn connect(&mut self) -> LedgerEvent {
+        if self.work.check_deadline().is_err() {
+            return LedgerEvent::GaveUp;
+        }
+        let core = self.core.clone();
+        let catalog = core.catalog.load_full();
+        let tried = TriedTargets::default();
+        let routed = route_work(&core.settings, &catalog, &core.backends, &self.work, &tried);
+        let (address, place) = match &routed {
+            Ok(RouteTarget::Server(terms, _)) => (
+                terms.address,
+                Some(format!("{}/{}", core.settings.vm, terms.server)),
+            ),
+            Ok(RouteTarget::Peer(peer)) => {
+                if core
+                    .sign_forward(&mut self.work, peer, self.attempt)
+                    .is_none()
+                {
+                    return LedgerEvent::Unsent;
+                }
+                (peer.peer_address, None)
+            }
+            Err(_) => return LedgerEvent::Unsent,
+        };
+        match core.client.connect(address, place, routed.ok()).await {
+            Ok(connection) => {
+                self.connection = Some(connection);
+                LedgerEvent::Connected
+            }
+            Err(failure) => {
+                log::info!(
+                    "operation attempt {} not sent: {}",
+                    self.attempt,
+                    failure.message
+                );
+                LedgerEvent::Unsent
+            }
+        }
+    }
+
+    async fn send(&mut self) -> LedgerEvent {
+        let Some(connection) = self.connection.take() else {
+            return LedgerEvent::Unsent;
+        };
+        self.record(EventKind::AttemptSent);
+        let forwarded = connection.is_peer();
+        let path = if forwarded {
+            &self.work.forward_path
+        } else {
+            &self.work.path
+        };
+        let request = AttemptRequest {
+            address: connection.address,
+            attempt: self.attempt,
+            method: &self.work.method,
+            path,
+            headers: &self.work.headers,
+            body: self.work.body.clone(),
+            echo: if forwarded {
+                EchoRule::Required
+            } else {
+                EchoRule::IfPresent
+            },
+        };
+        let place = connection.place.clone();
+        let answer = match connection.send(&request, self.work.deadline).await {
+            Ok(answer) => answer,
+            Err(failure) => {
+                log::warn!(
+                    "operation attempt {} in doubt: {}",
+                    self.attempt,
+                    failure.message
+                );
+                return LedgerEvent::Broken;
+            }
+        };
+        let (head, upstream) = answer.into_parts();
+        let outcome = header_text(&head.headers, header::OUTCOME);
+        match outcome.as_deref().filter(|_| forwarded) {
+            Some("not_run") => return LedgerEvent::Refused,
+            Some("unknown") => return LedgerEvent::Broken,
+            _ => {}
+        }
+        let limited = Limited::new(upstream, MAX_ANSWER_BYTES);
+        match tokio::time::timeout_at(self.work.deadline, limited.collect()).await {
+            Ok(Ok(body)) => {
+                let body = AnswerBody::Whole(Some(body.to_bytes()));
+                let place = place.or_else(|| header_text(&head.headers, header::SERVED_BY));
+                self.answer = Some(caller_answer(head.status, &head.headers, body, place));
+                LedgerEvent::Finished(head.status.as_u16())
+            }
+            _ => LedgerEvent::Broken,
+        }
+    }
+
+    fn tell(&mut self, verdict: LedgerVerdict) {
+        let outcome = match (verdict.reason, self.answer.take()) {
+            (VerdictReason::Finished(_), Some(answer)) => {
+                self.record(EventKind::OperationDone);
+                self.core.metrics.requests.with_label_values(&["ran"]).inc();
+                let seconds = Instant::now() - self.work.accepted;
+                self.core
+                    .metrics
+                    .request_seconds
+                    .observe(seconds.as_secs_f64());
+                Ok(answer)
+            }
+            _ => Err(refuse_verdict(verdict)),
+        };
+        if let Some(reply) = self.reply.take() {
+            // The caller may be gone; the record keeps the outcome.
+            let _ = reply.send(outcome);
+        }
+    }
+
+    fn record(&self, kind: EventKind) {
+        self.core
+            .timeline
+            .record(kind, &self.work.request, Some(self.attempt));
+    }
+}
+
+fn bad_key(message: &str) -> Refusal {
+    Refusal::not_run(StatusCode::BAD_REQUEST, "invalid_idempotency_key", message)
+}
+
+/// Digest of a request under its idempotency key.
+///
+/// The key is known to the caller only and is not stored, so the digest of a
+/// request with few possible values cannot be guessed from the record.
+fn request_digest(key: &str, work: &PendingWork) -> Digest {
+    let secret = blake3::derive_key("verbenaring operation digest 1", key.as_bytes());
+    let mut content = format!("{} {}\n", work.method, work.forward_path).into_bytes();
+    content.extend_from_slice(&work.body);
+    Digest::keyed(&secret, &content)
+}
+
+fn refuse_verdict(verdict: LedgerVerdict) -> Refusal {
+    let (status, code, message) = match verdict.reason {
+        VerdictReason::Key(fault @ KeyFault::Expired) => (
+            StatusCode::BAD_REQUEST,
+            "idempotency_key_expired",
+            fault.to_string(),
+        ),
+        VerdictReason::Key(fault) => (
+            StatusCode::BAD_REQUEST,
+            "invalid_idempotency_key",
+            fault.to_string(),
+        ),
+        VerdictReason::DigestMismatch => (
+            StatusCode::UNPROCESSABLE_ENTITY,
+            "idempotency_key_reused",
+            "the idempotency key was used for another request".into(),
+        ),
+        VerdictReason::InProgress => (
+            StatusCode::CONFLICT,
+            "operation_in_progress",
+            "another attempt holds the operation; ask for its outcome later".into(),
+        ),
+        VerdictReason::AlreadyDone(status) => (
+            StatusCode::CONFLICT,
+            "operation_done",
+            format!("the operation ran before and was answered with status {status}"),
+        ),
+        VerdictReason::StoreUnreachable => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "store_unreachable",
+            "the operation could not be claimed in the platform store".into(),
+        ),
+        VerdictReason::GaveUp => (
+            StatusCode::GATEWAY_TIMEOUT,
+            "deadline_exceeded",
+            "deadline passed before the operation ended".into(),
+        ),
+        VerdictReason::Refused => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no_backend",
+            "no backend server took the operation".into(),
+        ),
+        VerdictReason::Broken | VerdictReason::Finished(_) => (
+            StatusCode::BAD_GATEWAY,
+            "backend_failed",
+            "the connection broke after the operation was sent".into(),
+        ),
+    };
+    let refusal = Refusal::not_run(status, code, message).with_outcome(verdict.outcome);
+    if status == StatusCode::SERVICE_UNAVAILABLE {
+        refusal.with_retry_after(1)
+    } else {
+        refusal
+    }
+}
--- a/crates/verbenaring-gateway/src/store.rs
+++ b/crates/verbenaring-gateway/src/store.rs
@@ -39,13 +39,24 @@
     pub value: Option<Vec<u8>>,
 }
 
+/// Condition under which a key is written.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SwapCondition {
+    /// The key does not exist.
+    Absent,
+    /// The key was last changed at this revision.
+    Revision(u64),
+    /// The key holds this value.
+    Value(Vec<u8>),
+}
+
 /// Conditional write of one key.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SwapRequest {
     /// Key to write.
     pub key: String,
-    /// Revision that the key must have; 0 if it must be absent.
-    pub expected: u64,
+    /// Condition of the write.
+    pub condition: SwapCondition,
     /// New value; none deletes the key.
     pub value: Option<Vec<u8>>,
     /// Lease that the key is bound to; 0 for none.
--- a/crates/verbenaring-testbed/src/deployment.rs
+++ b/crates/verbenaring-testbed/src/deployment.rs
@@ -10,7 +10,7 @@
 use verbenaring_gateway::config::{ClusterKey, GuardSettings, NodeSettings, PeerSettings};
 use verbenaring_gateway::etcd::EtcdStore;
 use verbenaring_gateway::node::{BoundNode, RunningNode};
-use verbenaring_gateway::store::{PlatformStore, SwapOutcome, SwapRequest};
+use verbenaring_gateway::store::{PlatformStore, SwapCondition, SwapOutcome, SwapRequest};
 use verbenaring_policy::id::{CentreName, DataCentre, Digest, RegionName, VmId};
 
 use crate::engine::{EngineServer, EngineSettings};
@@ -122,7 +122,9 @@
         let current = self.writer.get(key).await.expect("store is up");
         let request = SwapRequest {
             key: key.to_owned(),
-            expected: current.map_or(0, |value| value.revision),
+            condition: current.map_or(SwapCondition::Absent, |value| {
+                SwapCondition::Revision(value.revision)
+            }),
             value: Some(document.to_string().into_bytes()),
             lease: 0,
         };
