Choose a backend server by one of four policies

Cause: the experiment compares round robin, least reported load, two random choices and one owner node per server. Change: router with the trait RoutePolicy and the wrapper PrefixAffinity; load with age-discounted estimates and a fixed table of recent prefixes.

--- a/crates/verbenaring-policy/src/lib.rs
+++ b/crates/verbenaring-policy/src/lib.rs
@@ -7,8 +7,10 @@
 pub mod contract;
 pub mod error;
 pub mod id;
+pub mod load;
 pub mod outcome;
 pub mod request;
+pub mod router;
 pub mod time;
 
 pub use error::{Error, Result};
--- /dev/null
+++ b/crates/verbenaring-policy/tests/router.rs
@@ -0,0 +1,202 @@
+//! Choice of a server among borrowed views.
+
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use verbenaring_policy::id::{Digest, ModelName, ServerId};
+use verbenaring_policy::load::{PrefixTable, key_of};
+use verbenaring_policy::request::SizeEstimate;
+use verbenaring_policy::router::{
+    LeastReported, OwnerNode, PrefixAffinity, RoundRobin, RoutePlanner, RoutePolicy, RouteRequest,
+    RouteTarget, ServedModel, ServerLoad, ServerRole, ServerState, ServerView, TwoChoices,
+};
+
+struct Fixture {
+    ids: Vec<ServerId>,
+    models: Vec<ServedModel>,
+    prefixes: PrefixTable,
+}
+
+impl Fixture {
+    fn new(count: usize) -> Self {
+        let id = |index| ServerId::new(&format!("s{index}")).unwrap();
+        let served = ServedModel {
+            model: ModelName::new("m").unwrap(),
+            version: "2".into(),
+            adapters: vec!["a".into()],
+            role: ServerRole::Whole,
+        };
+        Self {
+            ids: (0..count).map(id).collect(),
+            models: vec![served],
+            prefixes: PrefixTable::default(),
+        }
+    }
+
+    fn views(&self) -> Vec<ServerView<'_, PrefixTable>> {
+        let view = |id| ServerView {
+            id,
+            state: ServerState::Active,
+            own_tokens: 0,
+            own_requests: 0,
+            slots: 8,
+            tokens_per_s: 400.0,
+            report: None,
+            models: &self.models,
+            services: &[],
+            prefixes: &self.prefixes,
+        };
+        self.ids.iter().map(view).collect()
+    }
+
+    fn request(&self) -> RouteRequest<'_> {
+        RouteRequest {
+            target: RouteTarget::Model {
+                model: &self.models[0].model,
+                version: None,
+                adapter: None,
+                role: ServerRole::Whole,
+            },
+            size: SizeEstimate {
+                prompt_tokens: 100,
+                answer_tokens: 100,
+            },
+            prefix: Digest::of(b"prefix"),
+            low_priority: false,
+            relayed: false,
+            excluded: &[],
+        }
+    }
+}
+
+fn counts<P: RoutePolicy>(
+    policy: P,
+    fixture: &Fixture,
+    views: &[ServerView<'_, PrefixTable>],
+) -> Vec<u32> {
+    let mut planner = RoutePlanner::new(policy);
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    let mut counts = vec![0; views.len()];
+    for _ in 0..1000 {
+        let choice = planner.plan(&fixture.request(), views, &mut rng).unwrap();
+        counts[choice.server] += 1;
+    }
+    counts
+}
+
+/// Work must not reach leaving, ejected or excluded servers, nor servers without the model.
+#[test]
+fn unusable_servers_are_skipped() {
+    let fixture = Fixture::new(4);
+    let other = ServedModel {
+        role: ServerRole::Decode,
+        ..fixture.models[0].clone()
+    };
+    let others = [other];
+    let mut views = fixture.views();
+    views[0].state = ServerState::Leaving;
+    views[1].state = ServerState::Ejected { probe_due: false };
+    views[2].models = &others;
+    assert_eq!(
+        counts(RoundRobin::default(), &fixture, &views),
+        [0, 0, 0, 1000]
+    );
+    let mut planner = RoutePlanner::new(TwoChoices);
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let excluded = [fixture.ids[3].clone()];
+    let mut request = fixture.request();
+    request.excluded = &excluded;
+    let choice = planner.plan(&request, &views, &mut rng).unwrap();
+    assert_eq!(choice.server, 1, "an ejected server is the last resort");
+    request.target = RouteTarget::Model {
+        model: &fixture.models[0].model,
+        version: Some("1"),
+        adapter: Some("a"),
+        role: ServerRole::Whole,
+    };
+    assert!(planner.plan(&request, &views, &mut rng).is_none());
+}
+
+/// An ejected server without probes would never return; only low-priority work may probe it.
+#[test]
+fn low_priority_work_probes_ejected_servers() {
+    let fixture = Fixture::new(3);
+    let mut views = fixture.views();
+    views[2].state = ServerState::Ejected { probe_due: true };
+    let mut planner = RoutePlanner::new(TwoChoices);
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut request = fixture.request();
+    assert_ne!(planner.plan(&request, &views, &mut rng).unwrap().server, 2);
+    request.low_priority = true;
+    assert_eq!(planner.plan(&request, &views, &mut rng).unwrap().server, 2);
+}
+
+/// All nodes that read one stale report must not send everything to the server it favours.
+#[test]
+fn stale_reports_do_not_attract_all_work() {
+    let fixture = Fixture::new(10);
+    let mut views = fixture.views();
+    for (index, view) in views.iter_mut().enumerate() {
+        view.report = Some(ServerLoad {
+            running: if index == 0 { 0 } else { 5 },
+            waiting: 0,
+            cache_usage: 0.0,
+            age: Duration::from_secs(5),
+        });
+    }
+    assert_eq!(counts(LeastReported, &fixture, &views)[0], 1000);
+    assert!(counts(TwoChoices, &fixture, &views)[0] < 250);
+}
+
+/// A slow server must receive less work than its peers at equal outstanding work.
+#[test]
+fn slow_factor_and_own_work_count() {
+    let fixture = Fixture::new(3);
+    let mut views = fixture.views();
+    views[0].state = ServerState::Slow { factor: 4.0 };
+    views[1].own_tokens = 10_000;
+    views[1].own_requests = 20;
+    let counts = counts(TwoChoices, &fixture, &views);
+    assert!(counts[2] > 600 && counts[1] == 0, "{counts:?}");
+}
+
+/// Affinity without a bound would overload the server that holds a popular prefix.
+#[test]
+fn affinity_ends_at_the_load_bound() {
+    let fixture = Fixture::new(8);
+    let mut warm = PrefixTable::default();
+    warm.insert(&fixture.request().prefix);
+    let mut views = fixture.views();
+    views[3].prefixes = &warm;
+    assert_eq!(
+        counts(PrefixAffinity(TwoChoices), &fixture, &views)[3],
+        1000
+    );
+    views[3].own_tokens = 4000;
+    views[3].own_requests = 20;
+    assert_eq!(counts(PrefixAffinity(TwoChoices), &fixture, &views)[3], 0);
+}
+
+/// Nodes must agree on the owner, and a relayed request must not be relayed again.
+#[test]
+fn owners_agree_and_relay_once() {
+    let fixture = Fixture::new(20);
+    let views = fixture.views();
+    let nodes: Vec<u64> = ["a", "b", "c"].map(key_of).to_vec();
+    let policies = [0, 1, 2].map(|own| OwnerNode::new(own, nodes.clone()));
+    let mut owned = [0; 3];
+    for id in &fixture.ids {
+        let owner = policies[0].owner(id);
+        assert!(policies.iter().all(|policy| policy.owner(id) == owner));
+        owned[owner] += 1;
+    }
+    assert!(owned.iter().all(|count| *count > 0), "{owned:?}");
+    let mut rng = ChaCha8Rng::seed_from_u64(3);
+    for policy in policies {
+        let mut request = fixture.request();
+        request.relayed = true;
+        let choice = RoutePlanner::new(policy).plan(&request, &views, &mut rng);
+        assert_eq!(choice.unwrap().owner, None);
+    }
+}
