Detect stragglers from streamed progress and bound hedges

Cause: servers slow down for short times, load reports show it late, and a few requests run far longer than the rest. A sample is divided by up to 3 for more streams than the peers have.

--- a/crates/verbenaring-policy/src/lib.rs
+++ b/crates/verbenaring-policy/src/lib.rs
@@ -6,11 +6,13 @@
 
 pub mod contract;
 pub mod error;
+pub mod hedge;
 pub mod id;
 pub mod load;
 pub mod outcome;
 pub mod request;
 pub mod router;
+pub mod straggler;
 pub mod time;
 
 pub use error::{Error, Result};
--- /dev/null
+++ b/crates/verbenaring-policy/src/straggler.rs
@@ -0,0 +1,490 @@
+//! Detection of backend servers that are slower than their peers.
+//!
+//! The detector follows streamed answers. The time that own requests spend in
+//! flight, divided by the tokens they receive, gives the time per token of a
+//! server. Time without a token counts, so a stall is seen before any request
+//! ends, and the size of a request does not matter.
+//!
+//! A server that serves several models has one member per model; members of
+//! one model form a group.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use slotmap::{SlotMap, new_key_type};
+
+use crate::hedge::FirstTokenLatency;
+use crate::id::ModelName;
+use crate::request::SHORT_TOKENS;
+use crate::router::ServerState;
+use crate::time::Moment;
+
+new_key_type! {
+    /// One server in the group of one model.
+    pub struct MemberKey;
+    /// One request in flight.
+    pub struct FlightKey;
+}
+
+/// Thresholds of the detector.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct StragglerSettings {
+    /// Multiple of the peers' median that counts as slow.
+    pub slow_ratio: f64,
+    /// Multiple of the peers' median below which a server counts as recovered.
+    pub good_ratio: f64,
+    /// Consecutive samples that change the judgement.
+    pub streak: u32,
+    /// Largest ejected share of a group.
+    pub ejected_share: f64,
+    /// Shortest time of a sample.
+    pub window: Duration,
+    /// Weight of a new sample in the moving average.
+    pub sample_weight: f64,
+    /// First ejection; doubles when a server is ejected again.
+    pub first_ejection: Duration,
+    /// Longest ejection.
+    pub longest_ejection: Duration,
+    /// Time between two probes of an ejected server.
+    pub probe_interval: Duration,
+    /// Ejection without evidence after which a server returns unproven.
+    pub unproven_return: Duration,
+    /// Time of one step of the return.
+    pub step: Duration,
+}
+
+impl Default for StragglerSettings {
+    fn default() -> Self {
+        Self {
+            slow_ratio: 2.0,
+            good_ratio: 1.5,
+            streak: 3,
+            ejected_share: 0.2,
+            window: Duration::from_millis(100),
+            sample_weight: 0.3,
+            first_ejection: Duration::from_secs(1),
+            longest_ejection: Duration::from_secs(30),
+            probe_interval: Duration::from_secs(1),
+            unproven_return: Duration::from_secs(10),
+            step: Duration::from_millis(500),
+        }
+    }
+}
+
+/// Load factors of the return, in order.
+const RETURN_FACTORS: [f64; 3] = [8.0, 4.0, 2.0];
+/// Progress events that a sample should span. With 6, one event more or less
+/// changes the sample by under a fifth.
+const EVENTS_PER_SAMPLE: f64 = 6.0;
+/// Multiple of the p95 first-token latency after which silence is evidence.
+const FIRST_TOKEN_SLACK: f64 = 3.0;
+/// Upper bound of the load factor, so that a slow server is still sampled.
+const MAX_FACTOR: f64 = 16.0;
+/// Largest slowness explained by more streams than the peers have.
+///
+/// Streams share the engine: without this, random placement of 16 streams per
+/// server on 8 slots ejected healthy servers for 16% of their time. Without a
+/// bound, the requests that pile up on a slow server would explain its slowness.
+const MAX_CROWDING: f64 = 3.0;
+/// Peers with samples that a comparison needs.
+const MIN_PEERS: usize = 2;
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Health {
+    Healthy,
+    Slow { factor: f64 },
+    Ejected { since: Moment, next_probe: Moment },
+    Returning { step: usize, since: Moment },
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Window {
+    start: Moment,
+    busy_s: f64,
+    tokens: u32,
+    events: u32,
+}
+
+impl Window {
+    fn new(start: Moment) -> Self {
+        Self {
+            start,
+            busy_s: 0.0,
+            tokens: 0,
+            events: 0,
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Member {
+    group: usize,
+    health: Health,
+    token_s: Option<f64>,
+    event_s: Option<f64>,
+    streams: Option<f64>,
+    reported_requests: u32,
+    window: Window,
+    slow_streak: u32,
+    good_streak: u32,
+    ejection: Duration,
+    last_progress: Moment,
+    last_ejected: Moment,
+}
+
+#[derive(Debug)]
+struct Flight {
+    member: MemberKey,
+    prompt_tokens: u32,
+    started: Moment,
+    accounted: Moment,
+    streaming: bool,
+}
+
+/// What the flights of a member show besides its window.
+#[derive(Debug, Clone, Copy, Default)]
+struct Silence {
+    overdue: bool,
+    in_prefill: bool,
+}
+
+/// Compares the servers of each model.
+#[derive(Debug, Default)]
+pub struct StragglerDetector {
+    settings: StragglerSettings,
+    groups: Vec<FirstTokenLatency>,
+    group_of: HashMap<ModelName, usize>,
+    members: SlotMap<MemberKey, Member>,
+    flights: SlotMap<FlightKey, Flight>,
+    scratch: Vec<f64>,
+}
+
+impl StragglerDetector {
+    /// Detector without servers.
+    pub fn new(settings: StragglerSettings) -> Self {
+        Self {
+            settings,
+            ..Self::default()
+        }
+    }
+
+    /// Adds a server to the group of a model.
+    pub fn add_member(&mut self, model: &ModelName, now: Moment) -> MemberKey {
+        let next = self.groups.len();
+        let group = *self.group_of.entry(model.clone()).or_insert(next);
+        if group == next {
+            self.groups.push(FirstTokenLatency::default());
+        }
+        self.members.insert(Member {
+            group,
+            health: Health::Healthy,
+            token_s: None,
+            event_s: None,
+            streams: None,
+            reported_requests: 0,
+            window: Window::new(now),
+            slow_streak: 0,
+            good_streak: 0,
+            ejection: self.settings.first_ejection,
+            last_progress: now,
+            last_ejected: now,
+        })
+    }
+
+    /// Removes a server and its requests in flight.
+    pub fn remove_member(&mut self, key: MemberKey) {
+        self.members.remove(key);
+        self.flights.retain(|_, flight| flight.member != key);
+    }
+
+    /// Takes over the running requests from a load report.
+    pub fn record_load(&mut self, key: MemberKey, running: u32) {
+        if let Some(member) = self.members.get_mut(key) {
+            member.reported_requests = running;
+        }
+    }
+
+    /// Counts a request sent to a server; `None` if the server was removed.
+    pub fn start(&mut self, key: MemberKey, prompt_tokens: u32, now: Moment) -> Option<FlightKey> {
+        let member = self.members.get_mut(key)?;
+        if let Health::Ejected { next_probe, .. } = &mut member.health {
+            *next_probe = now + self.settings.probe_interval;
+        }
+        Some(self.flights.insert(Flight {
+            member: key,
+            prompt_tokens,
+            started: now,
+            accounted: now,
+            streaming: false,
+        }))
+    }
+
+    /// Counts received tokens.
+    pub fn progress(&mut self, key: FlightKey, tokens: u32, now: Moment) {
+        let Some(flight) = self.flights.get_mut(key) else {
+            return;
+        };
+        let Some(member) = self.members.get_mut(flight.member) else {
+            return;
+        };
+        member.last_progress = now;
+        if flight.streaming {
+            member.window.busy_s += now.since(flight.accounted).as_secs_f64();
+            member.window.tokens += tokens;
+            member.window.events += 1;
+        } else {
+            flight.streaming = true;
+            // Stragglers would lengthen the delay of the hedges against them.
+            if member.health == Health::Healthy {
+                self.groups[member.group].record(now.since(flight.started));
+            }
+        }
+        flight.accounted = now;
+    }
+
+    /// Removes a request that has ended, for whatever reason.
+    pub fn finish(&mut self, key: FlightKey, now: Moment) {
+        let Some(flight) = self.flights.remove(key) else {
+            return;
+        };
+        if let Some(member) = self.members.get_mut(flight.member)
+            && flight.streaming
+        {
+            member.window.busy_s += now.since(flight.accounted).as_secs_f64();
+        }
+    }
+
+    /// Time without a first token after which a request is hedged.
+    pub fn hedge_delay(&self, model: &ModelName) -> Option<Duration> {
+        let group = *self.group_of.get(model)?;
+        self.groups[group].hedge_delay()
+    }
+
+    /// Availability of a server for the model of its group.
+    pub fn state(&self, key: MemberKey, now: Moment) -> ServerState {
+        let Some(member) = self.members.get(key) else {
+            return ServerState::Leaving;
+        };
+        match member.health {
+            Health::Healthy => ServerState::Active,
+            Health::Slow { factor } => ServerState::Slow { factor },
+            Health::Ejected { next_probe, .. } => ServerState::Ejected {
+                probe_due: now >= next_probe,
+            },
+            Health::Returning { step, .. } => ServerState::Slow {
+                factor: RETURN_FACTORS[step],
+            },
+        }
+    }
+
+    /// Judges all servers; to be called about every [`StragglerSettings::window`].
+    pub fn evaluate(&mut self, now: Moment) {
+        let silences = self.account_flights(now);
+        let keys: Vec<MemberKey> = self.members.keys().collect();
+        for key in keys {
+            let silence = silences.get(&key).copied().unwrap_or_default();
+            if let Some(ratio) = self.close_window(key, silence, now) {
+                self.judge(key, ratio, now);
+            }
+            self.advance(key, now);
+        }
+    }
+
+    /// Adds the time in flight up to now and collects overdue first tokens.
+    fn account_flights(&mut self, now: Moment) -> HashMap<MemberKey, Silence> {
+        let mut silences: HashMap<MemberKey, Silence> = HashMap::new();
+        for flight in self.flights.values_mut() {
+            let Some(member) = self.members.get_mut(flight.member) else {
+                continue;
+            };
+            if flight.streaming {
+                member.window.busy_s += now.since(flight.accounted).as_secs_f64();
+                flight.accounted = now;
+                continue;
+            }
+            let Some(usual) = self.groups[member.group].hedge_delay() else {
+                continue;
+            };
+            let size = f64::from(flight.prompt_tokens) / f64::from(SHORT_TOKENS);
+            let allowed = usual.mul_f64(FIRST_TOKEN_SLACK * size.max(1.0));
+            let silent_since = flight.started.max(member.last_progress);
+            let silence = silences.entry(flight.member).or_default();
+            if now.since(silent_since) > allowed {
+                silence.overdue = true;
+            } else if flight.prompt_tokens > SHORT_TOKENS {
+                silence.in_prefill = true;
+            }
+        }
+        silences
+    }
+
+    /// Ends the sample of a member if it is long enough, and returns its
+    /// average time per token relative to the peers.
+    fn close_window(&mut self, key: MemberKey, silence: Silence, now: Moment) -> Option<f64> {
+        let event_s = self.peer_median(key, |member| member.event_s);
+        let token_s = self.peer_median(key, |member| member.token_s);
+        let usual_streams = self.peer_median(key, |member| member.streams);
+        let settings = self.settings;
+        let member = &mut self.members[key];
+        let window = member.window;
+        if now.since(window.start) < settings.window {
+            return None;
+        }
+        let spans_events = match event_s {
+            Some(usual) => window.busy_s >= EVENTS_PER_SAMPLE * usual,
+            None => f64::from(window.events) >= EVENTS_PER_SAMPLE,
+        };
+        if !spans_events && !silence.overdue {
+            return None;
+        }
+        member.window = Window::new(now);
+        if window.events == 0 && silence.in_prefill {
+            // A long prompt of this node explains the pause.
+            return None;
+        }
+        if !spans_events {
+            return Some(settings.slow_ratio);
+        }
+        let own_streams = window.busy_s / now.since(window.start).as_secs_f64();
+        let streams = own_streams.max(f64::from(member.reported_requests));
+        let crowding = streams / usual_streams.unwrap_or(streams).max(1.0);
+        let sample =
+            window.busy_s / f64::from(window.tokens.max(1)) / crowding.clamp(1.0, MAX_CROWDING);
+        let gap = window.busy_s / f64::from(window.events.max(1));
+        let average = |old: Option<f64>, new: f64| {
+            old.map_or(new, |old| old + settings.sample_weight * (new - old))
+        };
+        member.streams = Some(average(member.streams, streams));
+        member.token_s = Some(average(member.token_s, sample));
+        if window.events > 0 {
+            member.event_s = Some(average(member.event_s, gap));
+        }
+        let judged = match member.health {
+            Health::Healthy => member.token_s?,
+            _ => sample,
+        };
+        Some(judged / token_s?)
+    }
+
+    fn peer_median(
+        &mut self,
+        key: MemberKey,
+        value: impl Fn(&Member) -> Option<f64>,
+    ) -> Option<f64> {
+        let group = self.members[key].group;
+        let peers = self.members.iter().filter(|(other, member)| {
+            *other != key
+                && member.group == group
+                && !matches!(member.health, Health::Ejected { .. })
+        });
+        self.scratch.clear();
+        self.scratch
+            .extend(peers.filter_map(|(_, member)| value(member)));
+        if self.scratch.len() < MIN_PEERS {
+            return None;
+        }
+        let middle = self.scratch.len() / 2;
+        let (_, median, _) = self.scratch.select_nth_unstable_by(middle, f64::total_cmp);
+        Some(*median)
+    }
+
+    fn judge(&mut self, key: MemberKey, ratio: f64, now: Moment) {
+        let settings = self.settings;
+        let may_eject = self.may_eject(key);
+        let usual = self.peer_median(key, |member| member.token_s);
+        let member = &mut self.members[key];
+        member.slow_streak = if ratio >= settings.slow_ratio {
+            member.slow_streak + 1
+        } else {
+            0
+        };
+        member.good_streak = if ratio < settings.good_ratio {
+            member.good_streak + 1
+        } else {
+            0
+        };
+        let slow = member.slow_streak >= settings.streak;
+        let good = member.good_streak >= settings.streak;
+        match member.health {
+            Health::Ejected { .. } if good => {
+                member.token_s = usual;
+                member.health = Health::Returning {
+                    step: 0,
+                    since: now,
+                };
+            }
+            Health::Ejected { .. } => {}
+            _ if slow && may_eject => member.eject(&settings, now),
+            Health::Healthy | Health::Slow { .. } if slow => {
+                let factor = ratio.clamp(settings.slow_ratio, MAX_FACTOR);
+                member.health = Health::Slow { factor };
+            }
+            Health::Slow { .. } if good => {
+                member.token_s = usual;
+                member.health = Health::Healthy;
+            }
+            _ => {}
+        }
+    }
+
+    fn may_eject(&self, key: MemberKey) -> bool {
+        let group = self.members[key].group;
+        let peers = self.members.values().filter(|member| member.group == group);
+        let (count, ejected) = peers.fold((0, 0), |(count, ejected), member| {
+            let out = matches!(member.health, Health::Ejected { .. });
+            (count + 1, ejected + usize::from(out))
+        });
+        let allowed = (f64::from(count) * self.settings.ejected_share) as usize;
+        ejected < allowed
+    }
+
+    /// Moves the return on as time passes.
+    fn advance(&mut self, key: MemberKey, now: Moment) {
+        let settings = self.settings;
+        let member = &mut self.members[key];
+        match member.health {
+            Health::Ejected { since, .. }
+                if now.since(since) >= settings.unproven_return.max(member.ejection) =>
+            {
+                member.health = Health::Returning {
+                    step: 0,
+                    since: now,
+                };
+                member.token_s = None;
+            }
+            Health::Returning { step, since }
+                if now.since(since) >= settings.step && member.slow_streak == 0 =>
+            {
+                member.health = if step + 1 < RETURN_FACTORS.len() {
+                    Health::Returning {
+                        step: step + 1,
+                        since: now,
+                    }
+                } else {
+                    Health::Healthy
+                };
+            }
+            Health::Healthy if member.good_streak > 0 => member.forgive(&settings, now),
+            _ => {}
+        }
+    }
+}
+
+impl Member {
+    fn eject(&mut self, settings: &StragglerSettings, now: Moment) {
+        self.health = Health::Ejected {
+            since: now,
+            next_probe: now + self.ejection,
+        };
+        self.ejection = (self.ejection * 2).min(settings.longest_ejection);
+        self.slow_streak = 0;
+        self.good_streak = 0;
+        self.last_ejected = now;
+    }
+
+    fn forgive(&mut self, settings: &StragglerSettings, now: Moment) {
+        if now.since(self.last_ejected) >= settings.longest_ejection * 2 {
+            self.ejection = settings.first_ejection;
+        }
+    }
+}
