Bound retries and quarantine requests that crash servers

Cause: retries multiply the load of an outage, and a request that crashes servers is sent again by its caller. Change: retry with budgets per customer and node and the plan of one request's attempts; quarantine with isolated retries of suspects, confinement of unknown copies to two servers, and merge by age. Conclusion: the limit of 3 holds inside one node and its reports; copies first sent through several nodes before any crash are not covered.

--- /dev/null
+++ b/crates/verbenaring-policy/tests/quarantine.rs
@@ -0,0 +1,136 @@
+//! Fingerprints that crash servers.
+
+use std::time::Duration;
+
+use verbenaring_policy::id::{Digest, ServerId};
+use verbenaring_policy::quarantine::{
+    MAX_ENTRIES, MAX_LOST_SERVERS, QUARANTINE_PERIOD, QuarantineList, SuspectDecision,
+};
+use verbenaring_policy::time::Moment;
+
+const START: Moment = Moment(3_600_000_000);
+
+fn print(number: usize) -> Digest {
+    Digest::of(&number.to_le_bytes())
+}
+
+fn server(number: usize) -> ServerId {
+    ServerId::new(&format!("s{number}")).unwrap()
+}
+
+/// Sends copies of one fingerprint, as allowed, to servers that crash 2 s
+/// later; returns the number of lost servers.
+fn lose_servers(list: &mut QuarantineList, shared: bool, start: Moment) -> usize {
+    let mut running: Vec<usize> = Vec::new();
+    let mut lost = 0;
+    for step in 0..50 {
+        let now = start + Duration::from_secs(step as u64);
+        let alone = match list.decide(&print(0), now) {
+            SuspectDecision::Free => Some(false),
+            SuspectDecision::Alone { avoid } => Some(!avoid.contains(&server(step))),
+            _ => None,
+        };
+        if let Some(alone) = alone {
+            list.start(&print(0), &server(step), alone);
+            running.push(step);
+        }
+        if running.first().is_some_and(|first| first + 2 <= step) {
+            list.crash(&server(running.remove(0)), shared, now);
+            lost += 1;
+        }
+    }
+    lost
+}
+
+/// Repeated and overlapping copies must not take down more than 3 servers in the period.
+#[test]
+fn one_fingerprint_loses_at_most_three_servers() {
+    for shared in [false, true] {
+        let mut list = QuarantineList::default();
+        let lost = lose_servers(&mut list, shared, START);
+        assert!((1..=MAX_LOST_SERVERS).contains(&lost), "{lost}");
+        let now = START + Duration::from_secs(60);
+        assert_eq!(list.decide(&print(0), now), SuspectDecision::Refused);
+        let later = now + QUARANTINE_PERIOD;
+        assert_eq!(list.decide(&print(0), later), SuspectDecision::Free);
+    }
+}
+
+/// Requests beside a crashing one must run again, and must not be quarantined with it.
+#[test]
+fn innocent_neighbours_recover() {
+    let mut list = QuarantineList::default();
+    (0..3).for_each(|number| list.start(&print(number), &server(1), false));
+    assert!(list.crash(&server(1), false, START).is_empty());
+    let alone = |avoid: &[usize]| SuspectDecision::Alone {
+        avoid: avoid.iter().map(|number| server(*number)).collect(),
+    };
+    assert_eq!(list.decide(&print(1), START), alone(&[1]));
+    list.start(&print(1), &server(2), true);
+    assert_eq!(
+        list.decide(&print(1), START),
+        SuspectDecision::Wait,
+        "one copy at a time"
+    );
+    assert_eq!(
+        list.decide(&print(0), START),
+        alone(&[1, 2]),
+        "apart from other suspects"
+    );
+    list.start(&print(0), &server(3), true);
+    assert_eq!(list.decide(&print(2), START), SuspectDecision::Wait);
+    let now = START + Duration::from_secs(1);
+    list.finish(&print(1), &server(2), true, now);
+    assert_eq!(list.decide(&print(1), now), SuspectDecision::Free);
+    assert_eq!(list.crash(&server(3), false, now), [print(0)]);
+    assert_eq!(
+        list.decide(&print(2), now),
+        SuspectDecision::Free,
+        "explained by print 0"
+    );
+    assert_eq!(list.decide(&print(0), now), SuspectDecision::Refused);
+}
+
+/// Merging in any order and twice must give the same verdicts, with entries that expire.
+#[test]
+fn reports_merge_between_nodes() {
+    let mut first = QuarantineList::default();
+    let mut second = QuarantineList::default();
+    for (list, number) in [(&mut first, 5), (&mut second, 6)] {
+        list.start(&print(0), &server(1), false);
+        list.start(&print(number), &server(1), false);
+        list.crash(&server(1), true, START);
+    }
+    let stale = second.reports(START);
+    first.start(&print(0), &server(2), true);
+    first.crash(&server(2), false, START);
+    // The clock of the second node is an hour behind.
+    let now = Moment(1_000_000);
+    let reports = first.reports(START);
+    let mut other = QuarantineList::default();
+    for report in stale.iter().chain(&reports).chain(&stale) {
+        other.merge(report, now);
+        other.merge(report, now);
+    }
+    assert_eq!(other.decide(&print(0), now), SuspectDecision::Refused);
+    assert_eq!(
+        other.decide(&print(6), now),
+        SuspectDecision::Free,
+        "explained by print 0"
+    );
+    other.expire(now + QUARANTINE_PERIOD);
+    assert!(other.is_empty());
+}
+
+/// A flood of distinct crashing requests must not exhaust memory.
+#[test]
+fn memory_is_bounded() {
+    let mut list = QuarantineList::default();
+    for number in 0..MAX_ENTRIES + 10 {
+        let now = START + Duration::from_millis(number as u64);
+        list.start(&print(number), &server(number), false);
+        list.start(&print(number + 1), &server(number), false);
+        list.crash(&server(number), true, now);
+    }
+    assert_eq!(list.len(), MAX_ENTRIES);
+}
--- /dev/null
+++ b/crates/verbenaring-policy/tests/retry.rs
@@ -0,0 +1,76 @@
+//! Retry budgets and attempt plans.
+
+use std::time::Duration;
+
+use verbenaring_policy::id::{CustomerId, ServerId};
+use verbenaring_policy::outcome::RunOutcome;
+use verbenaring_policy::retry::{AttemptFailure, AttemptPlan, NextAttempt, RetryLimiter};
+use verbenaring_policy::time::Moment;
+
+fn at(seconds: u64) -> Moment {
+    Moment(seconds * 1_000_000)
+}
+
+fn customer(name: &str) -> CustomerId {
+    CustomerId::new(name).unwrap()
+}
+
+/// Retries above 10% of successes would multiply the load of an outage.
+#[test]
+fn budgets_hold_per_customer_and_node() {
+    let mut limiter = RetryLimiter::default();
+    let (busy, quiet) = (customer("busy"), customer("quiet"));
+    let mut take = |name: &CustomerId, successes: u32, now| {
+        (0..successes).for_each(|_| limiter.record_success(name, now));
+        (0..100).filter(|_| limiter.try_retry(name, now)).count()
+    };
+    assert_eq!(take(&quiet, 0, at(1)), 3, "minimum without successes");
+    assert_eq!(
+        take(&busy, 200, at(1)),
+        17,
+        "20 of the node, 3 already used"
+    );
+    assert_eq!(
+        take(&quiet, 100, at(5)),
+        7,
+        "10 of the customer, 3 already used"
+    );
+    assert_eq!(take(&quiet, 0, at(11)), 3, "retries of second 1 have left");
+    assert_eq!(take(&quiet, 0, at(30)), 3, "the window has passed");
+    limiter.remove_idle(at(60));
+}
+
+/// A booking that was sent once must never be sent again, whatever the failure.
+#[test]
+fn calls_that_may_not_be_repeated_are_not_retried() {
+    let name = customer("council");
+    for (failure, outcome) in [
+        (AttemptFailure::Refused, RunOutcome::NotRun),
+        (AttemptFailure::Broken, RunOutcome::Unknown),
+        (AttemptFailure::Crashed, RunOutcome::Unknown),
+    ] {
+        for (repeatable, entry_node) in [(false, true), (true, false)] {
+            let mut plan = AttemptPlan::new(at(30), repeatable, entry_node);
+            let mut limiter = RetryLimiter::default();
+            let next = plan.after_failure(failure, &name, &mut limiter, at(1));
+            assert_eq!(next, NextAttempt::GiveUp(outcome));
+        }
+    }
+}
+
+/// A refusal after an unknown attempt must not turn the outcome into `not_run` (I5).
+#[test]
+fn outcome_and_deadline_are_carried() {
+    let name = customer("council");
+    let mut limiter = RetryLimiter::default();
+    let mut plan = AttemptPlan::new(at(30), true, true);
+    plan.record_attempt(&ServerId::new("s1").unwrap());
+    let next = plan.after_failure(AttemptFailure::Crashed, &name, &mut limiter, at(10));
+    let remaining = Duration::from_secs(20);
+    let alone = true;
+    assert_eq!(next, NextAttempt::Retry { remaining, alone });
+    assert_eq!(plan.tried().len(), 1);
+    assert_eq!(plan.remaining(Duration::from_secs(20), at(10)), None);
+    let next = plan.after_failure(AttemptFailure::Refused, &name, &mut limiter, at(30));
+    assert_eq!(next, NextAttempt::GiveUp(RunOutcome::Unknown));
+}
