Choose between regions and drain leaving servers

Cause: work sent away meets cold caches and slow links, and leaving servers must get no new work within 3 s of the first notice. Change: region with residency, threshold, stickiness per customer and a token bucket per link; drain with notices per source and planned stops by scope. Conclusion: a first notice takes effect on the node at once; the time to reach its peers depends on how the daemon distributes it.

--- a/crates/verbenaring-policy/src/lib.rs
+++ b/crates/verbenaring-policy/src/lib.rs
@@ -5,12 +5,14 @@
 //! experiment tool and the model checker run the same code.
 
 pub mod contract;
+pub mod drain;
 pub mod error;
 pub mod hedge;
 pub mod id;
 pub mod load;
 pub mod outcome;
 pub mod quarantine;
+pub mod region;
 pub mod request;
 pub mod retry;
 pub mod router;
