--- a/crates/verbenaring-policy/src/lib.rs
+++ b/crates/verbenaring-policy/src/lib.rs
@@ -7,17 +7,25 @@
 pub mod amendment;
 pub mod config;
 pub mod contract;
+pub mod drain;
 pub mod error;
 pub mod gossip;
+pub mod hedge;
 pub mod id;
 pub mod lease;
 pub mod ledger;
+pub mod load;
 pub mod membership;
 pub mod operation;
 pub mod outcome;
 mod probing;
+pub mod quarantine;
+pub mod region;
 pub mod rendezvous;
 pub mod request;
+pub mod retry;
+pub mod router;
+pub mod straggler;
 pub mod summary;
 pub mod time;
 
