Run attempts in batches and give the engine its faults

Cause: the first engine stand-in answered every request at once, whole, and without any effect of its fault settings. Change: attempts wait for a slot by priority, run at a token rate after a prefill that the prefix cache shortens, stream server-sent events, and end on cancel, closed connection or crash. Crash, crossed, late, truncated and refused answers, resume, orders with fencing tokens and a lagging load report are in place. Store reads no longer wake watches; the store options prev_kv and range comparisons, which no caller uses, are removed.

--- a/crates/verbenaring-testbed/src/answer.rs
+++ b/crates/verbenaring-testbed/src/answer.rs
@@ -2,7 +2,7 @@
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use serde_json::Value;
+use serde_json::{Value, json};
 use verbenaring_policy::id::Digest;
 
 const SYLLABLES: [&str; 16] = [
@@ -58,3 +58,76 @@
 pub(crate) fn prompt_tokens(prompt: &str) -> u32 {
     u32::try_from(prompt.split_whitespace().count()).unwrap_or(u32::MAX)
 }
+
+/// Identity and form of one answer.
+#[derive(Debug, Clone)]
+pub(crate) struct AnswerFrame {
+    pub(crate) chat: bool,
+    pub(crate) id: String,
+    pub(crate) model: String,
+}
+
+/// Token counts of an answer.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct AnswerUsage {
+    pub(crate) prompt: u32,
+    pub(crate) cached: u32,
+    pub(crate) completion: u32,
+}
+
+impl AnswerUsage {
+    fn to_json(self) -> Value {
+        json!({
+            "prompt_tokens": self.prompt,
+            "completion_tokens": self.completion,
+            "total_tokens": self.prompt + self.completion,
+            "prompt_tokens_details": {"cached_tokens": self.cached},
+        })
+    }
+}
+
+impl AnswerFrame {
+    fn object(&self, streamed: bool, choices: Value) -> Value {
+        let kind = match (self.chat, streamed) {
+            (true, false) => "chat.completion",
+            (true, true) => "chat.completion.chunk",
+            (false, _) => "text_completion",
+        };
+        json!({
+            "id": self.id, "object": kind, "created": 0, "model": self.model, "choices": choices,
+        })
+    }
+
+    /// Whole answer.
+    pub(crate) fn whole(&self, text: &str, reason: &str, usage: AnswerUsage) -> Value {
+        let mut choice = json!({"index": 0, "logprobs": null, "finish_reason": reason});
+        if self.chat {
+            choice["message"] = json!({"role": "assistant", "content": text});
+        } else {
+            choice["text"] = json!(text);
+        }
+        let mut answer = self.object(false, json!([choice]));
+        answer["usage"] = usage.to_json();
+        answer
+    }
+
+    /// Event of one token, or of the end when `reason` is present.
+    pub(crate) fn event(&self, text: &str, reason: Option<&str>) -> Value {
+        let mut choice = json!({"index": 0, "logprobs": null, "finish_reason": reason});
+        if !self.chat {
+            choice["text"] = json!(text);
+        } else if reason.is_none() {
+            choice["delta"] = json!({"role": "assistant", "content": text});
+        } else {
+            choice["delta"] = json!({});
+        }
+        self.object(true, json!([choice]))
+    }
+
+    /// Event that carries the token counts.
+    pub(crate) fn usage_event(&self, usage: AnswerUsage) -> Value {
+        let mut event = self.object(true, json!([]));
+        event["usage"] = usage.to_json();
+        event
+    }
+}
--- a/crates/verbenaring-testbed/src/engine.rs
+++ b/crates/verbenaring-testbed/src/engine.rs
@@ -1,16 +1,17 @@
 //! Stand-in for a model engine with an OpenAI-compatible API.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use hyper::body::Incoming;
-use hyper::{Request, StatusCode};
-use serde_json::{Value, json};
+use serde::Deserialize;
+use tokio::sync::{Notify, watch};
+use tokio::time::Instant;
 
-use crate::answer;
+use crate::batch::{Batch, PrefixCache};
 use crate::error::Result;
-use crate::http::{self, ConnectionGate, Handler, Listener, Reply};
+use crate::http::{ConnectionGate, Listener};
 
 /// Fixed settings of an engine.
 #[derive(Debug, Clone)]
@@ -33,6 +34,8 @@
     pub report_lag: Duration,
     /// Time during which connections are refused after a crash.
     pub restart_time: Duration,
+    /// Whether broken streams can be resumed; otherwise the headers are ignored.
+    pub resume: bool,
     /// Whether an order with an outdated fencing token is refused.
     pub check_fencing: bool,
 }
@@ -49,6 +52,7 @@
             default_answer_tokens: 16,
             report_lag: Duration::ZERO,
             restart_time: Duration::from_millis(500),
+            resume: true,
             check_fencing: true,
         }
     }
@@ -78,8 +82,10 @@
     pub crossed: bool,
     /// Holds the response back for this time after its first token is ready.
     pub late: Duration,
-    /// Closes the connection of a stream after this many tokens.
+    /// Ends a stream without its end marker after this many tokens.
     pub truncate_after: Option<u32>,
+    /// Ends a truncated stream as a complete HTTP message.
+    pub truncate_cleanly: bool,
     /// Refuses requests with 503 before execution.
     pub refuse: bool,
 }
@@ -103,13 +109,75 @@
     pub generated_tokens: u64,
 }
 
+/// Desired state that an operator ordered.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub struct EngineOrder {
+    /// Models to serve.
+    pub models: Vec<String>,
+    /// Role in the deployment; recorded only.
+    #[serde(default)]
+    pub role: String,
+    /// Fencing token of the sender.
+    pub fencing_token: i64,
+}
+
 #[derive(Debug)]
-struct EngineCore {
-    settings: EngineSettings,
-    faults: Mutex<EngineFaults>,
+pub(crate) struct EngineCore {
+    pub(crate) settings: EngineSettings,
+    pub(crate) batch: Arc<Batch>,
+    pub(crate) state: Mutex<EngineState>,
+    pub(crate) crashes: watch::Sender<()>,
     gate: Arc<ConnectionGate>,
 }
 
+#[derive(Debug)]
+pub(crate) struct EngineState {
+    pub(crate) faults: EngineFaults,
+    pub(crate) counters: EngineCounters,
+    pub(crate) models: Vec<String>,
+    pub(crate) orders: Vec<EngineOrder>,
+    pub(crate) executions: BTreeMap<String, u64>,
+    pub(crate) cache: PrefixCache,
+    pub(crate) active: BTreeMap<u64, (String, Arc<Notify>)>,
+    pub(crate) arrivals: u64,
+    /// Identifier and prompt of the latest request.
+    pub(crate) latest: Option<(String, String)>,
+}
+
+impl EngineCore {
+    fn new(settings: EngineSettings) -> Arc<Self> {
+        let state = EngineState {
+            faults: EngineFaults::default(),
+            counters: EngineCounters::default(),
+            models: settings.model_names.clone(),
+            orders: Vec::new(),
+            executions: BTreeMap::new(),
+            cache: PrefixCache::new(settings.cache_tokens),
+            active: BTreeMap::new(),
+            arrivals: 0,
+            latest: None,
+        };
+        Arc::new(Self {
+            batch: Batch::new(settings.slots, settings.max_waiting, settings.report_lag),
+            state: Mutex::new(state),
+            crashes: watch::channel(()).0,
+            gate: ConnectionGate::new(),
+            settings,
+        })
+    }
+
+    /// Ends all attempts, empties the cache and refuses until restarted.
+    pub(crate) fn crash(&self) {
+        let mut state = self.state.lock().unwrap();
+        state.counters.crashes += 1;
+        state.cache = PrefixCache::new(self.settings.cache_tokens);
+        drop(state);
+        self.gate
+            .refuse_until(Instant::now() + self.settings.restart_time);
+        self.crashes.send_replace(());
+    }
+}
+
 /// Running engine; dropping it stops it.
 #[derive(Debug)]
 pub struct EngineServer {
@@ -120,11 +188,7 @@
 impl EngineServer {
     /// Starts an engine on a free loopback port.
     pub async fn start(settings: EngineSettings) -> Result<Self> {
-        let core = Arc::new(EngineCore {
-            settings,
-            faults: Mutex::default(),
-            gate: ConnectionGate::new(),
-        });
+        let core = EngineCore::new(settings);
         let listener = Listener::start(core.clone(), core.gate.clone()).await?;
         Ok(Self { core, listener })
     }
@@ -137,7 +201,27 @@
     /// Replaces the faults in force.
     pub fn set_faults(&self, faults: EngineFaults) {
         self.core.gate.set_down(faults.down);
-        *self.core.faults.lock().unwrap() = faults;
+        self.core.state.lock().unwrap().faults = faults;
+    }
+
+    /// Crashes the engine now; it accepts connections again after the restart time.
+    pub fn crash(&self) {
+        self.core.crash();
+    }
+
+    /// What the engine has done so far.
+    pub fn counters(&self) -> EngineCounters {
+        self.core.state.lock().unwrap().counters
+    }
+
+    /// Attempts whose execution started, with the number of starts.
+    pub fn executions(&self) -> BTreeMap<String, u64> {
+        self.core.state.lock().unwrap().executions.clone()
+    }
+
+    /// Orders applied so far.
+    pub fn orders(&self) -> Vec<EngineOrder> {
+        self.core.state.lock().unwrap().orders.clone()
     }
 
     /// Closes all connections and stops.
@@ -145,27 +229,3 @@
         self.listener.stop().await;
     }
 }
-
-impl Handler for EngineCore {
-    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Reply {
-        let attempt = http::header_text(&request, "x-request-id").to_owned();
-        let chat = request.uri().path() == "/v1/chat/completions";
-        let bytes = http::read_body(request).await?;
-        let body: Value = serde_json::from_slice(&bytes).unwrap_or_default();
-        let prompt = answer::prompt_of(&body);
-        let tokens = self.settings.default_answer_tokens;
-        let text = answer::expected_answer(&prompt, tokens);
-        let choice = if chat {
-            json!({"index": 0, "message": {"role": "assistant", "content": text}})
-        } else {
-            json!({"index": 0, "text": text})
-        };
-        let prompt_tokens = answer::prompt_tokens(&prompt);
-        let usage = json!({"prompt_tokens": prompt_tokens, "completion_tokens": tokens});
-        let answer = json!({
-            "id": attempt, "model": body["model"], "choices": [choice], "usage": usage,
-        });
-        let response = http::json_response(StatusCode::OK, &answer);
-        Ok(http::with_header(response, "x-request-id", &attempt))
-    }
-}
--- a/crates/verbenaring-testbed/src/http.rs
+++ b/crates/verbenaring-testbed/src/http.rs
@@ -3,6 +3,7 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures::{Stream, StreamExt};
@@ -18,10 +19,13 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::{JoinHandle, JoinSet};
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
 use crate::error::Result;
 
+/// Pause after a failed accept, which fails again until a file descriptor is free.
+const ACCEPT_RETRY_TIME: Duration = Duration::from_millis(10);
+
 /// Ends the connection without a complete response.
 #[derive(Debug, thiserror::Error)]
 #[error("connection closed by the stand-in")]
@@ -119,7 +123,10 @@
     loop {
         tokio::select! {
             accepted = socket.accept() => {
-                let Ok((stream, _)) = accepted else { continue };
+                let Ok((stream, _)) = accepted else {
+                    sleep(ACCEPT_RETRY_TIME).await;
+                    continue;
+                };
                 let resets = gate.resets.subscribe();
                 if gate.refuses() {
                     reset(stream);
@@ -152,7 +159,11 @@
 
 /// Whole request body; a client that disconnects meanwhile closes the connection.
 pub(crate) async fn read_body(request: Request<Incoming>) -> std::result::Result<Bytes, Closed> {
-    let collected = request.into_body().collect().await.map_err(|_| Closed)?;
+    collect(request.into_body()).await
+}
+
+pub(crate) async fn collect(body: Incoming) -> std::result::Result<Bytes, Closed> {
+    let collected = body.collect().await.map_err(|_| Closed)?;
     Ok(collected.to_bytes())
 }
 
--- a/crates/verbenaring-testbed/src/keyspace.rs
+++ b/crates/verbenaring-testbed/src/keyspace.rs
@@ -24,7 +24,6 @@
 pub(crate) struct Change {
     pub(crate) deleted: bool,
     pub(crate) current: KeyValue,
-    pub(crate) previous: Option<KeyValue>,
 }
 
 #[derive(Debug)]
@@ -188,19 +187,13 @@
     }
 
     fn holds(&self, compare: &Compare) -> bool {
-        if compare.range_end.0.is_empty() {
-            let absent = KeyValue::default();
-            let entry = self.entries.get(&compare.key);
-            // A value comparison fails for an absent key, all others see zero.
-            if entry.is_none() && matches!(compare.target, CompareTarget::Value) {
-                return false;
-            }
-            return compare_holds(compare, entry.unwrap_or(&absent));
+        let absent = KeyValue::default();
+        let entry = self.entries.get(&compare.key);
+        // A value comparison fails for an absent key, all others see zero.
+        if entry.is_none() && matches!(compare.target, CompareTarget::Value) {
+            return false;
         }
-        let selected = self.select(&compare.key, &compare.range_end);
-        selected
-            .into_iter()
-            .all(|entry| compare_holds(compare, entry))
+        compare_holds(compare, entry.unwrap_or(&absent))
     }
 
     fn apply(
@@ -242,54 +235,46 @@
     }
 
     fn write(&mut self, request: PutRequest, revision: i64) -> Value {
-        let previous = self.entries.get(&request.key).cloned();
+        let previous = self.entries.get(&request.key);
         let current = KeyValue {
-            key: request.key,
-            create_revision: previous
-                .as_ref()
-                .map_or(Integer(revision), |kv| kv.create_revision),
+            create_revision: previous.map_or(Integer(revision), |entry| entry.create_revision),
+            version: Integer(previous.map_or(1, |entry| entry.version.0 + 1)),
             mod_revision: Integer(revision),
-            version: Integer(previous.as_ref().map_or(1, |kv| kv.version.0 + 1)),
+            key: request.key,
             value: request.value,
             lease: request.lease,
         };
         self.entries.insert(current.key.clone(), current.clone());
-        let mut answer = json!({"header": self.header()});
-        if let (true, Some(previous)) = (request.prev_kv, &previous) {
-            answer["prev_kv"] = json!(previous);
-        }
         self.history.push(Change {
             deleted: false,
             current,
-            previous,
         });
-        answer
+        json!({"header": self.header()})
     }
 
     fn remove(&mut self, request: &DeleteRequest, revision: i64) -> Value {
         let selected = self.select(&request.key, &request.range_end);
-        let removed: Vec<KeyValue> = selected.into_iter().cloned().collect();
-        for previous in &removed {
-            self.entries.remove(&previous.key);
+        let keys: Vec<Blob> = selected
+            .into_iter()
+            .map(|entry| entry.key.clone())
+            .collect();
+        let mut answer = json!({"header": self.header()});
+        if !keys.is_empty() {
+            answer["deleted"] = json!(keys.len().to_string());
+        }
+        for key in keys {
+            self.entries.remove(&key);
+            let mod_revision = Integer(revision);
             let current = KeyValue {
-                key: previous.key.clone(),
-                mod_revision: Integer(revision),
+                key,
+                mod_revision,
                 ..KeyValue::default()
             };
-            let previous = Some(previous.clone());
             self.history.push(Change {
                 deleted: true,
                 current,
-                previous,
             });
         }
-        let mut answer = json!({"header": self.header()});
-        if !removed.is_empty() {
-            answer["deleted"] = json!(removed.len().to_string());
-        }
-        if request.prev_kv && !removed.is_empty() {
-            answer["prev_kvs"] = json!(removed);
-        }
         answer
     }
 
--- a/crates/verbenaring-testbed/src/lib.rs
+++ b/crates/verbenaring-testbed/src/lib.rs
@@ -5,8 +5,10 @@
 //! takes its time from that runtime's clock. Faults can be set while it runs.
 
 pub mod answer;
+mod batch;
 pub mod engine;
 pub mod error;
+mod generation;
 mod http;
 mod keyspace;
 pub mod service;
@@ -14,7 +16,9 @@
 mod wire;
 
 pub use answer::expected_answer;
-pub use engine::{CrashPoint, EngineCounters, EngineFaults, EngineServer, EngineSettings};
+pub use engine::{
+    CrashPoint, EngineCounters, EngineFaults, EngineOrder, EngineServer, EngineSettings,
+};
 pub use error::{Error, Result};
 pub use service::{ExecutedCall, ServiceFaults, ServiceServer, ServiceSettings};
 pub use store::{StoreCounters, StoreFaults, StoreServer, StoreSettings};
--- a/crates/verbenaring-testbed/src/store.rs
+++ b/crates/verbenaring-testbed/src/store.rs
@@ -21,8 +21,8 @@
 use crate::http::{self, Body, Closed, ConnectionGate, Handler, Listener, Reply};
 use crate::keyspace::{Change, Keyspace, in_range};
 use crate::wire::{
-    DeleteRequest, Integer, LeaseRequest, PutRequest, RangeRequest, Refusal, TxnRequest,
-    WatchCreate, WatchFilter, WatchRequest,
+    DeleteRequest, LeaseRequest, PutRequest, RangeRequest, Refusal, TxnRequest, WatchCreate,
+    WatchFilter, WatchRequest,
 };
 
 /// Fixed settings of a store.
@@ -169,13 +169,17 @@
 }
 
 impl StoreCore {
-    /// Changes the keyspace and wakes the watches.
+    /// Runs `action` and wakes watches and lease expiry if it changed anything for them.
     fn change<T>(&self, action: impl FnOnce(&mut Keyspace) -> T) -> T {
         let mut keyspace = self.keyspace.lock().unwrap();
+        let before = (keyspace.revision(), keyspace.next_expiry());
         keyspace.expire(Instant::now());
         let result = action(&mut keyspace);
+        let after = (keyspace.revision(), keyspace.next_expiry());
         drop(keyspace);
-        self.changed.send_replace(());
+        if after != before {
+            self.changed.send_replace(());
+        }
         result
     }
 
@@ -308,9 +312,7 @@
         let keyspace = self.waiting.0.keyspace.lock().unwrap();
         let fresh = &keyspace.history()[self.position..];
         let matching = fresh.iter().filter(|change| wants(&self.request, change));
-        let events: Vec<Value> = matching
-            .map(|change| event(change, self.request.prev_kv))
-            .collect();
+        let events: Vec<Value> = matching.map(event).collect();
         self.position = keyspace.history().len();
         let answer = json!({"result": {"header": keyspace.header(), "events": events}});
         (!events.is_empty()).then(|| line(&answer))
@@ -339,17 +341,12 @@
         && !request.filters.contains(&unwanted)
 }
 
-fn event(change: &Change, with_previous: bool) -> Value {
-    let mut event = if change.deleted {
-        let revision: Integer = change.current.mod_revision;
-        json!({"type": "DELETE", "kv": {"key": change.current.key, "mod_revision": revision}})
-    } else {
-        json!({"kv": change.current})
-    };
-    if let (true, Some(previous)) = (with_previous, &change.previous) {
-        event["prev_kv"] = json!(previous);
+fn event(change: &Change) -> Value {
+    if !change.deleted {
+        return json!({"kv": change.current});
     }
-    event
+    let Change { current, .. } = change;
+    json!({"type": "DELETE", "kv": {"key": current.key, "mod_revision": current.mod_revision}})
 }
 
 fn line(value: &Value) -> Bytes {
--- a/crates/verbenaring-testbed/src/wire.rs
+++ b/crates/verbenaring-testbed/src/wire.rs
@@ -92,7 +92,6 @@
     pub(crate) key: Blob,
     pub(crate) value: Blob,
     pub(crate) lease: Integer,
-    pub(crate) prev_kv: bool,
 }
 
 #[derive(Debug, Default, Deserialize)]
@@ -100,7 +99,6 @@
 pub(crate) struct DeleteRequest {
     pub(crate) key: Blob,
     pub(crate) range_end: Blob,
-    pub(crate) prev_kv: bool,
 }
 
 #[derive(Debug, Default, Deserialize)]
@@ -127,7 +125,6 @@
 #[serde(default)]
 pub(crate) struct Compare {
     pub(crate) key: Blob,
-    pub(crate) range_end: Blob,
     pub(crate) result: CompareResult,
     pub(crate) target: CompareTarget,
     pub(crate) version: Integer,
@@ -180,7 +177,6 @@
     pub(crate) range_end: Blob,
     pub(crate) start_revision: Integer,
     pub(crate) filters: Vec<WatchFilter>,
-    pub(crate) prev_kv: bool,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
