--- a/crates/verbenaring-testbed/src/generation.rs
+++ b/crates/verbenaring-testbed/src/generation.rs
@@ -153,12 +153,8 @@
     async fn order(&self, request: Request<Incoming>) -> Reply {
         let bytes = http::read_body(request).await?;
         let Ok(order) = serde_json::from_slice::<EngineOrder>(&bytes) else {
-            return Ok(Refusal(
-                StatusCode::BAD_REQUEST,
-                "invalid_order",
-                "order is not valid",
-            )
-            .respond());
+            let message = "order is not valid";
+            return Ok(Refusal(StatusCode::BAD_REQUEST, "invalid_order", message).respond());
         };
         let mut state = self.state.lock().unwrap();
         let highest = state.orders.iter().map(|order| order.fencing_token).max();
@@ -192,12 +188,8 @@
         };
         let Some(slot) = entered else {
             self.state.lock().unwrap().counters.refused += 1;
-            let response = Refusal(
-                StatusCode::SERVICE_UNAVAILABLE,
-                "overloaded",
-                "engine takes no work",
-            )
-            .respond();
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            let response = Refusal(status, "overloaded", "engine takes no work").respond();
             return Ok(http::with_header(response, "retry-after", RETRY_AFTER_S));
         };
         let shown = self.shown_job(&job);
@@ -303,12 +295,21 @@
     }
 
     /// Crashes the engine if that is due; does not return in this case.
-    async fn check_crash(&self, job: &Job, tokens: u32) {
-        if self.crash_due(job, tokens) {
-            sleep(FLUSH_TIME).await;
+    async fn check_crash(self: &Arc<Self>, job: &Job, tokens: u32) {
+        if !self.crash_due(job, tokens) {
+            return;
+        }
+        if tokens == 0 {
             self.crash();
-            std::future::pending::<()>().await;
+        } else {
+            // In its own task, so that it happens also when the client leaves first.
+            let core = self.clone();
+            tokio::spawn(async move {
+                sleep(FLUSH_TIME).await;
+                core.crash();
+            });
         }
+        std::future::pending::<()>().await;
     }
 
     fn truncates(&self, tokens: u32, steps: &mpsc::UnboundedSender<Step>) -> bool {
@@ -325,7 +326,7 @@
     }
 
     async fn execute(
-        &self,
+        self: &Arc<Self>,
         job: &Job,
         text: &str,
         slot: oneshot::Receiver<Slot>,
--- a/crates/verbenaring-testbed/src/keyspace.rs
+++ b/crates/verbenaring-testbed/src/keyspace.rs
@@ -17,6 +17,9 @@
 /// Operations along one path through nested transactions.
 pub(crate) const MAX_TXN_OPERATIONS: usize = 128;
 
+/// Longest lease, in seconds.
+const MAX_TTL_S: u64 = 9_000_000_000;
+
 type Outcome<T> = std::result::Result<T, Refusal>;
 
 /// One change in the history.
@@ -280,7 +283,9 @@
 
     /// Grants a lease; an identifier of zero asks the store to choose one.
     pub(crate) fn grant(&mut self, id: i64, ttl: i64, now: Instant) -> Outcome<Value> {
-        let seconds = u64::try_from(ttl).ok().filter(|seconds| *seconds > 0);
+        let seconds = u64::try_from(ttl)
+            .ok()
+            .filter(|seconds| (1..=MAX_TTL_S).contains(seconds));
         let seconds = seconds.ok_or_else(|| Refusal::invalid("etcdserver: invalid lease TTL"))?;
         let id = if id == 0 { self.next_lease } else { id };
         if self.leases.contains_key(&id) {
--- a/crates/verbenaring-testbed/src/service.rs
+++ b/crates/verbenaring-testbed/src/service.rs
@@ -1,6 +1,7 @@
 //! Stand-in for a plain service with calls that must not run twice.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -63,6 +64,7 @@
     settings: ServiceSettings,
     faults: Mutex<ServiceFaults>,
     calls: Mutex<Vec<ExecutedCall>>,
+    crashes: AtomicU64,
     gate: Arc<ConnectionGate>,
 }
 
@@ -80,6 +82,7 @@
             settings,
             faults: Mutex::default(),
             calls: Mutex::default(),
+            crashes: AtomicU64::new(0),
             gate: ConnectionGate::new(),
         });
         let listener = Listener::start(core.clone(), core.gate.clone()).await?;
@@ -119,6 +122,7 @@
 
 impl ServiceCore {
     fn crash(&self) {
+        self.crashes.fetch_add(1, Ordering::SeqCst);
         self.gate
             .refuse_until(Instant::now() + self.settings.restart_time);
     }
@@ -126,7 +130,11 @@
     /// Runs a call to its end, also when its caller has disconnected.
     async fn execute(self: Arc<Self>, call: ExecutedCall) -> Reply {
         let faults = self.faults.lock().unwrap().clone();
+        let crashes = self.crashes.load(Ordering::SeqCst);
         sleep(self.settings.delay + faults.slow).await;
+        if self.crashes.load(Ordering::SeqCst) != crashes {
+            return Err(Closed);
+        }
         if faults.crash_before {
             self.crash();
             return Err(Closed);
--- a/crates/verbenaring-testbed/src/store.rs
+++ b/crates/verbenaring-testbed/src/store.rs
@@ -60,6 +60,17 @@
     pub watches_opened: u64,
 }
 
+const RANGE_PATH: &str = "/v3/kv/range";
+const WATCH_PATH: &str = "/v3/watch";
+const WRITE_PATHS: [&str; 6] = [
+    "/v3/kv/put",
+    "/v3/kv/deleterange",
+    "/v3/kv/txn",
+    "/v3/lease/grant",
+    "/v3/lease/keepalive",
+    "/v3/lease/revoke",
+];
+
 #[derive(Debug)]
 struct StoreCore {
     settings: StoreSettings,
@@ -140,34 +151,6 @@
     }
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Route {
-    Range,
-    Put,
-    Delete,
-    Txn,
-    Grant,
-    KeepAlive,
-    Revoke,
-    Watch,
-}
-
-impl Route {
-    fn of(path: &str) -> Option<Self> {
-        Some(match path {
-            "/v3/kv/range" => Route::Range,
-            "/v3/kv/put" => Route::Put,
-            "/v3/kv/deleterange" => Route::Delete,
-            "/v3/kv/txn" => Route::Txn,
-            "/v3/lease/grant" => Route::Grant,
-            "/v3/lease/keepalive" => Route::KeepAlive,
-            "/v3/lease/revoke" | "/v3/kv/lease/revoke" => Route::Revoke,
-            "/v3/watch" => Route::Watch,
-            _ => return None,
-        })
-    }
-}
-
 impl StoreCore {
     /// Runs `action` and wakes watches and lease expiry if it changed anything for them.
     fn change<T>(&self, action: impl FnOnce(&mut Keyspace) -> T) -> T {
@@ -183,32 +166,32 @@
         result
     }
 
-    fn count(&self, route: Route) {
+    fn count(&self, path: &str) {
         let mut counters = self.counters.lock().unwrap();
-        match route {
-            Route::Range => counters.reads += 1,
-            Route::Watch => counters.watches_opened += 1,
+        match path {
+            RANGE_PATH => counters.reads += 1,
+            WATCH_PATH => counters.watches_opened += 1,
             _ => counters.writes += 1,
         }
     }
 
     /// Runs a call to its end, also when its caller has disconnected.
-    async fn execute(self: Arc<Self>, route: Route, body: Bytes) -> Reply {
-        self.count(route);
+    async fn execute(self: Arc<Self>, path: String, body: Bytes) -> Reply {
+        self.count(&path);
         let faults = self.faults.lock().unwrap().clone();
         sleep(self.settings.latency + faults.slow).await;
-        let writes = !matches!(route, Route::Range | Route::Watch);
+        let writes = WRITE_PATHS.contains(&path.as_str());
         if let (true, Some(delay)) = (writes, faults.late_writes) {
             tokio::spawn(async move {
                 sleep(delay).await;
-                let _ = self.run(route, &body);
+                let _ = self.run(&path, &body);
             });
             return Err(Closed);
         }
-        let result = match route {
-            Route::Watch => self.clone().watch(&body),
+        let result = match path.as_str() {
+            WATCH_PATH => self.clone().watch(&body),
             _ => self
-                .run(route, &body)
+                .run(&path, &body)
                 .map(|answer| http::json_response(StatusCode::OK, &answer)),
         };
         if writes && faults.lose_answers {
@@ -217,40 +200,40 @@
         Ok(result.unwrap_or_else(|refusal| refuse(&refusal)))
     }
 
-    fn run(&self, route: Route, body: &[u8]) -> std::result::Result<Value, Refusal> {
+    fn run(&self, path: &str, body: &[u8]) -> std::result::Result<Value, Refusal> {
         let now = Instant::now();
-        match route {
-            Route::Range => {
+        match path {
+            RANGE_PATH => {
                 let request: RangeRequest = parse(body)?;
                 self.change(|keyspace| keyspace.range(&request))
             }
-            Route::Put => {
+            "/v3/kv/put" => {
                 let request: PutRequest = parse(body)?;
                 self.change(|keyspace| keyspace.put(request))
             }
-            Route::Delete => {
+            "/v3/kv/deleterange" => {
                 let request: DeleteRequest = parse(body)?;
                 self.change(|keyspace| keyspace.delete(request))
             }
-            Route::Txn => {
+            "/v3/kv/txn" => {
                 let request: TxnRequest = parse(body)?;
                 self.change(|keyspace| keyspace.txn(request))
             }
-            Route::Grant => {
+            "/v3/lease/grant" => {
                 let request: LeaseRequest = parse(body)?;
                 self.change(|keyspace| keyspace.grant(request.id.0, request.ttl.0, now))
             }
-            Route::KeepAlive => {
+            "/v3/lease/keepalive" => {
                 let request: LeaseRequest = parse(body)?;
                 let renew = !self.faults.lock().unwrap().ignore_keepalives;
                 let answer = self.change(|keyspace| keyspace.keep_alive(request.id.0, renew, now));
                 Ok(json!({"result": answer}))
             }
-            Route::Revoke => {
+            "/v3/lease/revoke" => {
                 let request: LeaseRequest = parse(body)?;
                 self.change(|keyspace| keyspace.revoke(request.id.0))
             }
-            Route::Watch => Err(Refusal::invalid("watch is a stream")),
+            _ => Err(Refusal::not_found("Not Found")),
         }
     }
 
@@ -384,12 +367,9 @@
 
 impl Handler for StoreCore {
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Reply {
-        let Some(route) = Route::of(request.uri().path()) else {
-            let refusal = Refusal::not_found("Not Found");
-            return Ok(refuse(&refusal));
-        };
+        let path = request.uri().path().to_owned();
         let body = http::read_body(request).await?;
-        tokio::spawn(self.execute(route, body))
+        tokio::spawn(self.execute(path, body))
             .await
             .unwrap_or(Err(Closed))
     }
