Echo the attempt identifier in engine refusals

Cause: a refused request carried no x-request-id in its response, so that a caller could not tell whose refusal it was. Change: the 503 of a full or refusing engine echoes the identifier; a check covers watch filters and leases that lapse on demand. Conclusion: answers and refusals are matched to their attempt in the same way.

--- a/crates/verbenaring-testbed/src/generation.rs
+++ b/crates/verbenaring-testbed/src/generation.rs
@@ -190,6 +190,7 @@
             self.state.lock().unwrap().counters.refused += 1;
             let status = StatusCode::SERVICE_UNAVAILABLE;
             let response = Refusal(status, "overloaded", "engine takes no work").respond();
+            let response = http::with_header(response, "x-request-id", &job.attempt);
             return Ok(http::with_header(response, "retry-after", RETRY_AFTER_S));
         };
         let shown = self.shown_job(&job);
--- a/crates/verbenaring-testbed/tests/standins/engine.rs
+++ b/crates/verbenaring-testbed/tests/standins/engine.rs
@@ -244,6 +244,7 @@
     let response = send(address, CHAT, &[("x-request-id", "new")], &chat("new", 5)).await;
     assert_eq!(response.status(), StatusCode::SERVICE_UNAVAILABLE);
     assert_eq!(response.headers()["retry-after"], "1");
+    assert_eq!(response.headers()["x-request-id"], "new");
     assert!(!response.headers().contains_key("x-verbenaring-outcome"));
     assert!(!engine.executions().contains_key("new"));
 }
--- a/crates/verbenaring-testbed/tests/standins/store.rs
+++ b/crates/verbenaring-testbed/tests/standins/store.rs
@@ -137,6 +137,23 @@
     until(|| store.counters().watches == 0).await;
 }
 
+/// A watch that filters puts must still report a lease that lapses early.
+#[tokio::test(start_paused = true)]
+async fn watch_filters_puts_and_sees_lapsed_leases() {
+    let store = store().await;
+    let create = json!({"key": blob("vm/"), "range_end": blob("vm0"), "filters": ["NOPUT"]});
+    let watch = json!({"create_request": create});
+    let response = send(store.address(), "/v3/watch", &[], &watch).await;
+    let lease = call(store.address(), "/v3/lease/grant", json!({"TTL": "10"})).await;
+    let put = json!({"key": blob("vm/1"), "value": "", "lease": lease["ID"]});
+    call(store.address(), "/v3/kv/put", put).await;
+    store.lapse_leases();
+    let text = read_lines(&mut response.into_body(), 2).await;
+    let event: Value = serde_json::from_str(text.lines().nth(1).unwrap()).unwrap();
+    assert_eq!(event["result"]["events"].as_array().unwrap().len(), 1);
+    assert_eq!(event["result"]["events"][0]["type"], "DELETE");
+}
+
 /// A lease must live as long as it is renewed, and lapse at a holder whose
 /// renewals are confirmed but not applied.
 #[tokio::test(start_paused = true)]
