--- a/crates/verbenaring-testbed/src/lib.rs
+++ b/crates/verbenaring-testbed/src/lib.rs
@@ -7,8 +7,10 @@
 pub mod answer;
 pub mod client;
 pub mod deployment;
+mod batch;
 pub mod engine;
 pub mod error;
+mod generation;
 mod http;
 mod keyspace;
 pub mod service;
@@ -16,7 +18,9 @@
 mod wire;
 
 pub use answer::expected_answer;
-pub use engine::{CrashPoint, EngineCounters, EngineFaults, EngineServer, EngineSettings};
+pub use engine::{
+    CrashPoint, EngineCounters, EngineFaults, EngineOrder, EngineServer, EngineSettings,
+};
 pub use error::{Error, Result};
 pub use service::{ExecutedCall, ServiceFaults, ServiceServer, ServiceSettings};
 pub use store::{StoreCounters, StoreFaults, StoreServer, StoreSettings};
