--- a/crates/verbenaring-gateway/src/backend.rs
+++ b/crates/verbenaring-gateway/src/backend.rs
@@ -72,7 +72,7 @@
 pub struct WorkGuard {
     state: Arc<BackendState>,
     tokens: u64,
-    target: Option<CancelTarget>,
+    target: Option<Box<CancelTarget>>,
 }
 
 impl WorkGuard {
@@ -90,11 +90,11 @@
 
     /// Names the try to cancel if the caller goes away.
     pub fn set_cancel(&mut self, client: &AttemptClient, address: SocketAddr, attempt: AttemptId) {
-        self.target = Some(CancelTarget {
+        self.target = Some(Box::new(CancelTarget {
             client: client.clone(),
             address,
             attempt,
-        });
+        }));
     }
 
     /// Tells the engine to stop.
--- a/crates/verbenaring-gateway/src/controller.rs
+++ b/crates/verbenaring-gateway/src/controller.rs
@@ -533,13 +533,11 @@
         Some("unknown") => return failure(RunOutcome::Unknown, "backend_failed"),
         _ => {}
     }
-    if work.print.is_none() {
-        return None;
-    }
-    if is_refusal(status) {
+    let from_engine = work.print.is_some();
+    if from_engine && is_refusal(status) {
         return failure(RunOutcome::NotRun, "backend_refused");
     }
-    if status.is_server_error() {
+    if from_engine && status.is_server_error() {
         return failure(RunOutcome::Unknown, "backend_failed");
     }
     None
--- a/crates/verbenaring-policy/src/id.rs
+++ b/crates/verbenaring-policy/src/id.rs
@@ -133,7 +133,7 @@
     ($(#[$doc:meta])* $name:ident) => {
         $(#[$doc])*
         #[derive(
-            Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+            Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
         )]
         pub struct $name(pub Uuid);
 
--- a/crates/verbenaring-protocol/src/lib.rs
+++ b/crates/verbenaring-protocol/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod error;
 pub mod header;
 pub mod node;
+pub mod stored;
 
 #[allow(missing_docs, dead_code, clippy::derivable_impls)]
 pub mod generated {
--- a/crates/verbenaring-testbed/src/lib.rs
+++ b/crates/verbenaring-testbed/src/lib.rs
@@ -5,9 +5,9 @@
 //! takes its time from that runtime's clock. Faults can be set while it runs.
 
 pub mod answer;
+mod batch;
 pub mod client;
 pub mod deployment;
-mod batch;
 pub mod engine;
 pub mod error;
 mod generation;
