Keep a view of the other nodes and spread configuration between them

Cause: every node read the store itself and knew only the peers of its settings. Change: cluster.rs drives failure detection and data-centre summaries over tarpc control connections that prove a cluster key; replica.rs merges configuration from the store and from peers; only two nodes of a data centre follow the store; /v1/entry and forwarding use the live view.

--- a/crates/verbenaring-gateway/src/catalog.rs
+++ b/crates/verbenaring-gateway/src/catalog.rs
@@ -1,8 +1,8 @@
 //! Contracts, backend servers and planned stops in force on this node.
 //!
 //! A catalog is immutable. A change builds the next one and reuses every
-//! document whose revision is unchanged. A document that cannot be read keeps
-//! its last readable version in force and is listed as a fault.
+//! document whose revision is unchanged. The replica passes readable documents
+//! only; unreadable ones are listed as faults.
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -67,52 +67,30 @@
     pub fn build<'a>(
         previous: &ServingCatalog,
         revision: Revision,
-        entries: impl Iterator<Item = (&'a str, Revision, &'a [u8])>,
+        entries: impl Iterator<Item = (&'a str, Revision, &'a str)>,
+        faults: Vec<DocumentFault>,
     ) -> Self {
         let mut catalog = ServingCatalog {
             revision,
+            faults,
             ..Self::default()
         };
-        for (key, revision, value) in entries {
+        for (key, revision, text) in entries {
             let known = previous.documents.get(key);
-            match known {
-                Some((known_revision, document)) if *known_revision == revision => {
-                    catalog
-                        .documents
-                        .insert(key.to_owned(), (revision, document.clone()));
-                }
-                _ => catalog.read(key, revision, value, known),
+            let document = match known {
+                Some((known, document)) if *known == revision => Some(document.clone()),
+                _ => parse_document(key, revision, text).ok(),
+            };
+            if let Some(document) = document {
+                catalog
+                    .documents
+                    .insert(key.to_owned(), (revision, document));
             }
         }
         catalog.index();
         catalog
     }
 
-    fn read(
-        &mut self,
-        key: &str,
-        revision: Revision,
-        value: &[u8],
-        known: Option<&(Revision, Document)>,
-    ) {
-        match parse_document(key, revision, value) {
-            Ok(document) => {
-                self.documents.insert(key.to_owned(), (revision, document));
-            }
-            Err(error) => {
-                let reason = error.to_string();
-                self.faults.push(DocumentFault {
-                    key: key.to_owned(),
-                    revision,
-                    reason,
-                });
-                if let Some(known) = known {
-                    self.documents.insert(key.to_owned(), known.clone());
-                }
-            }
-        }
-    }
-
     fn index(&mut self) {
         for (_, document) in self.documents.values() {
             match document {
@@ -173,13 +151,21 @@
     }
 }
 
+/// Checks the text of a document before it comes into force.
+pub fn check_document(key: &str, text: &str) -> Result<(), String> {
+    parse_document(key, 0, text)
+        .map(|_| ())
+        .map_err(|error| error.to_string())
+}
+
 fn parse_document(
     key: &str,
     revision: Revision,
-    value: &[u8],
+    text: &str,
 ) -> verbenaring_protocol::Result<Document> {
+    let text = text.as_bytes();
     if key.starts_with(CONTRACT_PREFIX) {
-        let document: ContractDocument = read_document(value)?;
+        let document: ContractDocument = read_document(text)?;
         let terms = ContractTerms::try_from(&document)?;
         return Ok(Document::Contract(Arc::new(ContractEntry {
             revision,
@@ -187,13 +173,14 @@
         })));
     }
     if key.starts_with(SERVER_PREFIX) {
-        let document: ServerDocument = read_document(value)?;
+        let document: ServerDocument = read_document(text)?;
         return Ok(Document::Server(Arc::new(ServerTerms::try_from(
             &document,
         )?)));
     }
     if key.starts_with(STOP_PREFIX) {
-        return Ok(Document::Stop(Arc::new(read_document(value)?)));
+        return Ok(Document::Stop(Arc::new(read_document(text)?)));
     }
+    read_document::<serde_json::Value>(text)?;
     Ok(Document::Other)
 }
--- /dev/null
+++ b/crates/verbenaring-gateway/src/cluster.rs
@@ -0,0 +1,523 @@
+//! Task that keeps this node's view of the other nodes.
+//!
+//! It drives the failure detector of the own data centre and the summaries of
+//! the others, fetches configuration that peers have and this node lacks, and
+//! decides whether this node follows the platform store.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use tokio::sync::{mpsc, watch};
+use tokio_util::sync::CancellationToken;
+use verbenaring_policy::config::DigestSummary;
+use verbenaring_policy::gossip::{Envelope, GossipMessage, MemberState, StartId};
+use verbenaring_policy::id::{DataCentre, VmId};
+use verbenaring_policy::membership::{MemberSettings, MemberTable, TICK_PERIOD};
+use verbenaring_policy::rendezvous::rendezvous;
+use verbenaring_policy::summary::{
+    CentreStatus, NodeAddress, SummaryEnvelope, SummaryMessage, SummarySettings, SummaryTable,
+    delegates,
+};
+use verbenaring_protocol::control::{LoadFact, NodeCard, NodeFacts};
+
+use crate::clock::NodeClock;
+use crate::config::{NodeSettings, PeerSettings};
+use crate::links::ControlLinks;
+use crate::replica::ConfigReplica;
+
+/// Nodes of a data centre that follow the platform store.
+const WATCHERS: usize = 2;
+/// Time between refreshes of the gossiped facts and the published view.
+const REFRESH_PERIOD: Duration = Duration::from_millis(500);
+/// Time after which the card of a node elsewhere is asked for again.
+const CARD_PERIOD: Duration = Duration::from_secs(30);
+/// Nodes of another data centre that are kept as forwarding targets.
+const MAX_FAR_NODES: usize = 3;
+
+/// Message of another node.
+#[derive(Debug)]
+pub enum ClusterMessage {
+    /// Message of the failure detector.
+    Gossip(GossipMessage),
+    /// Step of a summary exchange.
+    Summary(SummaryMessage),
+}
+
+/// Other nodes that may be used now.
+#[derive(Debug, Clone, Default)]
+pub struct NodeList {
+    /// Live nodes of the own data centre.
+    pub near: Vec<PeerSettings>,
+    /// Nodes of other data centres.
+    pub far: Vec<PeerSettings>,
+}
+
+/// View of the other nodes, shared with the request path.
+pub struct ClusterView {
+    settings: NodeSettings,
+    replica: Arc<ConfigReplica>,
+    /// Other nodes that may be used now.
+    pub nodes: ArcSwap<NodeList>,
+    /// Load of the servers that this node polls.
+    pub loads: Mutex<Vec<LoadFact>>,
+    /// Whether a graceful shutdown has begun.
+    pub stopping: AtomicBool,
+}
+
+impl ClusterView {
+    /// View that starts with the peers of the settings.
+    pub fn new(settings: &NodeSettings, replica: &Arc<ConfigReplica>) -> Self {
+        let (near, far) = settings
+            .peers
+            .iter()
+            .cloned()
+            .partition(|peer| peer.data_centre == settings.data_centre);
+        Self {
+            settings: settings.clone(),
+            replica: replica.clone(),
+            nodes: ArcSwap::from_pointee(NodeList { near, far }),
+            loads: Mutex::default(),
+            stopping: AtomicBool::new(false),
+        }
+    }
+
+    /// Addresses and facts of this node.
+    pub fn card(&self) -> NodeCard {
+        let loads = self.loads.lock().unwrap_or_else(|error| error.into_inner());
+        NodeCard {
+            vm: self.settings.vm.clone(),
+            data_centre: self.settings.data_centre.clone(),
+            facts: NodeFacts {
+                caller_port: self.settings.caller_address.port(),
+                peer_port: self.settings.peer_address.port(),
+                config: self.replica.summary(),
+                loads: loads.clone(),
+            },
+            stopping: self.stopping.load(Ordering::Relaxed),
+        }
+    }
+}
+
+/// State of the task.
+pub struct ClusterTask {
+    clock: NodeClock,
+    view: Arc<ClusterView>,
+    links: Arc<ControlLinks>,
+    members: MemberTable,
+    summaries: SummaryTable,
+    facts: HashMap<VmId, NodeFacts>,
+    cards: Arc<Mutex<HashMap<SocketAddr, NodeCard>>>,
+    watcher: watch::Sender<bool>,
+    fetching: Arc<AtomicBool>,
+    rng: StdRng,
+}
+
+impl ClusterTask {
+    /// Task of a node; `watcher` is told whether to follow the platform store.
+    pub fn new(
+        view: &Arc<ClusterView>,
+        links: &Arc<ControlLinks>,
+        clock: NodeClock,
+        watcher: watch::Sender<bool>,
+    ) -> Self {
+        let settings = &view.settings;
+        let centre = &settings.data_centre;
+        let own = settings.control_address;
+        let is_near = |peer: &&PeerSettings| peer.data_centre == *centre;
+        let near = settings
+            .peers
+            .iter()
+            .filter(is_near)
+            .map(|peer| peer.control_address);
+        let far = settings.peers.iter().filter(|peer| !is_near(peer));
+        let member_settings = MemberSettings {
+            peers: near.collect(),
+            ..MemberSettings::new(
+                centre.name.clone(),
+                settings.vm.clone(),
+                own,
+                StartId(rand::random()),
+            )
+        };
+        let summary_settings = SummarySettings {
+            peers: far.map(|peer| peer.control_address).collect(),
+            ..SummarySettings::new(centre.clone(), own)
+        };
+        Self {
+            clock,
+            view: view.clone(),
+            links: links.clone(),
+            members: MemberTable::new(member_settings, clock.now()),
+            summaries: SummaryTable::new(summary_settings),
+            facts: HashMap::new(),
+            cards: Arc::default(),
+            watcher,
+            fetching: Arc::default(),
+            rng: StdRng::from_rng(&mut rand::rng()),
+        }
+    }
+
+    /// Runs until `shutdown`.
+    pub async fn run(
+        mut self,
+        mut inbox: mpsc::Receiver<ClusterMessage>,
+        shutdown: CancellationToken,
+    ) {
+        let mut ticks = tokio::time::interval(TICK_PERIOD);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut refreshes = tokio::time::interval(REFRESH_PERIOD);
+        refreshes.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut cards = tokio::time::interval(CARD_PERIOD);
+        self.snapshot_from_peer().await;
+        loop {
+            tokio::select! {
+                () = shutdown.cancelled() => return,
+                Some(message) = inbox.recv() => self.receive(message),
+                _ = ticks.tick() => self.tick(),
+                _ = refreshes.tick() => self.refresh(),
+                _ = cards.tick() => self.fetch_cards(true),
+            }
+        }
+    }
+
+    /// Takes the configuration of a peer, so that a restart does not load the store.
+    async fn snapshot_from_peer(&self) {
+        let peers = &self.view.settings.peers;
+        let near = peers
+            .iter()
+            .filter(|peer| peer.data_centre == self.view.settings.data_centre);
+        for peer in near.take(WATCHERS) {
+            if fetch_snapshot(&self.links, peer.control_address, &self.view.replica).await {
+                return;
+            }
+        }
+    }
+
+    fn receive(&mut self, message: ClusterMessage) {
+        let now = self.clock.now();
+        match message {
+            ClusterMessage::Gossip(message) => {
+                let replies = self.members.receive(now, message, &mut self.rng);
+                self.send(replies);
+            }
+            ClusterMessage::Summary(message) => {
+                let reply = self.summaries.receive(now, message);
+                self.send_summary(reply);
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.clock.now();
+        if self.view.stopping.load(Ordering::Relaxed)
+            && self.members.own().state != MemberState::Leaving
+        {
+            self.members.leave();
+        }
+        let envelopes = self.members.tick(now, &mut self.rng);
+        self.send(envelopes);
+        let local: Vec<SocketAddr> = self.members.live().map(|member| member.address).collect();
+        let is_delegate = self.is_delegate();
+        let envelope = self.summaries.tick(now, &local, is_delegate, &mut self.rng);
+        self.send_summary(envelope);
+        for event in self.members.take_events() {
+            log::info!("entry VM {} is now {:?}", event.vm, event.to);
+        }
+    }
+
+    fn refresh(&mut self) {
+        let card = self.view.card();
+        match postcard::to_allocvec(&card.facts) {
+            Ok(content) => {
+                if let Err(error) = self.members.set_payload(content) {
+                    log::warn!("facts cannot be gossiped: {error}");
+                }
+            }
+            Err(error) => log::warn!("facts cannot be encoded: {error}"),
+        }
+        self.facts = self
+            .members
+            .payloads()
+            .filter_map(|payload| {
+                let facts = postcard::from_bytes(&payload.content).ok()?;
+                Some((payload.origin.clone(), facts))
+            })
+            .collect();
+        self.choose_watchers();
+        self.publish_summary(card.facts.config);
+        self.fetch_newer(card.facts.config);
+        self.fetch_cards(false);
+        self.publish_nodes();
+    }
+
+    fn is_delegate(&self) -> bool {
+        let centre = &self.view.settings.data_centre.name;
+        let live = self.members.live().map(|member| &member.vm);
+        delegates(centre, live).contains(&&self.view.settings.vm)
+    }
+
+    fn choose_watchers(&self) {
+        let live = self.members.live().map(|member| &member.vm);
+        let chosen = rendezvous("configuration watcher", live, WATCHERS);
+        let enabled = chosen.contains(&&self.view.settings.vm);
+        self.watcher
+            .send_if_modified(|current| std::mem::replace(current, enabled) != enabled);
+    }
+
+    fn publish_summary(&mut self, config: DigestSummary) {
+        if !self.is_delegate() {
+            return;
+        }
+        let centre = &self.view.settings.data_centre.name;
+        let live: Vec<_> = self.members.live().collect();
+        let chosen = delegates(centre, live.iter().map(|member| &member.vm));
+        let mut nodes: Vec<NodeAddress> = live
+            .iter()
+            .map(|member| NodeAddress {
+                vm: member.vm.clone(),
+                address: member.address,
+            })
+            .collect();
+        nodes.sort_by_key(|node| !chosen.contains(&&node.vm));
+        let in_force = live.iter().filter(|member| {
+            member.vm == self.view.settings.vm
+                || self
+                    .facts
+                    .get(&member.vm)
+                    .is_some_and(|facts| facts.config.highest >= config.highest)
+        });
+        let status = CentreStatus {
+            node_count: live.len() as u32,
+            nodes_in_force: in_force.count() as u32,
+            nodes,
+            models: Default::default(),
+            revision: config.highest,
+            unix_ms: self.clock.unix_ms(),
+        };
+        self.summaries.publish(self.clock.now(), status);
+    }
+
+    /// Asks a node that has newer or other configuration for what is missing.
+    fn fetch_newer(&self, own: DigestSummary) {
+        let near = self
+            .members
+            .live()
+            .filter(|member| {
+                let facts = self.facts.get(&member.vm);
+                facts.is_some_and(|facts| {
+                    facts.config.highest > own.highest
+                        || facts.config.highest == own.highest && facts.config.total != own.total
+                })
+            })
+            .map(|member| member.address)
+            .next();
+        let newest = self.summaries.newest_revision(self.clock.now());
+        let far = newest
+            .filter(|(revision, _)| *revision > own.highest)
+            .and_then(|(_, summary)| summary.status.nodes.first())
+            .map(|node| node.address);
+        let Some(address) = near.or(far) else { return };
+        if self.fetching.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        let (links, replica) = (self.links.clone(), self.view.replica.clone());
+        let fetching = self.fetching.clone();
+        tokio::spawn(async move {
+            fetch_delta(&links, address, &replica).await;
+            fetching.store(false, Ordering::Relaxed);
+        });
+    }
+
+    /// Asks for the cards of nodes elsewhere, all of them or unknown ones only.
+    fn fetch_cards(&self, all: bool) {
+        let own = &self.view.settings.data_centre;
+        for summary in self.summaries.fresh(self.clock.now()) {
+            if summary.centre == *own {
+                continue;
+            }
+            for node in summary.status.nodes.iter().take(MAX_FAR_NODES) {
+                let address = node.address;
+                let known = self.lock_cards().contains_key(&address);
+                if all || !known {
+                    let (links, cards) = (self.links.clone(), self.cards.clone());
+                    tokio::spawn(async move { fetch_card(&links, address, &cards).await });
+                }
+            }
+        }
+    }
+
+    fn publish_nodes(&self) {
+        let own = &self.view.settings.data_centre;
+        let live = self
+            .members
+            .live()
+            .filter(|member| member.vm != self.view.settings.vm);
+        let near = live.filter_map(|member| {
+            let facts = self.facts.get(&member.vm)?;
+            Some(node_of(&member.vm, own, member.address, facts))
+        });
+        let cards = self.lock_cards();
+        let fresh = self
+            .summaries
+            .fresh(self.clock.now())
+            .filter(|summary| summary.centre != *own);
+        let far = fresh.flat_map(|summary| {
+            summary
+                .status
+                .nodes
+                .iter()
+                .take(MAX_FAR_NODES)
+                .filter_map(|node| {
+                    let card = cards.get(&node.address).filter(|card| !card.stopping)?;
+                    Some(node_of(
+                        &card.vm,
+                        &card.data_centre,
+                        node.address,
+                        &card.facts,
+                    ))
+                })
+        });
+        let mut list = NodeList {
+            near: near.collect(),
+            far: far.collect(),
+        };
+        self.add_configured(&mut list);
+        self.view.nodes.store(Arc::new(list));
+    }
+
+    /// Adds configured nodes elsewhere until their data centre was heard of.
+    fn add_configured(&self, list: &mut NodeList) {
+        let now = self.clock.now();
+        let heard: Vec<&DataCentre> = self
+            .summaries
+            .fresh(now)
+            .map(|summary| &summary.centre)
+            .collect();
+        let settings = &self.view.settings;
+        let silent = settings.peers.iter().filter(|peer| {
+            peer.data_centre != settings.data_centre && !heard.contains(&&peer.data_centre)
+        });
+        list.far.extend(silent.cloned());
+    }
+
+    fn lock_cards(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, NodeCard>> {
+        self.cards.lock().unwrap_or_else(|error| error.into_inner())
+    }
+
+    fn send(&self, envelopes: Vec<Envelope>) {
+        for envelope in envelopes {
+            let links = self.links.clone();
+            tokio::spawn(async move {
+                let message = envelope.message;
+                links
+                    .call(envelope.to, |client, context| async move {
+                        client.gossip(context, message).await
+                    })
+                    .await
+            });
+        }
+    }
+
+    fn send_summary(&self, envelope: Option<SummaryEnvelope>) {
+        let Some(envelope) = envelope else { return };
+        let links = self.links.clone();
+        tokio::spawn(async move {
+            let message = envelope.message;
+            links
+                .call(envelope.to, |client, context| async move {
+                    client.summary(context, message).await
+                })
+                .await
+        });
+    }
+}
+
+fn node_of(
+    vm: &VmId,
+    centre: &DataCentre,
+    control_address: SocketAddr,
+    facts: &NodeFacts,
+) -> PeerSettings {
+    let with_port = |port| SocketAddr::new(control_address.ip(), port);
+    PeerSettings {
+        vm: vm.clone(),
+        data_centre: centre.clone(),
+        caller_address: with_port(facts.caller_port),
+        peer_address: with_port(facts.peer_port),
+        control_address,
+    }
+}
+
+async fn fetch_card(
+    links: &ControlLinks,
+    address: SocketAddr,
+    cards: &Mutex<HashMap<SocketAddr, NodeCard>>,
+) {
+    let card = links
+        .call(address, |client, context| async move {
+            client.status(context).await
+        })
+        .await;
+    let mut cards = cards.lock().unwrap_or_else(|error| error.into_inner());
+    match card {
+        Some(card) => cards.insert(address, card),
+        None => cards.remove(&address),
+    };
+}
+
+/// Merges entries of the node at `address` until nothing is missing.
+async fn fetch_delta(links: &ControlLinks, address: SocketAddr, replica: &ConfigReplica) {
+    loop {
+        let digest = links
+            .call(address, |client, context| async move {
+                client.config_digest(context).await
+            })
+            .await;
+        let Some(request) = digest.and_then(|digest| replica.request(&digest)) else {
+            return;
+        };
+        let delta = links
+            .call(address, |client, context| async move {
+                client.config_delta(context, request).await
+            })
+            .await;
+        let Some(delta) = delta else { return };
+        let changed = replica.merge(delta.entries);
+        if delta.complete || !changed {
+            return;
+        }
+    }
+}
+
+/// Merges the whole configuration of the node at `address`.
+async fn fetch_snapshot(
+    links: &ControlLinks,
+    address: SocketAddr,
+    replica: &ConfigReplica,
+) -> bool {
+    let mut after = None;
+    loop {
+        let piece = links
+            .call(address, |client, context| async move {
+                client.config_snapshot(context, after).await
+            })
+            .await;
+        let Some(piece) = piece else { return false };
+        let empty = piece.entries.is_empty();
+        replica.merge(piece.entries);
+        if piece.next.is_none() {
+            // A peer that has just started itself proves nothing.
+            if !empty {
+                replica.set_loaded();
+            }
+            return !empty;
+        }
+        after = piece.next;
+    }
+}
--- /dev/null
+++ b/crates/verbenaring-gateway/src/control.rs
@@ -0,0 +1,113 @@
+//! Control service of this node.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::StreamExt;
+use tarpc::context;
+use tarpc::server::{BaseChannel, Channel};
+use tarpc::tokio_serde::formats::Bincode;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+use verbenaring_policy::config::{ConfigDelta, ConfigDigest, DeltaRequest, SnapshotPiece};
+use verbenaring_policy::gossip::GossipMessage;
+use verbenaring_policy::summary::SummaryMessage;
+use verbenaring_protocol::control::{NodeCard, NodeControl, TimelinePage};
+
+use crate::cluster::{ClusterMessage, ClusterView};
+use crate::config::ClusterKey;
+use crate::handshake;
+use crate::links::frame_codec;
+use crate::replica::ConfigReplica;
+use crate::timeline::TimelineRing;
+
+/// Longest time for the proof of a cluster key.
+const PROOF_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Answers control calls of other nodes.
+#[derive(Clone)]
+pub struct ControlServer {
+    /// Messages for the cluster task.
+    pub inbox: mpsc::Sender<ClusterMessage>,
+    /// Configuration of this node.
+    pub replica: Arc<ConfigReplica>,
+    /// Events of this node.
+    pub timeline: Arc<TimelineRing>,
+    /// View of the other nodes and facts of this one.
+    pub view: Arc<ClusterView>,
+    /// Accepted cluster keys.
+    pub keys: Arc<[ClusterKey]>,
+}
+
+impl NodeControl for ControlServer {
+    async fn gossip(self, _: context::Context, message: GossipMessage) {
+        // A full inbox drops the message; the failure detector tolerates loss.
+        let _ = self.inbox.try_send(ClusterMessage::Gossip(message));
+    }
+
+    async fn summary(self, _: context::Context, message: SummaryMessage) {
+        let _ = self.inbox.try_send(ClusterMessage::Summary(message));
+    }
+
+    async fn config_digest(self, _: context::Context) -> ConfigDigest {
+        self.replica.digest()
+    }
+
+    async fn config_delta(self, _: context::Context, request: DeltaRequest) -> ConfigDelta {
+        self.replica.delta(&request)
+    }
+
+    async fn config_snapshot(self, _: context::Context, after: Option<String>) -> SnapshotPiece {
+        self.replica.snapshot(after.as_deref())
+    }
+
+    async fn timeline_since(self, _: context::Context, sequence: u64) -> TimelinePage {
+        self.timeline.page(sequence)
+    }
+
+    async fn status(self, _: context::Context) -> NodeCard {
+        self.view.card()
+    }
+}
+
+impl ControlServer {
+    /// Serves control connections until `shutdown`.
+    pub async fn listen(self, listener: TcpListener, shutdown: CancellationToken) {
+        loop {
+            let accepted = tokio::select! {
+                () = shutdown.cancelled() => return,
+                accepted = listener.accept() => accepted,
+            };
+            match accepted {
+                Ok((socket, _)) => {
+                    let connection = self.clone().serve_connection(socket);
+                    let shutdown = shutdown.clone();
+                    tokio::spawn(async move {
+                        tokio::select! { () = shutdown.cancelled() => {}, () = connection => {} }
+                    });
+                }
+                Err(error) => {
+                    log::warn!("control connection cannot be accepted: {error}");
+                    tokio::time::sleep(Duration::from_millis(50)).await;
+                }
+            }
+        }
+    }
+
+    async fn serve_connection(self, mut socket: TcpStream) {
+        let proof = handshake::accept(&mut socket, &self.keys);
+        match tokio::time::timeout(PROOF_TIMEOUT, proof).await {
+            Ok(Ok(())) => {}
+            Ok(Err(fault)) => return log::warn!("control connection refused: {fault}"),
+            Err(_) => return log::warn!("control connection refused: no proof in time"),
+        }
+        if socket.set_nodelay(true).is_err() {
+            return;
+        }
+        let transport =
+            tarpc::serde_transport::new(frame_codec().new_framed(socket), Bincode::default());
+        let requests = BaseChannel::with_defaults(transport).execute(NodeControl::serve(self));
+        requests.for_each_concurrent(None, |answer| answer).await;
+    }
+}
--- a/crates/verbenaring-gateway/src/controller.rs
+++ b/crates/verbenaring-gateway/src/controller.rs
@@ -5,7 +5,7 @@
 //! [`Refusal`].
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -31,6 +31,7 @@
 use crate::body::AnswerBody;
 use crate::catalog::{ContractEntry, ServingCatalog};
 use crate::clock::NodeClock;
+use crate::cluster::ClusterView;
 use crate::config::{NodeSettings, PeerSettings};
 use crate::entry::entry_list;
 use crate::identify::{identify_inference, identify_service};
@@ -41,7 +42,8 @@
 use crate::records::RecordStore;
 use crate::refusal::Refusal;
 use crate::relay::{RelayMode, RelayStream, has_foreign_identity};
-use crate::route::{RouteTarget, TriedTargets, route_work};
+use crate::replica::ConfigReplica;
+use crate::route::{RouteContext, RouteTarget, TriedTargets, route_work};
 use crate::store::PlatformStore;
 use crate::timeline::{EventKind, TimelineRing};
 use crate::work::{PendingWork, WorkTarget};
@@ -73,8 +75,10 @@
     pub metrics: Arc<NodeMetrics>,
     /// Events of the node.
     pub timeline: Arc<TimelineRing>,
-    /// Whether a graceful shutdown has begun.
-    pub stopping: AtomicBool,
+    /// Configuration merged from the platform store and from peers.
+    pub replica: Arc<ConfigReplica>,
+    /// View of the other nodes.
+    pub cluster: Arc<ClusterView>,
 }
 
 /// Answer or refusal of a request.
@@ -93,7 +97,11 @@
             (&Method::GET, "/readyz") => self.answer_ready(),
             (&Method::GET, "/metrics") => Ok(text_answer(&self.metrics.render())),
             (&Method::GET, "/v1/entry") => {
-                let list = entry_list(&self.settings, self.stopping.load(Ordering::Relaxed));
+                let list = entry_list(
+                    &self.settings,
+                    &self.cluster.nodes.load(),
+                    self.cluster.stopping.load(Ordering::Relaxed),
+                );
                 Ok(json_answer(
                     serde_json::to_string(&list).unwrap_or_default(),
                 ))
@@ -206,7 +214,7 @@
             work.check_deadline()
                 .map_err(|refusal| refusal.with_outcome(outcome))?;
             let catalog = self.catalog.load_full();
-            let target = route_work(&self.settings, &catalog, &self.backends, &work, &tried)
+            let target = route_work(&self.route_context(&catalog), &work, &tried)
                 .map_err(|refusal| refusal.with_outcome(outcome))?;
             let failure = match self.attempt(&work, target, &mut tried).await {
                 Ok(answer) => return Ok(answer),
@@ -303,6 +311,16 @@
         self.exchange(&work, &request, guard, None).await
     }
 
+    /// What a routing decision looks at.
+    pub fn route_context<'a>(&'a self, catalog: &'a ServingCatalog) -> RouteContext<'a> {
+        RouteContext {
+            settings: &self.settings,
+            catalog,
+            nodes: self.cluster.nodes.load_full(),
+            backends: &self.backends,
+        }
+    }
+
     /// Adds the forwarding headers to the request.
     pub fn sign_forward(
         &self,
@@ -395,8 +413,8 @@
     }
 
     fn answer_ready(&self) -> Outcome {
-        let stopping = self.stopping.load(Ordering::Relaxed);
-        if !stopping && self.catalog.load().revision() > 0 {
+        let stopping = self.cluster.stopping.load(Ordering::Relaxed);
+        if !stopping && self.replica.is_loaded() {
             return Ok(text_answer("ready\n"));
         }
         let reason = if stopping {
--- a/crates/verbenaring-gateway/src/entry.rs
+++ b/crates/verbenaring-gateway/src/entry.rs
@@ -2,6 +2,7 @@
 
 use verbenaring_protocol::node::{EntryList, EntryVm};
 
+use crate::cluster::NodeList;
 use crate::config::{NodeSettings, PeerSettings};
 
 /// Seconds for which a caller may use the list.
@@ -10,23 +11,20 @@
 const MAX_SPARES: usize = 4;
 
 /// Ranked entry VMs; a stopping node does not name itself.
-pub fn entry_list(settings: &NodeSettings, stopping: bool) -> EntryList {
+pub fn entry_list(settings: &NodeSettings, nodes: &NodeList, stopping: bool) -> EntryList {
     let own = (!stopping).then(|| EntryVm {
         vm: settings.vm.to_string(),
         region: settings.data_centre.region.to_string(),
         data_centre: settings.data_centre.name.to_string(),
         caller_address: settings.caller_address.to_string(),
     });
-    let (near, mut far): (Vec<&PeerSettings>, Vec<&PeerSettings>) = settings
-        .peers
-        .iter()
-        .partition(|peer| peer.data_centre == settings.data_centre);
+    let mut far: Vec<&PeerSettings> = nodes.far.iter().collect();
     far.sort_by_key(|peer| peer.data_centre.region != settings.data_centre.region);
     EntryList {
         ttl_s: ENTRY_TTL_S,
         entries: own
             .into_iter()
-            .chain(near.into_iter().map(entry_of))
+            .chain(nodes.near.iter().map(entry_of))
             .collect(),
         spares: far.into_iter().take(MAX_SPARES).map(entry_of).collect(),
     }
--- /dev/null
+++ b/crates/verbenaring-gateway/src/links.rs
@@ -0,0 +1,106 @@
+//! Control connections to other nodes.
+//!
+//! One connection per address is kept and opened again after a failure.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use tarpc::tokio_serde::formats::Bincode;
+use tarpc::{client, context};
+use tokio::net::TcpStream;
+use tokio_util::codec::LengthDelimitedCodec;
+use verbenaring_protocol::control::NodeControlClient;
+
+use crate::config::ClusterKey;
+use crate::handshake;
+
+/// Longest time to open a control connection, proof included.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest time for one control call.
+const CALL_TIMEOUT: Duration = Duration::from_secs(3);
+/// Largest control message: a snapshot piece of less than 1 MB and its frame.
+pub const MAX_FRAME_BYTES: usize = 2 * 1024 * 1024;
+
+type SharedClient = Arc<tokio::sync::Mutex<Option<NodeControlClient>>>;
+
+/// Control connections of a node.
+pub struct ControlLinks {
+    key: ClusterKey,
+    links: Mutex<HashMap<SocketAddr, SharedClient>>,
+}
+
+impl ControlLinks {
+    /// Links that prove `key`.
+    pub fn new(key: &ClusterKey) -> Self {
+        Self {
+            key: key.clone(),
+            links: Mutex::default(),
+        }
+    }
+
+    /// Calls the node at `address`; none if it cannot be reached in time.
+    pub async fn call<T, F>(
+        &self,
+        address: SocketAddr,
+        call: impl FnOnce(NodeControlClient, context::Context) -> F,
+    ) -> Option<T>
+    where
+        F: Future<Output = Result<T, client::RpcError>>,
+    {
+        let link = self.link(address);
+        let client = self.client(address, &link).await?;
+        let mut context = context::current();
+        context.deadline = std::time::Instant::now() + CALL_TIMEOUT;
+        match tokio::time::timeout(CALL_TIMEOUT, call(client, context)).await {
+            Ok(Ok(answer)) => Some(answer),
+            _ => {
+                *link.lock().await = None;
+                None
+            }
+        }
+    }
+
+    /// Closes connections to addresses that `keep` refuses.
+    pub fn retain(&self, keep: impl Fn(&SocketAddr) -> bool) {
+        let mut links = self.links.lock().unwrap_or_else(|error| error.into_inner());
+        links.retain(|address, _| keep(address));
+    }
+
+    fn link(&self, address: SocketAddr) -> SharedClient {
+        let mut links = self.links.lock().unwrap_or_else(|error| error.into_inner());
+        links.entry(address).or_default().clone()
+    }
+
+    async fn client(&self, address: SocketAddr, link: &SharedClient) -> Option<NodeControlClient> {
+        let mut slot = link.lock().await;
+        if let Some(client) = slot.as_ref() {
+            return Some(client.clone());
+        }
+        let opened = tokio::time::timeout(OPEN_TIMEOUT, self.open(address))
+            .await
+            .ok()??;
+        *slot = Some(opened.clone());
+        Some(opened)
+    }
+
+    async fn open(&self, address: SocketAddr) -> Option<NodeControlClient> {
+        let mut socket = TcpStream::connect(address).await.ok()?;
+        socket.set_nodelay(true).ok()?;
+        if let Err(fault) = handshake::initiate(&mut socket, &self.key).await {
+            log::debug!("control connection to {address} refused: {fault}");
+            return None;
+        }
+        let framed = frame_codec().new_framed(socket);
+        let transport = tarpc::serde_transport::new(framed, Bincode::default());
+        Some(NodeControlClient::new(client::Config::default(), transport).spawn())
+    }
+}
+
+/// Framing of control connections.
+pub fn frame_codec() -> tokio_util::codec::length_delimited::Builder {
+    let mut builder = LengthDelimitedCodec::builder();
+    builder.max_frame_length(MAX_FRAME_BYTES);
+    builder
+}
--- a/crates/verbenaring-gateway/src/node.rs
+++ b/crates/verbenaring-gateway/src/node.rs
@@ -2,10 +2,12 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -13,17 +15,23 @@
 use crate::attempt::AttemptClient;
 use crate::backend::BackendTable;
 use crate::clock::NodeClock;
+use crate::cluster::{ClusterTask, ClusterView};
 use crate::config::NodeSettings;
+use crate::control::ControlServer;
 use crate::controller::{CallerHandler, NodeCore, PeerHandler};
-use crate::error::Result;
+use crate::error::{Error, Result};
 use crate::etcd::EtcdStore;
+use crate::links::ControlLinks;
 use crate::listener::NodeListener;
 use crate::metrics::NodeMetrics;
 use crate::peer::PeerGate;
 use crate::records::RecordStore;
+use crate::replica::ConfigReplica;
 use crate::timeline::{EventKind, TimelineRing};
 use crate::watcher::ConfigWatcher;
 
+/// Control messages that wait for the cluster task.
+const INBOX_MESSAGES: usize = 1_024;
 /// Longest wait for operations whose records the platform store does not take.
 const OPERATION_LIMIT: Duration = Duration::from_secs(10);
 
@@ -32,6 +40,7 @@
     settings: NodeSettings,
     callers: NodeListener,
     peers: NodeListener,
+    control: TcpListener,
 }
 
 impl BoundNode {
@@ -42,10 +51,13 @@
         let peers = NodeListener::bind("peer_address", settings.peer_address, guards).await?;
         settings.caller_address = callers.address();
         settings.peer_address = peers.address();
+        let control = bind_control(settings.control_address).await?;
+        settings.control_address = control.1;
         Ok(Self {
             settings,
             callers,
             peers,
+            control: control.0,
         })
     }
 
@@ -67,17 +79,23 @@
             &settings.store_addresses,
             settings.store_timeout,
         ));
+        let catalog = Arc::new(ArcSwap::default());
+        let metrics = Arc::new(NodeMetrics::default());
+        let timeline = Arc::new(TimelineRing::new(&settings.vm));
+        let replica = Arc::new(ConfigReplica::new(&catalog, &metrics, &timeline));
+        let view = Arc::new(ClusterView::new(&settings, &replica));
         let core = Arc::new(NodeCore {
             clock,
-            catalog: Arc::new(ArcSwap::default()),
+            catalog,
+            replica: replica.clone(),
+            cluster: view.clone(),
             backends: BackendTable::default(),
             client: AttemptClient::new(settings.guards.connect_timeout),
             gate: PeerGate::new(&settings.vm, &settings.cluster_keys, clock.unix_ms()),
             records: RecordStore::start(store.clone()),
             operations: TaskTracker::new(),
-            metrics: Arc::new(NodeMetrics::default()),
-            timeline: Arc::new(TimelineRing::new(&settings.vm)),
-            stopping: AtomicBool::new(false),
+            metrics,
+            timeline,
             settings,
         });
         let shutdown = CancellationToken::new();
@@ -91,8 +109,7 @@
                 .serve(PeerHandler(core.clone()), shutdown.clone()),
         );
         let background = CancellationToken::new();
-        let watcher = ConfigWatcher::new(store, &core.catalog, &core.metrics, &core.timeline);
-        tokio::spawn(watcher.run(background.clone()));
+        start_cluster(&core, self.control, &store, &background);
         RunningNode {
             core,
             servers,
@@ -102,6 +119,40 @@
     }
 }
 
+async fn bind_control(address: SocketAddr) -> Result<(TcpListener, SocketAddr)> {
+    let failed = |source| Error::Listen {
+        field: "control_address",
+        address,
+        source,
+    };
+    let listener = TcpListener::bind(address).await.map_err(failed)?;
+    let address = listener.local_addr().map_err(failed)?;
+    Ok((listener, address))
+}
+
+/// Starts membership, the control service and the configuration watcher.
+fn start_cluster(
+    core: &Arc<NodeCore<EtcdStore>>,
+    control: TcpListener,
+    store: &Arc<EtcdStore>,
+    background: &CancellationToken,
+) {
+    let (inbox, messages) = mpsc::channel(INBOX_MESSAGES);
+    let (watcher, enabled) = watch::channel(false);
+    let links = Arc::new(ControlLinks::new(core.gate.signing_key()));
+    let task = ClusterTask::new(&core.cluster, &links, core.clock, watcher);
+    let server = ControlServer {
+        inbox,
+        replica: core.replica.clone(),
+        timeline: core.timeline.clone(),
+        view: core.cluster.clone(),
+        keys: core.settings.cluster_keys.clone().into(),
+    };
+    tokio::spawn(server.listen(control, background.clone()));
+    tokio::spawn(ConfigWatcher::new(store, &core.replica).run(enabled));
+    tokio::spawn(task.run(messages, background.clone()));
+}
+
 /// Node that serves requests; dropping it ends its background tasks.
 pub struct RunningNode {
     core: Arc<NodeCore<EtcdStore>>,
@@ -123,7 +174,7 @@
 
     /// Lets readiness fall, accepts nothing new and waits for open requests.
     pub async fn stop(mut self) {
-        self.core.stopping.store(true, Ordering::Relaxed);
+        self.core.cluster.stopping.store(true, Ordering::Relaxed);
         self.core
             .timeline
             .record(EventKind::ShutdownStarted, "", None);
--- a/crates/verbenaring-gateway/src/operation.rs
+++ b/crates/verbenaring-gateway/src/operation.rs
@@ -173,7 +173,7 @@
         let core = self.core.clone();
         let catalog = core.catalog.load_full();
         let tried = TriedTargets::default();
-        let routed = route_work(&core.settings, &catalog, &core.backends, &self.work, &tried);
+        let routed = route_work(&core.route_context(&catalog), &self.work, &tried);
         let (address, place) = match &routed {
             Ok(RouteTarget::Server(terms, _)) => (
                 terms.address,
--- a/crates/verbenaring-gateway/src/route.rs
+++ b/crates/verbenaring-gateway/src/route.rs
@@ -8,6 +8,7 @@
 
 use crate::backend::{BackendTable, WorkGuard};
 use crate::catalog::ServingCatalog;
+use crate::cluster::NodeList;
 use crate::config::{NodeSettings, PeerSettings};
 use crate::refusal::Refusal;
 use crate::work::PendingWork;
@@ -29,25 +30,35 @@
     pub peers: Vec<VmId>,
 }
 
+/// What a routing decision looks at.
+pub struct RouteContext<'a> {
+    /// Settings of the node.
+    pub settings: &'a NodeSettings,
+    /// Configuration in force.
+    pub catalog: &'a ServingCatalog,
+    /// Other nodes that may be used now.
+    pub nodes: Arc<NodeList>,
+    /// Backend servers as this node uses them.
+    pub backends: &'a BackendTable,
+}
+
 /// Chooses a target for `work`.
 pub fn route_work(
-    settings: &NodeSettings,
-    catalog: &ServingCatalog,
-    backends: &BackendTable,
+    context: &RouteContext<'_>,
     work: &PendingWork,
     tried: &TriedTargets,
 ) -> Result<RouteTarget, Refusal> {
-    let region = &settings.data_centre.region;
+    let region = &context.settings.data_centre.region;
     let local = work
         .check_residency(region)
-        .map(|()| choose_server(settings, catalog, backends, work, tried));
+        .map(|()| choose_server(context, work, tried));
     match local {
         Ok(Some(target)) => return Ok(target),
         Err(refusal) if work.forwarded.is_some() => return Err(refusal),
         _ => {}
     }
     if work.forwarded.is_none()
-        && let Some(peer) = choose_peer(settings, catalog, work, tried)
+        && let Some(peer) = choose_peer(context, work, tried)
     {
         return Ok(RouteTarget::Peer(peer));
     }
@@ -60,45 +71,43 @@
 }
 
 fn choose_server(
-    settings: &NodeSettings,
-    catalog: &ServingCatalog,
-    backends: &BackendTable,
+    context: &RouteContext<'_>,
     work: &PendingWork,
     tried: &TriedTargets,
 ) -> Option<RouteTarget> {
-    let candidates = catalog.servers().iter().filter(|terms| {
-        terms.data_centre == settings.data_centre
+    let candidates = context.catalog.servers().iter().filter(|terms| {
+        terms.data_centre == context.settings.data_centre
             && !terms.leaving
             && work.target.is_offered_by(terms)
             && !tried.servers.contains(&terms.server)
     });
     let (terms, state) = candidates
-        .map(|terms| (terms, backends.state(&terms.server)))
+        .map(|terms| (terms, context.backends.state(&terms.server)))
         .min_by_key(|(_, state)| state.tokens())?;
     let guard = WorkGuard::new(&state, work.size.total());
     Some(RouteTarget::Server(terms.clone(), guard))
 }
 
 fn choose_peer(
-    settings: &NodeSettings,
-    catalog: &ServingCatalog,
+    context: &RouteContext<'_>,
     work: &PendingWork,
     tried: &TriedTargets,
 ) -> Option<PeerSettings> {
     let offers = |peer: &&PeerSettings| {
-        catalog.servers().iter().any(|terms| {
+        context.catalog.servers().iter().any(|terms| {
             terms.data_centre == peer.data_centre
                 && !terms.leaving
                 && work.target.is_offered_by(terms)
         })
     };
-    settings
-        .peers
+    context
+        .nodes
+        .far
         .iter()
-        .filter(|peer| peer.data_centre != settings.data_centre)
+        .filter(|peer| peer.data_centre != context.settings.data_centre)
         .filter(|peer| work.entry.terms.residency.allows(&peer.data_centre.region))
         .filter(|peer| !tried.peers.contains(&peer.vm))
         .filter(offers)
-        .min_by_key(|peer| peer.data_centre.region != settings.data_centre.region)
+        .min_by_key(|peer| peer.data_centre.region != context.settings.data_centre.region)
         .cloned()
 }
--- a/crates/verbenaring-gateway/src/timeline.rs
+++ b/crates/verbenaring-gateway/src/timeline.rs
@@ -6,62 +6,14 @@
 use std::collections::VecDeque;
 use std::sync::Mutex;
 
-use serde::{Deserialize, Serialize};
 use uhlc::HLC;
 use verbenaring_policy::id::{AttemptId, VmId};
+use verbenaring_protocol::control::TimelinePage;
+pub use verbenaring_protocol::timeline::{EventKind, TimelineEvent};
 
 /// Events that a node keeps.
 pub const RING_EVENTS: usize = 4_096;
 
-/// What happened.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum EventKind {
-    /// A caller's request was accepted.
-    RequestAccepted,
-    /// A request was refused.
-    RequestRefused,
-    /// A request was received from another node.
-    ForwardReceived,
-    /// A try was sent to a backend server.
-    AttemptSent,
-    /// A try was sent to another node.
-    AttemptForwarded,
-    /// A try failed.
-    AttemptFailed,
-    /// An answer was relayed whole.
-    AnswerWhole,
-    /// An answer broke.
-    AnswerBroken,
-    /// The caller went away.
-    CallerGone,
-    /// An operation was claimed.
-    OperationClaimed,
-    /// The outcome of an operation was recorded.
-    OperationDone,
-    /// A configuration came into force.
-    ConfigInForce,
-    /// The node began a graceful shutdown.
-    ShutdownStarted,
-}
-
-/// One event.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct TimelineEvent {
-    /// Position in the events of the node.
-    pub sequence: u64,
-    /// Hybrid logical time: NTP64 fixed-point seconds since 1970-01-01 UTC.
-    pub time: u64,
-    /// Node of the event.
-    pub vm: String,
-    /// What happened.
-    pub kind: EventKind,
-    /// Request identifier, empty if none.
-    pub request: String,
-    /// Attempt identifier.
-    pub attempt: Option<AttemptId>,
-}
-
 /// Ring of the latest events of a node.
 pub struct TimelineRing {
     vm: VmId,
@@ -101,6 +53,17 @@
         });
     }
 
+    /// Events from `sequence` on, with the oldest that is kept.
+    pub fn page(&self, sequence: u64) -> TimelinePage {
+        let events = self.since(sequence);
+        let all = self
+            .events
+            .lock()
+            .unwrap_or_else(|error| error.into_inner());
+        let oldest = all.front().map_or(0, |event| event.sequence);
+        TimelinePage { oldest, events }
+    }
+
     /// Events from `sequence` on, oldest first.
     pub fn since(&self, sequence: u64) -> Vec<TimelineEvent> {
         let events = self
--- a/crates/verbenaring-protocol/src/lib.rs
+++ b/crates/verbenaring-protocol/src/lib.rs
@@ -4,11 +4,13 @@
 //! `schemas/` and converted to checked types at the border ([`document`]).
 //! Types that only nodes exchange are in [`node`].
 
+pub mod control;
 pub mod document;
 pub mod error;
 pub mod header;
 pub mod node;
 pub mod stored;
+pub mod timeline;
 
 #[allow(missing_docs, dead_code, clippy::derivable_impls)]
 pub mod generated {
--- a/crates/verbenaring-testbed/src/deployment.rs
+++ b/crates/verbenaring-testbed/src/deployment.rs
@@ -7,11 +7,14 @@
 use std::time::Duration;
 
 use serde_json::{Value, json};
+use uuid::Uuid;
 use verbenaring_gateway::config::{ClusterKey, GuardSettings, NodeSettings, PeerSettings};
 use verbenaring_gateway::etcd::EtcdStore;
 use verbenaring_gateway::node::{BoundNode, RunningNode};
 use verbenaring_gateway::store::{PlatformStore, SwapCondition, SwapOutcome, SwapRequest};
-use verbenaring_policy::id::{CentreName, DataCentre, Digest, RegionName, VmId};
+use verbenaring_policy::id::{CentreName, ChangeId, DataCentre, Digest, RegionName, VmId};
+
+use verbenaring_protocol::stored::StoredEntry;
 
 use crate::engine::{EngineServer, EngineSettings};
 use crate::error::Result;
@@ -120,12 +123,16 @@
     /// Writes a configuration document and waits until it is in force.
     pub async fn write(&self, key: &str, document: &Value) -> u64 {
         let current = self.writer.get(key).await.expect("store is up");
+        let base = current.as_ref().map_or(0, |value| value.revision);
+        let change = ChangeId(Uuid::new_v4());
+        let entry = StoredEntry::wrap(change, base, Some(&document.to_string()))
+            .expect("a JSON value is a document");
         let request = SwapRequest {
             key: key.to_owned(),
             condition: current.map_or(SwapCondition::Absent, |value| {
                 SwapCondition::Revision(value.revision)
             }),
-            value: Some(document.to_string().into_bytes()),
+            value: Some(entry.to_value()),
             lease: 0,
         };
         match self
