Return slow servers that get no requests

Cause: a server marked slow but not ejected got no sample without requests, so it stayed slow. Change: its load factor halves every 10 s without a new slow judgement. Conclusion: no state of the detector is final.

--- a/crates/verbenaring-policy/src/straggler.rs
+++ b/crates/verbenaring-policy/src/straggler.rs
@@ -94,12 +94,12 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum Health {
     Healthy,
-    Slow { factor: f64 },
+    Slow { factor: f64, since: Moment },
     Ejected { since: Moment, next_probe: Moment },
     Returning { step: usize, since: Moment },
 }
 
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Default)]
 struct Window {
     start: Moment,
     busy_s: f64,
@@ -107,17 +107,6 @@
     events: u32,
 }
 
-impl Window {
-    fn new(start: Moment) -> Self {
-        Self {
-            start,
-            busy_s: 0.0,
-            tokens: 0,
-            events: 0,
-        }
-    }
-}
-
 #[derive(Debug)]
 struct Member {
     group: usize,
@@ -184,7 +173,10 @@
             event_s: None,
             streams: None,
             reported_requests: 0,
-            window: Window::new(now),
+            window: Window {
+                start: now,
+                ..Window::default()
+            },
             slow_streak: 0,
             good_streak: 0,
             ejection: self.settings.first_ejection,
@@ -269,7 +261,7 @@
         };
         match member.health {
             Health::Healthy => ServerState::Active,
-            Health::Slow { factor } => ServerState::Slow { factor },
+            Health::Slow { factor, .. } => ServerState::Slow { factor },
             Health::Ejected { next_probe, .. } => ServerState::Ejected {
                 probe_due: now >= next_probe,
             },
@@ -339,7 +331,10 @@
         if !spans_events && !silence.overdue {
             return None;
         }
-        member.window = Window::new(now);
+        member.window = Window {
+            start: now,
+            ..Window::default()
+        };
         if window.events == 0 && silence.in_prefill {
             // A long prompt of this node explains the pause.
             return None;
@@ -419,7 +414,7 @@
             _ if slow && may_eject => member.eject(&settings, now),
             Health::Healthy | Health::Slow { .. } if slow => {
                 let factor = ratio.clamp(settings.slow_ratio, MAX_FACTOR);
-                member.health = Health::Slow { factor };
+                member.health = Health::Slow { factor, since: now };
             }
             Health::Slow { .. } if good => {
                 member.token_s = usual;
@@ -454,6 +449,16 @@
                 };
                 member.token_s = None;
             }
+            // Without requests there is no sample that could show a recovery.
+            Health::Slow { factor, since } if now.since(since) >= settings.unproven_return => {
+                let factor = factor / 2.0;
+                member.health = if factor >= settings.slow_ratio {
+                    Health::Slow { factor, since: now }
+                } else {
+                    Health::Healthy
+                };
+                member.token_s = None;
+            }
             Health::Returning { step, since }
                 if now.since(since) >= settings.step && member.slow_streak == 0 =>
             {
--- a/crates/verbenaring-policy/tests/straggler.rs
+++ b/crates/verbenaring-policy/tests/straggler.rs
@@ -158,6 +158,34 @@
     assert_eq!(slow.count(), 2, "{states:?}");
 }
 
+/// A slow server that gets no requests must become active again, or it would stay unused.
+#[test]
+fn slow_servers_without_requests_recover() {
+    let mut servers = Streams::new(4, 4, 7);
+    servers.run(Duration::from_secs(5), |_| 1.0);
+    servers.run(
+        Duration::from_secs(3),
+        |server| if server == 1 { 5.0 } else { 1.0 },
+    );
+    let state = servers.state(1);
+    assert!(
+        matches!(state, ServerState::Slow { .. }),
+        "a group of 4 ejects none: {state:?}"
+    );
+    for (_, flight, _) in &servers.streams {
+        flight.map(|key| servers.detector.finish(key, servers.now));
+    }
+    for second in 1..=40 {
+        servers
+            .detector
+            .evaluate(servers.now + Duration::from_secs(second));
+        if second == 9 {
+            assert!(matches!(servers.state(1), ServerState::Slow { .. }));
+        }
+    }
+    assert_eq!(servers.state(1), ServerState::Active);
+}
+
 /// Hedges of long or non-repeatable requests, or above 5%, would add load or repeat effects.
 #[test]
 fn hedges_are_limited() {
