--- a/crates/verbenaring-policy/src/straggler.rs
+++ b/crates/verbenaring-policy/src/straggler.rs
@@ -73,9 +73,11 @@
 
 /// Load factors of the return, in order.
 const RETURN_FACTORS: [f64; 3] = [8.0, 4.0, 2.0];
-/// Progress events that a sample should span. With 6, one event more or less
-/// changes the sample by under a fifth.
-const EVENTS_PER_SAMPLE: f64 = 6.0;
+/// Progress events that a sample should span. With 6, random gaps between the
+/// tokens of a single stream ejected healthy servers for up to 1.5% of the time.
+const EVENTS_PER_SAMPLE: f64 = 8.0;
+/// Usual time between progress events after which silence is a sample.
+const SILENT_EVENTS: f64 = 3.0;
 /// Multiple of the p95 first-token latency after which silence is evidence.
 const FIRST_TOKEN_SLACK: f64 = 3.0;
 /// Upper bound of the load factor, so that a slow server is still sampled.
@@ -92,12 +94,12 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum Health {
     Healthy,
-    Slow { factor: f64 },
+    Slow { factor: f64, since: Moment },
     Ejected { since: Moment, next_probe: Moment },
     Returning { step: usize, since: Moment },
 }
 
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Default)]
 struct Window {
     start: Moment,
     busy_s: f64,
@@ -105,17 +107,6 @@
     events: u32,
 }
 
-impl Window {
-    fn new(start: Moment) -> Self {
-        Self {
-            start,
-            busy_s: 0.0,
-            tokens: 0,
-            events: 0,
-        }
-    }
-}
-
 #[derive(Debug)]
 struct Member {
     group: usize,
@@ -182,7 +173,10 @@
             event_s: None,
             streams: None,
             reported_requests: 0,
-            window: Window::new(now),
+            window: Window {
+                start: now,
+                ..Window::default()
+            },
             slow_streak: 0,
             good_streak: 0,
             ejection: self.settings.first_ejection,
@@ -267,7 +261,7 @@
         };
         match member.health {
             Health::Healthy => ServerState::Active,
-            Health::Slow { factor } => ServerState::Slow { factor },
+            Health::Slow { factor, .. } => ServerState::Slow { factor },
             Health::Ejected { next_probe, .. } => ServerState::Ejected {
                 probe_due: now >= next_probe,
             },
@@ -306,14 +300,13 @@
                 continue;
             };
             let size = f64::from(flight.prompt_tokens) / f64::from(SHORT_TOKENS);
-            let allowed = usual.mul_f64(FIRST_TOKEN_SLACK * size.max(1.0));
+            let expected = usual.mul_f64(size.max(1.0));
+            let allowed = expected.mul_f64(FIRST_TOKEN_SLACK);
             let silent_since = flight.started.max(member.last_progress);
+            let silent = now.since(silent_since);
             let silence = silences.entry(flight.member).or_default();
-            if now.since(silent_since) > allowed {
-                silence.overdue = true;
-            } else if flight.prompt_tokens > SHORT_TOKENS {
-                silence.in_prefill = true;
-            }
+            silence.overdue |= silent > allowed;
+            silence.in_prefill |= flight.prompt_tokens > SHORT_TOKENS && silent <= expected;
         }
         silences
     }
@@ -331,13 +324,17 @@
             return None;
         }
         let spans_events = match event_s {
+            Some(usual) if window.events == 0 => window.busy_s >= SILENT_EVENTS * usual,
             Some(usual) => window.busy_s >= EVENTS_PER_SAMPLE * usual,
             None => f64::from(window.events) >= EVENTS_PER_SAMPLE,
         };
         if !spans_events && !silence.overdue {
             return None;
         }
-        member.window = Window::new(now);
+        member.window = Window {
+            start: now,
+            ..Window::default()
+        };
         if window.events == 0 && silence.in_prefill {
             // A long prompt of this node explains the pause.
             return None;
@@ -417,7 +414,7 @@
             _ if slow && may_eject => member.eject(&settings, now),
             Health::Healthy | Health::Slow { .. } if slow => {
                 let factor = ratio.clamp(settings.slow_ratio, MAX_FACTOR);
-                member.health = Health::Slow { factor };
+                member.health = Health::Slow { factor, since: now };
             }
             Health::Slow { .. } if good => {
                 member.token_s = usual;
@@ -452,6 +449,16 @@
                 };
                 member.token_s = None;
             }
+            // Without requests there is no sample that could show a recovery.
+            Health::Slow { factor, since } if now.since(since) >= settings.unproven_return => {
+                let factor = factor / 2.0;
+                member.health = if factor >= settings.slow_ratio {
+                    Health::Slow { factor, since: now }
+                } else {
+                    Health::Healthy
+                };
+                member.token_s = None;
+            }
             Health::Returning { step, since }
                 if now.since(since) >= settings.step && member.slow_streak == 0 =>
             {
