Split contract limits over nodes and admit requests under them

Cause: limits must hold over all entry VMs in any partition, without a counter in the store.

Change: `layout` splits a contract statically over regions and node slots, `allotment` and `loan` lend unused shares between two nodes, `admission` checks request rate, token rate, concurrency and deadline and says how long to wait. A contract of 3 concurrent requests over 14 nodes is held by 3 nodes in whole requests; the others borrow.

--- a/crates/verbenaring-policy/src/lib.rs
+++ b/crates/verbenaring-policy/src/lib.rs
@@ -4,9 +4,13 @@
 //! views and a [`time::Moment`] and returns a value, so the daemon, the
 //! experiment tool and the model checker run the same code.
 
+pub mod admission;
+pub mod allotment;
 pub mod contract;
 pub mod error;
 pub mod id;
+pub mod layout;
+pub mod loan;
 pub mod outcome;
 pub mod request;
 pub mod time;
--- /dev/null
+++ b/crates/verbenaring-policy/tests/admission.rs
@@ -0,0 +1,185 @@
+//! Rates, concurrency, deadlines and refusals of the admission gate.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use verbenaring_policy::admission::{
+    AdmissionGate, AdmissionPermit, AdmissionRequest, Allotment, AllotmentTable, LimitKind,
+    LimitRefusal, RateBucket,
+};
+use verbenaring_policy::id::{CustomerId, VmId};
+use verbenaring_policy::time::Moment;
+
+const DEADLINE: Duration = Duration::from_secs(20);
+
+struct Node {
+    table: AllotmentTable,
+    gate: AdmissionGate,
+}
+
+fn customer() -> CustomerId {
+    CustomerId::new("council").unwrap()
+}
+
+fn share(requests_per_s: u64, tokens_per_s: u64, concurrent: u32) -> Allotment {
+    Allotment {
+        millirequests_per_s: requests_per_s * 1_000,
+        millitokens_per_s: tokens_per_s * 1_000,
+        concurrent,
+    }
+}
+
+impl Node {
+    fn new(name: &str, peer: Option<&str>, share: Allotment) -> Self {
+        let peers: BTreeSet<VmId> = peer.iter().map(|peer| VmId::new(peer).unwrap()).collect();
+        let mut table = AllotmentTable::new(VmId::new(name).unwrap(), 1, peers, Moment(0));
+        table.stage(&customer(), 1, share);
+        table.accept(&customer(), 1);
+        Self {
+            table,
+            gate: AdmissionGate::default(),
+        }
+    }
+
+    fn admit(&mut self, tokens: u32, now: Moment) -> Result<AdmissionPermit, LimitRefusal> {
+        let request = AdmissionRequest {
+            tokens,
+            deadline: now + DEADLINE,
+            expected: Duration::from_secs(1),
+        };
+        self.gate.admit(&self.table, &customer(), &request, now)
+    }
+}
+
+/// Guards against a wait that is too short to help or longer than needed.
+#[test]
+fn a_retry_after_the_stated_wait_succeeds() {
+    let mut node = Node::new("vm", None, share(4, 1_000, 100));
+    let now = Moment(0);
+    let permits: Vec<_> = (0..4).map(|_| node.admit(10, now).unwrap()).collect();
+    let refusal = node.admit(10, now).unwrap_err();
+    assert_eq!(refusal.limit, LimitKind::RequestRate);
+    assert_eq!(refusal.retry_after, Duration::from_millis(250));
+    assert_eq!(refusal.retry_after_s(), 1);
+    assert!(node.admit(10, now + Duration::from_millis(249)).is_err());
+    assert!(node.admit(10, now + refusal.retry_after).is_ok());
+    drop(permits);
+}
+
+/// Guards against answers that are larger than estimated and never paid for.
+#[test]
+fn actual_tokens_correct_the_token_rate() {
+    let mut node = Node::new("vm", None, share(100, 100, 100));
+    let permit = node.admit(50, Moment(0)).unwrap();
+    node.gate.finish(permit, 350, Moment(0));
+    let refusal = node.admit(50, Moment(0)).unwrap_err();
+    assert_eq!(refusal.limit, LimitKind::TokenRate);
+    assert_eq!(refusal.retry_after, Duration::from_secs(3));
+    let permit = node.admit(50, Moment(3_000_000)).unwrap();
+    node.gate.finish(permit, 0, Moment(3_000_000));
+    assert!(node.admit(50, Moment(3_000_000)).is_ok());
+    // Larger than one second of the rate: admitted by a full bucket.
+    assert!(node.admit(1_000, Moment(9_000_000)).is_ok());
+}
+
+/// Guards against a refusal that changes the state of the gate.
+#[test]
+fn concurrency_and_deadline_refuse_without_effect() {
+    let mut node = Node::new("vm", None, share(100, 10_000, 1));
+    let permit = node.admit(10, Moment(0)).unwrap();
+    let in_use = node.gate.in_use(&node.table, &customer(), Moment(0));
+    let refusal = node.admit(10, Moment(0)).unwrap_err();
+    assert_eq!(refusal.limit, LimitKind::Concurrency);
+    let late = AdmissionRequest {
+        tokens: 10,
+        deadline: Moment(2_000_000),
+        expected: Duration::from_secs(5),
+    };
+    let refusal = node
+        .gate
+        .admit(&node.table, &customer(), &late, Moment(0))
+        .unwrap_err();
+    assert_eq!(
+        (refusal.limit, refusal.retry_after_s()),
+        (LimitKind::Deadline, 3)
+    );
+    assert_eq!(
+        node.gate.in_use(&node.table, &customer(), Moment(0)),
+        in_use
+    );
+    assert_eq!(node.gate.in_flight(&customer()), 1);
+    node.gate.finish(permit, 10, Moment(1_000_000));
+    assert!(node.admit(10, Moment(1_000_000)).is_ok());
+}
+
+fn lend(lender: &mut Node, borrower: &mut Node, wanted: Allotment, now: Moment) {
+    let name = VmId::new("vm-a").unwrap();
+    let request = borrower
+        .table
+        .request(&customer(), &name, wanted, DEADLINE, now);
+    if let Some(grant) = lender.gate.lend(&mut lender.table, &request, now) {
+        assert!(borrower.gate.borrow(&mut borrower.table, &grant, now));
+    }
+}
+
+/// Guards against loans that multiply bursts or count the same time at both
+/// nodes: one request per second, lent and returned a hundred times a second,
+/// stays one request per second.
+#[test]
+fn repeated_loans_do_not_raise_the_rate() {
+    let mut lender = Node::new("vm-a", Some("vm-b"), share(1, 1_000, 1));
+    let mut borrower = Node::new("vm-b", Some("vm-a"), Allotment::default());
+    let seconds = 30;
+    let mut admitted = 0;
+    for step in 0..seconds * 100 {
+        let now = Moment(400_000_000 + step * 10_000);
+        lend(&mut lender, &mut borrower, share(1, 1_000, 1), now);
+        for node in [&mut lender, &mut borrower] {
+            if let Ok(permit) = node.admit(10, now) {
+                admitted += 1;
+                node.gate.finish(permit, 10, now);
+            }
+        }
+        let returns = borrower
+            .gate
+            .give_back(&mut borrower.table, &customer(), now);
+        for message in returns {
+            lender.gate.take_back(&mut lender.table, &message, now);
+        }
+    }
+    assert!(
+        (2..=seconds + 1).contains(&admitted),
+        "{admitted} in {seconds} s"
+    );
+}
+
+/// Guards against a request that keeps borrowed concurrency after the loan.
+#[test]
+fn borrowed_concurrency_outlasts_the_request() {
+    let mut lender = Node::new("vm-a", Some("vm-b"), share(10, 1_000, 2));
+    let mut borrower = Node::new("vm-b", Some("vm-a"), Allotment::default());
+    let now = Moment(400_000_000);
+    lend(&mut lender, &mut borrower, share(5, 500, 1), now);
+    let permit = borrower.admit(10, now + Duration::from_secs(4)).unwrap();
+    borrower
+        .gate
+        .finish(permit, 10, now + Duration::from_secs(4));
+    let refusal = borrower
+        .admit(10, now + Duration::from_secs(6))
+        .unwrap_err();
+    assert_eq!(refusal.limit, LimitKind::NoShare);
+}
+
+/// Guards against credit from a change of the rate and from a clock that
+/// repeats an earlier moment.
+#[test]
+fn a_bucket_gains_only_by_time() {
+    let mut bucket = RateBucket::new(10.0, Moment(1_000_000));
+    bucket.charge(10.0, Moment(1_000_000));
+    bucket.set_rate(100.0, Moment(1_000_000));
+    assert_eq!(bucket.balance(Moment(1_000_000)), 0.0);
+    assert_eq!(bucket.balance(Moment(500_000)), 0.0);
+    assert_eq!(bucket.balance(Moment(1_100_000)), 10.0);
+    bucket.set_rate(0.0, Moment(1_100_000));
+    assert_eq!(bucket.wait_for(1.0, Moment(1_100_000)), None);
+}
--- /dev/null
+++ b/crates/verbenaring-policy/tests/layout.rs
@@ -0,0 +1,148 @@
+//! Static split of contracts and reclaim of slots.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use verbenaring_policy::contract::{LimitTerms, ResidencyRule};
+use verbenaring_policy::id::{CentreName, CustomerId, RegionName};
+use verbenaring_policy::layout::{
+    Allotment, CentreLayout, RegionLayout, SplitLayout, VmListing, is_reclaimable,
+};
+use verbenaring_policy::time::Moment;
+
+const SEED: [u8; 32] = [41; 32];
+
+fn layout(nodes: &[&[u32]], weights: &[u32]) -> SplitLayout {
+    let centre = |region: usize, index: usize, nodes: u32| CentreLayout {
+        name: CentreName::new(&format!("c{region}-{index}")).unwrap(),
+        nodes,
+    };
+    let region = |(index, centres): (usize, &&[u32])| RegionLayout {
+        name: region_name(index),
+        weight: weights[index],
+        centres: (0..centres.len())
+            .map(|each| centre(index, each, centres[each]))
+            .collect(),
+    };
+    SplitLayout {
+        regions: nodes.iter().enumerate().map(region).collect(),
+    }
+}
+
+fn region_name(index: usize) -> RegionName {
+    RegionName::new(&format!("r{index}")).unwrap()
+}
+
+fn limits(requests_per_s: f64, concurrent: u32) -> LimitTerms {
+    LimitTerms {
+        requests_per_s,
+        tokens_per_s: requests_per_s * 333.3,
+        concurrent,
+        deadline: Duration::from_secs(20),
+    }
+}
+
+fn residency(regions: usize) -> ResidencyRule {
+    ResidencyRule {
+        home: region_name(0),
+        allowed: (0..regions).map(region_name).collect(),
+    }
+}
+
+fn customer(index: u32) -> CustomerId {
+    CustomerId::new(&format!("customer-{index}")).unwrap()
+}
+
+fn all_shares(
+    layout: &SplitLayout,
+    customer: &CustomerId,
+    limits: &LimitTerms,
+    residency: &ResidencyRule,
+) -> Vec<Allotment> {
+    let centres = layout.regions.iter().flat_map(|region| &region.centres);
+    centres
+        .flat_map(|centre| (0..centre.nodes).map(|slot| (centre.name.clone(), slot)))
+        .map(|(centre, slot)| layout.share(customer, limits, residency, &centre, slot))
+        .collect()
+}
+
+fn sum(shares: impl IntoIterator<Item = Allotment>) -> Allotment {
+    let add = |total: Allotment, share: Allotment| total.plus(&share);
+    shares.into_iter().fold(Allotment::default(), add)
+}
+
+/// Guards against rounding that creates or loses part of a contract.
+#[test]
+fn shares_add_up_to_the_contract() {
+    let split = layout(&[&[7, 3], &[14], &[1, 1, 5]], &[10, 3, 1]);
+    let inputs = (0.1..500.0f64, 1u32..400, 1usize..=3, 0u32..1000);
+    let config = Config {
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &SEED);
+    TestRunner::new_with_rng(config, rng)
+        .run(&inputs, |(rate, concurrent, regions, number)| {
+            let limits = limits(rate, concurrent);
+            let shares = all_shares(&split, &customer(number), &limits, &residency(regions));
+            prop_assert_eq!(sum(shares), Allotment::of(&limits));
+            Ok(())
+        })
+        .unwrap();
+}
+
+/// Guards against shares too small to admit one request, and against shares
+/// in regions that may not process the customer's data.
+#[test]
+fn a_small_contract_is_held_in_whole_requests() {
+    let split = layout(&[&[14], &[14]], &[1, 1]);
+    let shares = all_shares(&split, &customer(1), &limits(3.0, 3), &residency(1));
+    let holders: Vec<&Allotment> = shares.iter().filter(|share| !share.is_zero()).collect();
+    assert_eq!(holders.len(), 3);
+    let asked = split.holders(
+        &customer(1),
+        &limits(3.0, 3),
+        &residency(1),
+        &region_name(0),
+    );
+    assert!(
+        asked
+            .iter()
+            .all(|(_, slot)| !shares[*slot as usize].is_zero())
+    );
+    assert_eq!(asked.len(), 3);
+    let is_whole = |share: &&Allotment| share.concurrent == 1 && share.millirequests_per_s == 1_000;
+    assert!(holders.iter().all(is_whole));
+    assert!(shares[14..].iter().all(Allotment::is_zero));
+    let used: BTreeSet<usize> = (0..50)
+        .flat_map(|number| {
+            let shares = all_shares(&split, &customer(number), &limits(1.0, 1), &residency(1));
+            shares.iter().position(|share| !share.is_zero())
+        })
+        .collect();
+    assert!(used.len() > 7, "small contracts use only slots {used:?}");
+}
+
+/// Guards against reclaiming the slot of a VM that may still run.
+#[test]
+fn a_slot_is_reclaimed_only_if_both_sources_agree() {
+    let now = Moment(100_000_000);
+    let long_ago = Moment(80_000_000);
+    let recent = Moment(95_000_000);
+    assert!(is_reclaimable(
+        Some(long_ago),
+        VmListing::Removed(long_ago),
+        now
+    ));
+    assert!(!is_reclaimable(
+        Some(recent),
+        VmListing::Removed(long_ago),
+        now
+    ));
+    assert!(!is_reclaimable(None, VmListing::Removed(long_ago), now));
+    for listing in [VmListing::NeverListed, VmListing::Live, VmListing::Leaving] {
+        assert!(!is_reclaimable(Some(long_ago), listing, now));
+    }
+}
