Add the fair queue with size classes and reserved slots

Cause: members must receive their share whatever the others send, and short work must not wait behind long work.

Change: `scheduler` queues requests per contract and size class, bounded per contract and per member; `fairness` orders members and contracts by virtual time. Requests that outgrow their class leave the reserved slots. Late requests are dropped unsent with the outcome `not_run`.

--- a/crates/verbenaring-policy/src/lib.rs
+++ b/crates/verbenaring-policy/src/lib.rs
@@ -8,11 +8,13 @@
 pub mod allotment;
 pub mod contract;
 pub mod error;
+pub mod fairness;
 pub mod id;
 pub mod layout;
 pub mod loan;
 pub mod outcome;
 pub mod request;
+pub mod scheduler;
 pub mod time;
 
 pub use error::{Error, Result};
--- /dev/null
+++ b/crates/verbenaring-policy/tests/scheduler.rs
@@ -0,0 +1,319 @@
+//! Shares, priorities, size classes, bounds and deadlines of the fair queue.
+
+use std::collections::BTreeMap;
+
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::{RngCore, SeedableRng};
+use verbenaring_policy::contract::PriorityLevel;
+use verbenaring_policy::id::{CustomerId, MemberId};
+use verbenaring_policy::outcome::RunOutcome;
+use verbenaring_policy::request::{RequestClass, SizeEstimate};
+use verbenaring_policy::scheduler::{DropReason, EntryKey, FairQueue, QueueRequest, QueueSettings};
+use verbenaring_policy::time::Moment;
+
+const START: Moment = Moment(0);
+const NEVER: Moment = Moment(u64::MAX);
+
+fn member(name: &str) -> MemberId {
+    MemberId::new(name).unwrap()
+}
+
+fn customer(name: &str) -> CustomerId {
+    CustomerId::new(name).unwrap()
+}
+
+fn queue(slots: usize, reserved: usize) -> FairQueue<&'static str> {
+    FairQueue::new(QueueSettings {
+        slots,
+        reserved,
+        ..QueueSettings::default()
+    })
+}
+
+fn add(queue: &mut FairQueue<&'static str>, name: &str, share: u32, level: PriorityLevel) {
+    let owner = member(name.split('-').next().unwrap());
+    queue.set_member(&owner, share);
+    assert!(queue.set_contract(&customer(name), &owner, 1, level));
+}
+
+fn push(queue: &mut FairQueue<&'static str>, name: &'static str, tokens: u32) -> EntryKey {
+    let request = QueueRequest {
+        estimate: SizeEstimate {
+            prompt_tokens: tokens,
+            answer_tokens: 0,
+        },
+        latest_start: NEVER,
+    };
+    queue.push(&customer(name), &request, name, START).unwrap()
+}
+
+/// Tokens served per contract while each always has work waiting.
+fn serve(
+    queue: &mut FairQueue<&'static str>,
+    load: &[(&'static str, u32, u32)],
+    rounds: usize,
+) -> BTreeMap<&'static str, u32> {
+    let mut served = BTreeMap::new();
+    for (name, estimate, _) in load {
+        push(queue, name, *estimate);
+    }
+    for _ in 0..rounds {
+        let dispatch = queue.next(START).unwrap();
+        let (name, estimate, actual) = load.iter().find(|each| each.0 == dispatch.item).unwrap();
+        push(queue, name, *estimate);
+        queue.finish(dispatch.key, *actual);
+        *served.entry(*name).or_default() += actual;
+    }
+    served
+}
+
+/// Guards against a member that gains by more contracts, by higher priorities
+/// or by estimates that are too low.
+#[test]
+fn members_are_served_by_share() {
+    let mut queue = queue(1, 0);
+    for name in ["greedy-a", "greedy-b", "greedy-c"] {
+        add(&mut queue, name, 2, PriorityLevel::Interactive);
+    }
+    add(&mut queue, "modest-a", 1, PriorityLevel::Batch);
+    let greedy = ["greedy-a", "greedy-b", "greedy-c"].map(|name| (name, 100, 400));
+    let load = [&greedy[..], &[("modest-a", 200, 200)]].concat();
+    let served = serve(&mut queue, &load, 4_000);
+    let sum: u32 = greedy.iter().map(|(name, ..)| served[name]).sum();
+    let ratio = f64::from(sum) / f64::from(served["modest-a"]);
+    assert!((1.98..2.02).contains(&ratio), "ratio {ratio}");
+}
+
+/// Guards against priorities that starve other contracts of a member.
+#[test]
+fn priority_multiplies_the_weight() {
+    let mut queue = queue(1, 0);
+    add(&mut queue, "a-batch", 1, PriorityLevel::Batch);
+    add(&mut queue, "a-person", 1, PriorityLevel::Interactive);
+    let load = [("a-batch", 100, 100), ("a-person", 100, 100)];
+    let served = serve(&mut queue, &load, 1_000);
+    let ratio = f64::from(served["a-person"]) / f64::from(served["a-batch"]);
+    assert!((3.9..4.1).contains(&ratio), "ratio {ratio}");
+}
+
+/// Guards against an idle share that is wasted, saved up, or returned late.
+#[test]
+fn an_idle_share_is_lent_and_returns_at_the_next_dispatch() {
+    let mut queue = queue(1, 0);
+    add(&mut queue, "busy-a", 1, PriorityLevel::Standard);
+    add(&mut queue, "idle-a", 1, PriorityLevel::Standard);
+    let served = serve(&mut queue, &[("busy-a", 100, 100)], 500);
+    assert_eq!(served["busy-a"], 50_000);
+    push(&mut queue, "idle-a", 100);
+    push(&mut queue, "idle-a", 100);
+    let first: Vec<_> = (0..3)
+        .map(|_| {
+            let dispatch = queue.next(START).unwrap();
+            queue.finish(dispatch.key, 100);
+            push(&mut queue, "busy-a", 100);
+            dispatch.item
+        })
+        .collect();
+    let returned = first.iter().filter(|item| **item == "idle-a").count();
+    assert!(
+        (1..=2).contains(&returned) && first[..2].contains(&"idle-a"),
+        "{first:?}"
+    );
+}
+
+/// Guards against short work that waits for medium or long work to end.
+#[test]
+fn short_work_never_waits_behind_long_work() {
+    let mut queue = queue(8, 4);
+    add(&mut queue, "a-a", 1, PriorityLevel::Standard);
+    for _ in 0..10 {
+        push(&mut queue, "a-a", 50_000);
+        push(&mut queue, "a-a", 2_000);
+    }
+    let classes: Vec<_> = std::iter::from_fn(|| queue.next(START))
+        .map(|dispatch| dispatch.class)
+        .collect();
+    // Four general slots and half of the reserved ones, these only for medium.
+    assert_eq!(classes.len(), 6);
+    assert!(
+        classes[4..]
+            .iter()
+            .all(|class| *class == RequestClass::Medium)
+    );
+    push(&mut queue, "a-a", 100);
+    push(&mut queue, "a-a", 100);
+    let shorts = [queue.next(START).unwrap(), queue.next(START).unwrap()];
+    assert!(shorts.iter().all(|each| each.class == RequestClass::Short));
+    assert!(queue.next(START).is_none());
+}
+
+/// Guards against long work starved by the short work of its own contract, and
+/// against short work that loses its precedence with one request at a time.
+#[test]
+fn long_work_is_served_beside_short_work() {
+    let mut queue = queue(1, 0);
+    add(&mut queue, "a-a", 1, PriorityLevel::Standard);
+    let mut positions = Vec::new();
+    for tokens in [5_000, 5_000, 400] {
+        push(&mut queue, "a-a", tokens);
+    }
+    for position in 0..300 {
+        let dispatch = queue.next(START).unwrap();
+        queue.finish(
+            dispatch.key,
+            if dispatch.class == RequestClass::Long {
+                5_000
+            } else {
+                400
+            },
+        );
+        match dispatch.class {
+            RequestClass::Short => _ = push(&mut queue, "a-a", 400),
+            _ => positions.push(position),
+        }
+    }
+    // 5,000 tokens of long work per 16 times as many tokens of short work.
+    assert!(matches!(positions[..], [_, 195..=205]), "{positions:?}");
+}
+
+/// Guards against short slots held by work that turned out long, and against
+/// servers overloaded by many such requests.
+#[test]
+fn outgrown_work_leaves_the_short_slots() {
+    let mut queue = queue(4, 2);
+    add(&mut queue, "a-a", 1, PriorityLevel::Standard);
+    for _ in 0..20 {
+        push(&mut queue, "a-a", 100);
+    }
+    let first: Vec<_> = std::iter::from_fn(|| queue.next(START)).collect();
+    assert_eq!(first.len(), 4);
+    assert_eq!(queue.progress(first[0].key, 90), None);
+    assert_eq!(
+        queue.progress(first[0].key, 600),
+        Some(RequestClass::Medium)
+    );
+    assert_eq!(queue.progress(first[0].key, 700), None);
+    let mut keys = vec![queue.next(START).unwrap().key];
+    assert!(queue.next(START).is_none());
+    keys.push(first[1].key);
+    while let Some(key) = keys.pop() {
+        queue.progress(key, 5_000);
+        keys.extend(queue.next(START).map(|dispatch| dispatch.key));
+    }
+    assert_eq!(queue.running(), 6);
+}
+
+/// Guards against a member that fills the queue of the others.
+#[test]
+fn queues_are_bounded_per_member_and_contract() {
+    let mut queue = FairQueue::new(QueueSettings {
+        max_queued: 10,
+        max_per_contract: 4,
+        ..QueueSettings::default()
+    });
+    add(&mut queue, "greedy-a", 4, PriorityLevel::Standard);
+    add(&mut queue, "greedy-b", 4, PriorityLevel::Standard);
+    add(&mut queue, "modest-a", 1, PriorityLevel::Standard);
+    let request = QueueRequest {
+        estimate: SizeEstimate::default(),
+        latest_start: Moment(10),
+    };
+    let mut offer = |name: &'static str, now| queue.push(&customer(name), &request, name, now);
+    let mut reasons = Vec::new();
+    for name in ["greedy-a", "greedy-b"] {
+        reasons.extend((0..5).filter_map(|_| offer(name, START).err()));
+    }
+    assert_eq!(reasons.len(), 2);
+    assert_eq!(reasons[0].reason, DropReason::ContractFull);
+    assert_eq!(reasons[1].reason, DropReason::ContractFull);
+    assert_eq!(reasons[1].outcome(), RunOutcome::NotRun);
+    assert!((0..2).all(|_| offer("modest-a", START).is_ok()));
+    assert_eq!(
+        offer("modest-a", START).unwrap_err().reason,
+        DropReason::MemberFull
+    );
+    assert_eq!(
+        offer("nobody", START).unwrap_err().reason,
+        DropReason::UnknownContract
+    );
+    assert_eq!(
+        offer("greedy-a", Moment(11)).unwrap_err().reason,
+        DropReason::Late
+    );
+}
+
+/// Guards against requests that are lost, sent twice or sent too late, and
+/// against contracts that stay unserved after changes, with 6,800 contracts.
+#[test]
+fn every_request_is_sent_dropped_or_cancelled_once() {
+    let mut random = ChaCha8Rng::seed_from_u64(17);
+    let settings = QueueSettings {
+        max_per_contract: 8,
+        ..QueueSettings::default()
+    };
+    let mut queue: FairQueue<(u64, Moment)> = FairQueue::new(settings);
+    let name = |number: u64| customer(&format!("customer-{number}"));
+    let owner = |number: u64| member(&format!("member-{}", number % 12));
+    for number in 0..6_800 {
+        queue.set_member(&owner(number), 1 + (number % 12) as u32);
+        assert!(queue.set_contract(&name(number), &owner(number), 1, PriorityLevel::Standard));
+    }
+    let (mut ended, mut accepted, mut running) = (Vec::new(), 0, Vec::new());
+    let mut waiting: Vec<(u64, EntryKey)> = Vec::new();
+    let mut now = START;
+    for step in 0..60_000u64 {
+        let draw = random.next_u64();
+        let contract = (draw >> 8) % 6_800 % (1 + (draw >> 32) % 6_800);
+        match draw % 16 {
+            0..=6 => {
+                let latest_start = Moment(now.0 + (draw >> 40) % 4_000);
+                let tokens = 1 + (draw >> 20) as u32 % 9_000;
+                let estimate = SizeEstimate {
+                    prompt_tokens: tokens,
+                    answer_tokens: 0,
+                };
+                let request = QueueRequest {
+                    estimate,
+                    latest_start,
+                };
+                if let Ok(key) = queue.push(&name(contract), &request, (step, latest_start), now) {
+                    accepted += 1;
+                    waiting.push((step, key));
+                }
+            }
+            7..=10 => {
+                if let Some(dispatch) = queue.next(now) {
+                    assert!(dispatch.item.1 >= now, "sent late");
+                    ended.push(dispatch.item.0);
+                    running.push(dispatch.key);
+                }
+            }
+            11..=13 if !running.is_empty() => {
+                let key = running.swap_remove(draw as usize / 16 % running.len());
+                queue.progress(key, (draw >> 30) as u32 % 9_000);
+                queue.finish(key, (draw >> 24) as u32 % 9_000);
+            }
+            14 if !waiting.is_empty() => {
+                let (_, key) = waiting.swap_remove(draw as usize / 16 % waiting.len());
+                ended.extend(queue.cancel(key).map(|item| item.0));
+            }
+            15 if draw % 5 == 0 => {
+                queue.remove_contract(&name(contract));
+                queue.set_contract(&name(contract), &owner(contract), 1, PriorityLevel::Batch);
+            }
+            _ => now = Moment(now.0 + 1),
+        }
+    }
+    running.into_iter().for_each(|key| queue.finish(key, 10));
+    while let Some(dispatch) = queue.next(now) {
+        ended.push(dispatch.item.0);
+        queue.finish(dispatch.key, 10);
+    }
+    ended.extend(queue.take_dropped().iter().map(|dropped| dropped.item.0));
+    assert_eq!((queue.queued(), queue.running()), (0, 0));
+    assert_eq!(ended.len(), accepted);
+    ended.sort_unstable();
+    ended.dedup();
+    assert_eq!(ended.len(), accepted);
+    assert!(accepted > 10_000, "{accepted}");
+}
