Add usage accounts and hash-chained statements

Cause: small members must be able to verify what the largest one consumes, and usage must survive partitions and restarts without being counted twice.

Change: `usage` counts per process, epoch and customer and merges by maximum. Counters that arrive late appear in the next statement.

Conclusion: a changed, hidden, dropped, repeated, reordered or missing last statement is detected.

--- a/crates/verbenaring-policy/src/lib.rs
+++ b/crates/verbenaring-policy/src/lib.rs
@@ -16,5 +16,6 @@
 pub mod request;
 pub mod scheduler;
 pub mod time;
+pub mod usage;
 
 pub use error::{Error, Result};
--- /dev/null
+++ b/crates/verbenaring-policy/tests/usage.rs
@@ -0,0 +1,224 @@
+//! Merge of usage counters and checks of statements.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use verbenaring_policy::id::{
+    CentreName, CustomerId, DataCentre, Digest, MemberId, RegionName, VmId,
+};
+use verbenaring_policy::usage::{
+    ChainCheck, ChainFault, MemberLines, StatementChain, UsageAccount, UsageCounters, UsageEntries,
+    UsageStatement,
+};
+
+const NODES: usize = 4;
+const SALT: [u8; 32] = [9; 32];
+
+fn member(index: usize) -> MemberId {
+    MemberId::new(&format!("member-{index}")).unwrap()
+}
+
+fn customer(index: usize) -> CustomerId {
+    CustomerId::new(&format!("customer-{index}")).unwrap()
+}
+
+fn members() -> BTreeSet<MemberId> {
+    (0..4).map(member).collect()
+}
+
+fn centre(name: &str) -> DataCentre {
+    DataCentre {
+        region: RegionName::new("cork").unwrap(),
+        name: CentreName::new(name).unwrap(),
+    }
+}
+
+fn account(node: usize, incarnation: u64) -> UsageAccount {
+    UsageAccount::new(VmId::new(&format!("vm-{node}")).unwrap(), incarnation)
+}
+
+fn tokens(amount: u64) -> UsageCounters {
+    UsageCounters {
+        requests: 1,
+        answer_tokens: amount,
+        ..UsageCounters::default()
+    }
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Record(usize, usize, u64),
+    Change(usize, usize),
+    Full(usize, usize),
+    Restart(usize),
+    Seal(usize),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let node = 0..NODES;
+    let pair = (node.clone(), node.clone());
+    prop_oneof![
+        6 => (node.clone(), 0usize..6, 1u64..100).prop_map(|(a, b, c)| Step::Record(a, b, c)),
+        3 => pair.clone().prop_map(|(a, b)| Step::Change(a, b)),
+        3 => pair.prop_map(|(a, b)| Step::Full(a, b)),
+        1 => node.clone().prop_map(Step::Restart),
+        1 => node.prop_map(Step::Seal),
+    ]
+}
+
+/// Guards against usage that is counted twice or lost when counters travel
+/// over several paths, after a partition, a restart or a change of the maker.
+#[test]
+fn merged_and_stated_usage_is_what_was_recorded() {
+    let config = Config {
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[23; 32]);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let steps = prop::collection::vec(step(), 1..120);
+    runner
+        .run(&steps, |steps| {
+            let mut nodes: Vec<_> = (0..NODES).map(|node| account(node, 0)).collect();
+            let mut chain = StatementChain::new(centre("c-1"));
+            let mut check = ChainCheck::new(centre("c-1"));
+            let mut truth: BTreeMap<MemberId, UsageCounters> = BTreeMap::new();
+            let mut stated = truth.clone();
+            let mut state = |entries: &UsageEntries, epoch| {
+                let (statement, lines) = chain.seal(entries, &members(), epoch, &SALT).unwrap();
+                check.append(&statement).unwrap();
+                for (member, usage) in &statement.members {
+                    assert!(statement.covers(member, &lines[member]));
+                    let total = stated.entry(member.clone()).or_default();
+                    *total = total.plus(&usage.total);
+                }
+                stated.clone()
+            };
+            for (index, step) in steps.into_iter().enumerate() {
+                let epoch = index as u64 / 10;
+                match step {
+                    Step::Record(node, number, amount) => {
+                        let (member, customer) = (member(number % 3), customer(number));
+                        nodes[node].record(epoch, &member, &customer, &tokens(amount));
+                        let total = truth.entry(member).or_default();
+                        *total = total.plus(&tokens(amount));
+                    }
+                    Step::Change(from, to) => {
+                        let changes = nodes[from].take_changes();
+                        nodes[to].merge(&changes);
+                        nodes[to].merge(&changes);
+                    }
+                    Step::Full(from, to) => {
+                        let entries = nodes[from].entries().clone();
+                        nodes[to].merge(&entries);
+                    }
+                    Step::Restart(node) => {
+                        let before = nodes[node].entries().clone();
+                        nodes[(node + 1) % NODES].merge(&before);
+                        nodes[node] = account(node, 1 + index as u64);
+                    }
+                    Step::Seal(node) if index % 10 == 9 => {
+                        state(nodes[node].entries(), epoch);
+                    }
+                    Step::Seal(_) => {}
+                }
+            }
+            let mut all = UsageEntries::default();
+            nodes.iter().for_each(|node| all.merge(node.entries()));
+            prop_assert_eq!(&all.members(), &truth);
+            let mut stated = state(&all, 1_000);
+            stated.retain(|_, total| *total != UsageCounters::default());
+            prop_assert_eq!(stated, truth);
+            Ok(())
+        })
+        .unwrap();
+}
+
+/// Guards against a peer that brings back an epoch that was already settled.
+#[test]
+fn forgotten_epochs_stay_forgotten() {
+    let (mut node, mut peer) = (account(0, 0), account(1, 0));
+    peer.record(1, &member(0), &customer(0), &tokens(5));
+    node.merge(peer.entries());
+    node.forget_before(2);
+    node.merge(peer.entries());
+    assert!(node.entries().is_empty());
+    node.record(1, &member(0), &customer(0), &tokens(7));
+    assert_eq!(node.entries().through(1), UsageEntries::default());
+    assert_eq!(node.entries().members()[&member(0)], tokens(7));
+}
+
+fn statements(count: u64) -> (Vec<UsageStatement>, Vec<BTreeMap<MemberId, MemberLines>>) {
+    let mut node = account(0, 0);
+    let mut chain = StatementChain::new(centre("c-1"));
+    (0..count)
+        .map(|epoch| {
+            for number in 0..6 {
+                let amount = tokens(epoch + 10 * number as u64);
+                node.record(epoch, &member(number % 3), &customer(number), &amount);
+            }
+            chain
+                .seal(node.entries(), &members(), epoch, &SALT)
+                .unwrap()
+        })
+        .unzip()
+}
+
+/// Guards against a data centre that understates a member, the largest
+/// included, after a statement was published.
+#[test]
+fn a_changed_dropped_or_reordered_statement_is_detected() {
+    let (good, _) = statements(5);
+    let head = good[4].digest;
+    let check = |chain: &[UsageStatement]| ChainCheck::check_all(&centre("c-1"), chain, &head);
+    assert_eq!(check(&good), Ok(()));
+    assert_eq!(good[2].members.len(), 4);
+    assert_eq!(good[2].largest().map(|(name, _)| name), Some(&member(2)));
+
+    let mut changed = good.clone();
+    changed[2]
+        .members
+        .get_mut(&member(2))
+        .unwrap()
+        .total
+        .answer_tokens -= 1;
+    assert_eq!(check(&changed), Err(ChainFault::Changed { epoch: 2 }));
+    let mut hidden = good.clone();
+    hidden[2].members.remove(&member(2));
+    assert_eq!(check(&hidden), Err(ChainFault::Changed { epoch: 2 }));
+
+    let mut dropped = good.clone();
+    dropped.remove(2);
+    assert_eq!(check(&dropped), Err(ChainFault::Broken { epoch: 3 }));
+    let mut reordered = good.clone();
+    reordered.swap(1, 2);
+    assert_eq!(check(&reordered), Err(ChainFault::Broken { epoch: 2 }));
+    let repeated = [&good[..2], &good[1..]].concat();
+    assert_eq!(check(&repeated), Err(ChainFault::Broken { epoch: 1 }));
+    assert_eq!(check(&good[..4]), Err(ChainFault::WrongHead));
+
+    let foreign = ChainCheck::check_all(&centre("c-2"), &good, &head);
+    assert_eq!(foreign, Err(ChainFault::ForeignCentre { epoch: 0 }));
+}
+
+/// Guards against lines that do not add up to a member's published total, and
+/// against customer names or lines in a statement that all members read.
+#[test]
+fn a_member_checks_its_own_lines() {
+    let (good, lines) = statements(2);
+    let own = &lines[1][&member(2)];
+    assert!(good[1].covers(&member(2), own));
+    assert!(!good[0].covers(&member(2), own));
+    assert!(!good[1].covers(&member(1), own));
+    let mut fewer = own.clone();
+    fewer.customers.remove(&customer(5));
+    assert!(!good[1].covers(&member(2), &fewer));
+    let text = serde_json::to_string(&good[1]).unwrap();
+    assert!(!text.contains("customer-"), "{text}");
+    let resalted = MemberLines {
+        salt: Digest([0; 32]),
+        ..own.clone()
+    };
+    assert!(!good[1].covers(&member(2), &resalted));
+}
