--- a/crates/verbenaring-gateway/src/account.rs
+++ b/crates/verbenaring-gateway/src/account.rs
@@ -10,9 +10,12 @@
 use verbenaring_policy::id::{AttemptId, CustomerId};
 use verbenaring_policy::outcome::RunOutcome;
 
-use crate::backend::WorkGuard;
+use crate::admit::AdmissionTicket;
+use crate::backend::{BackendTable, WorkGuard};
 use crate::metrics::NodeMetrics;
+use crate::schedule::RunTicket;
 use crate::timeline::{EventKind, TimelineRing};
+use crate::work::PendingWork;
 
 /// How an answer ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -22,22 +25,36 @@
     Broken,
 }
 
-/// What an answer holds and reports until it ends.
-pub struct AnswerRecord {
-    /// Request identifier towards the caller.
-    pub request: Arc<str>,
-    /// Try that the answer comes from.
-    pub attempt: AttemptId,
-    /// Customer of the request.
-    pub customer: CustomerId,
-    /// Time at which the request was accepted.
-    pub accepted: Instant,
+/// What a request holds over all its tries.
+#[derive(Default)]
+pub struct WorkTickets {
+    /// Slot of the node's queue.
+    pub run: Option<RunTicket>,
+    /// Admission under the contract.
+    pub admission: Option<AdmissionTicket>,
+}
+
+/// Observers of answers.
+#[derive(Clone)]
+pub struct AnswerObservers {
     /// Counters of the node.
     pub metrics: Arc<NodeMetrics>,
     /// Events of the node.
     pub timeline: Arc<TimelineRing>,
-    /// Work counted at the backend server.
-    pub guard: WorkGuard,
+    /// Backend servers of the data centre.
+    pub backends: Arc<BackendTable>,
+}
+
+/// What an answer holds and reports until it ends.
+pub struct AnswerRecord {
+    request: Arc<str>,
+    attempt: AttemptId,
+    customer: CustomerId,
+    accepted: Instant,
+    observers: AnswerObservers,
+    guard: Option<WorkGuard>,
+    tickets: WorkTickets,
+    prompt_tokens: u32,
     tokens: u32,
     end: AnswerEnd,
 }
@@ -45,72 +62,99 @@
 impl AnswerRecord {
     /// Record of an answer whose head has arrived.
     pub fn new(
-        request: Arc<str>,
+        work: &PendingWork,
         attempt: AttemptId,
-        customer: CustomerId,
-        accepted: Instant,
-        observers: (&Arc<NodeMetrics>, &Arc<TimelineRing>),
-        guard: WorkGuard,
+        observers: &AnswerObservers,
+        guard: Option<WorkGuard>,
+        tickets: WorkTickets,
     ) -> Self {
         Self {
-            request,
+            request: work.request.clone(),
             attempt,
-            customer,
-            accepted,
-            metrics: observers.0.clone(),
-            timeline: observers.1.clone(),
+            customer: work.entry.terms.customer.clone(),
+            accepted: work.accepted,
+            observers: observers.clone(),
             guard,
+            tickets,
+            prompt_tokens: work.size.prompt_tokens,
             tokens: 0,
             end: AnswerEnd::Open,
         }
     }
 
-    /// Counts one relayed token.
-    pub fn add_token(&mut self) {
-        if self.tokens == 0 {
-            self.metrics
-                .first_token
-                .observe(self.accepted.elapsed().as_secs_f64());
-        }
-        self.tokens += 1;
-    }
-
-    /// Counts the tokens of an answer that was not streamed.
+    /// Counts relayed tokens.
     pub fn add_tokens(&mut self, tokens: u32) {
+        if self.tokens == 0 && tokens > 0 {
+            let seconds = self.accepted.elapsed().as_secs_f64();
+            self.observers.metrics.first_token.observe(seconds);
+        }
         self.tokens = self.tokens.saturating_add(tokens);
+        if let Some(guard) = &mut self.guard {
+            guard.progress(tokens);
+        }
+        if let Some(run) = &mut self.tickets.run {
+            run.progress(self.prompt_tokens.saturating_add(self.tokens));
+        }
     }
 
     /// The answer is whole.
     pub fn succeed(&mut self) {
         self.end = AnswerEnd::Whole;
-        self.timeline
-            .record(EventKind::AnswerWhole, &self.request, Some(self.attempt));
+        if let Some(guard) = &mut self.guard {
+            guard.set_whole();
+        }
+        self.observers.backends.record_success(&self.customer);
+        self.record(EventKind::AnswerWhole);
+    }
+
+    /// Counts one relayed token.
+    pub fn add_token(&mut self) {
+        self.add_tokens(1);
+    }
+
+    /// The server seems to have crashed with the answer under way.
+    pub fn set_crashed(&mut self) {
+        if let Some(guard) = &mut self.guard {
+            guard.crash();
+        }
     }
 
     /// The answer broke.
     pub fn fail(&mut self, reason: &str) {
         self.end = AnswerEnd::Broken;
-        self.timeline
-            .record(EventKind::AnswerBroken, &self.request, Some(self.attempt));
+        self.record(EventKind::AnswerBroken);
         log::warn!("answer to request {} broke: {reason}", self.request);
     }
+
+    fn record(&self, kind: EventKind) {
+        self.observers
+            .timeline
+            .record(kind, &self.request, Some(self.attempt));
+    }
 }
 
 impl Drop for AnswerRecord {
     fn drop(&mut self) {
-        let seconds = self.accepted.elapsed().as_secs_f64();
-        self.metrics.request_seconds.observe(seconds);
-        self.metrics.answer_tokens.inc_by(u64::from(self.tokens));
+        let total = self.prompt_tokens.saturating_add(self.tokens);
+        if let Some(admission) = &mut self.tickets.admission {
+            admission.set_tokens(total);
+        }
+        if let Some(run) = &mut self.tickets.run {
+            run.set_tokens(total);
+        }
+        let metrics = &self.observers.metrics;
+        metrics.answer_tokens.inc_by(u64::from(self.tokens));
         let label = match self.end {
             AnswerEnd::Whole => "ran",
             AnswerEnd::Broken => RunOutcome::Unknown.as_str(),
             AnswerEnd::Open => "caller_gone",
         };
-        self.metrics.requests.with_label_values(&[label]).inc();
+        metrics.requests.with_label_values(&[label]).inc();
+        metrics
+            .request_seconds
+            .observe(self.accepted.elapsed().as_secs_f64());
         if self.end == AnswerEnd::Open {
-            self.guard.cancel();
-            self.timeline
-                .record(EventKind::CallerGone, &self.request, Some(self.attempt));
+            self.record(EventKind::CallerGone);
         }
     }
 }
--- a/crates/verbenaring-gateway/src/attempt.rs
+++ b/crates/verbenaring-gateway/src/attempt.rs
@@ -19,6 +19,7 @@
 use tokio::time::Instant;
 use verbenaring_policy::id::AttemptId;
 use verbenaring_policy::outcome::RunOutcome;
+use verbenaring_policy::retry::AttemptFailure as RetryFailure;
 use verbenaring_protocol::header;
 
 use crate::route::RouteTarget;
@@ -61,6 +62,17 @@
     }
 }
 
+impl AttemptFailure {
+    /// Kind of the failure for the retry decision.
+    pub fn kind(&self) -> RetryFailure {
+        match self.outcome {
+            RunOutcome::NotRun => RetryFailure::Refused,
+            _ if self.crashed => RetryFailure::Crashed,
+            _ => RetryFailure::Broken,
+        }
+    }
+}
+
 /// One try, ready to send.
 #[derive(Debug, Clone)]
 pub struct AttemptRequest<'a> {
--- a/crates/verbenaring-gateway/src/backend.rs
+++ b/crates/verbenaring-gateway/src/backend.rs
@@ -1,67 +1,596 @@
-//! Backend servers as this node uses them: outstanding work and health.
+//! Backend servers as this node uses them.
+//!
+//! Holds the decision state of server choice: outstanding work, load reports,
+//! warm prefixes, stragglers, requests that crash servers, retry and hedge
+//! budgets, leaving servers. One lock covers all of it; a decision takes a few
+//! microseconds.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
 
-use verbenaring_policy::id::{AttemptId, ServerId};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use verbenaring_policy::contract::{PriorityLevel, Revision};
+use verbenaring_policy::drain::{DrainSchedule, NoticeSource, Placement, PlannedStop, StopScope};
+use verbenaring_policy::hedge::HedgeBudget;
+use verbenaring_policy::id::{
+    AttemptId, CentreName, CustomerId, DataCentre, Digest, ModelName, ServerId, VmId,
+};
+use verbenaring_policy::load::{FOREIGN_REQUEST_TOKENS, PrefixTable};
+use verbenaring_policy::quarantine::{QuarantineList, SuspectDecision, SuspectReport};
+use verbenaring_policy::request::RequestClass;
+use verbenaring_policy::retry::{
+    AttemptFailure as RetryFailure, AttemptPlan, NextAttempt, RetryLimiter,
+};
+use verbenaring_policy::router::{
+    PrefixAffinity, RoutePlanner, RouteRequest, RouteTarget as PolicyTarget, ServedModel,
+    ServerLoad, ServerRole, ServerState, ServerView, TwoChoices,
+};
+use verbenaring_policy::straggler::{FlightKey, MemberKey, StragglerDetector, StragglerSettings};
+use verbenaring_policy::summary::ModelSpare;
+use verbenaring_policy::time::Moment;
+use verbenaring_protocol::control::LoadFact;
+use verbenaring_protocol::document::{ScopeDocument, ServerTerms};
 
 use crate::attempt::AttemptClient;
 use crate::catalog::ServingCatalog;
+use crate::clock::NodeClock;
+use crate::work::{PendingWork, WorkTarget};
 
-/// Work of this node at one backend server.
-#[derive(Debug, Default)]
-pub struct BackendState {
-    requests: AtomicU32,
-    tokens: AtomicU64,
+/// Time between judgements of stragglers.
+pub const EVALUATE_PERIOD: Duration = Duration::from_millis(100);
+/// Longest request that a planned stop waits for.
+const LONGEST_REQUEST: Duration = Duration::from_secs(30);
+
+struct ServerRecord {
+    terms: Arc<ServerTerms>,
+    models: Vec<ServedModel>,
+    members: HashMap<String, MemberKey>,
+    prefixes: PrefixTable,
+    requests: u32,
+    tokens: u64,
+    report: Option<(ServerLoad, u64)>,
+    leaving: bool,
 }
 
-impl BackendState {
-    /// Requests of this node in flight at the server.
-    pub fn requests(&self) -> u32 {
-        self.requests.load(Ordering::Relaxed)
-    }
+struct BackendState {
+    applied: Option<Revision>,
+    servers: Vec<ServerRecord>,
+    planner: RoutePlanner<PrefixAffinity<TwoChoices>>,
+    detector: StragglerDetector,
+    quarantine: QuarantineList,
+    limiter: RetryLimiter,
+    hedges: HedgeBudget,
+    drain: DrainSchedule,
+    rng: StdRng,
+}
 
-    /// Estimated tokens of this node in flight at the server.
-    pub fn tokens(&self) -> u64 {
-        self.tokens.load(Ordering::Relaxed)
-    }
+/// Load of one server at this node.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BackendLoad {
+    /// Server.
+    pub server: ServerId,
+    /// Requests of this node in flight.
+    pub requests: u32,
+    /// Estimated tokens of this node in flight.
+    pub tokens: u64,
+    /// Whether the server takes no new work.
+    pub leaving: bool,
+    /// Whether the server is slow or ejected.
+    pub slow: bool,
+}
+
+/// Decision about a request before a server is chosen.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PrintDecision {
+    /// May be sent.
+    Send {
+        /// Whether the request must run alone on its server.
+        alone: bool,
+    },
+    /// Must wait for another suspect.
+    Wait,
+    /// Quarantined.
+    Refused,
+}
+
+/// Server chosen for one try.
+pub struct ChosenServer {
+    /// Server.
+    pub terms: Arc<ServerTerms>,
+    /// Counts the work until dropped.
+    pub guard: WorkGuard,
 }
 
-/// Backend servers known to this node.
-#[derive(Debug, Default)]
+/// Backend servers of the own data centre.
 pub struct BackendTable {
-    states: Mutex<HashMap<ServerId, Arc<BackendState>>>,
+    centre: DataCentre,
+    clock: NodeClock,
+    state: Mutex<BackendState>,
 }
 
 impl BackendTable {
-    /// State of a server, created at first use.
-    pub fn state(&self, server: &ServerId) -> Arc<BackendState> {
-        let mut states = self
-            .states
-            .lock()
-            .unwrap_or_else(|error| error.into_inner());
-        states.entry(server.clone()).or_default().clone()
-    }
-
-    /// Forgets servers that the catalog no longer names.
-    pub fn retain(&self, catalog: &ServingCatalog) {
-        let mut states = self
-            .states
-            .lock()
-            .unwrap_or_else(|error| error.into_inner());
-        states.retain(|server, state| {
-            state.requests() > 0
-                || catalog
-                    .servers()
-                    .iter()
-                    .any(|terms| terms.server == *server)
+    /// Table of the servers in `centre`.
+    pub fn new(centre: &DataCentre, clock: NodeClock) -> Self {
+        Self {
+            centre: centre.clone(),
+            clock,
+            state: Mutex::new(BackendState {
+                applied: None,
+                servers: Vec::new(),
+                planner: RoutePlanner::default(),
+                detector: StragglerDetector::new(StragglerSettings::default()),
+                quarantine: QuarantineList::default(),
+                limiter: RetryLimiter::default(),
+                hedges: HedgeBudget::default(),
+                drain: DrainSchedule::default(),
+                rng: StdRng::from_rng(&mut rand::rng()),
+            }),
+        }
+    }
+
+    /// Chooses a server for a try, or none if no server may run it now.
+    pub fn choose(
+        self: &Arc<Self>,
+        catalog: &ServingCatalog,
+        work: &PendingWork,
+        tried: &[ServerId],
+        alone: bool,
+    ) -> Option<ChosenServer> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.apply(catalog, &self.centre, &self.clock);
+        let state = &mut *state;
+        let mut excluded = tried.to_vec();
+        if let Some(print) = &work.print {
+            state.exclude_suspects(&print.whole, alone, &mut excluded, now);
+        }
+        let index = state.plan(work, &excluded, &self.clock)?;
+        let guard = state.start(self, index, work, alone, now);
+        Some(ChosenServer {
+            terms: state.servers[index].terms.clone(),
+            guard,
+        })
+    }
+
+    /// Whether the data centre has a server for the work, busy or not.
+    pub fn can_run(&self, catalog: &ServingCatalog, work: &PendingWork) -> bool {
+        let mut state = self.lock();
+        state.apply(catalog, &self.centre, &self.clock);
+        let offers = |record: &&ServerRecord| work.target.is_offered_by(&record.terms);
+        state
+            .servers
+            .iter()
+            .filter(offers)
+            .any(|record| !record.leaving)
+    }
+
+    /// Whether a request may be sent, by what is known of its digest.
+    pub fn decide(&self, work: &PendingWork) -> PrintDecision {
+        let Some(print) = &work.print else {
+            return PrintDecision::Send { alone: false };
+        };
+        let now = self.clock.now();
+        match self.lock().quarantine.decide(&print.whole, now) {
+            SuspectDecision::Free | SuspectDecision::Confined(_) => {
+                PrintDecision::Send { alone: false }
+            }
+            SuspectDecision::Alone { .. } => PrintDecision::Send { alone: true },
+            SuspectDecision::Wait => PrintDecision::Wait,
+            SuspectDecision::Refused => PrintDecision::Refused,
+        }
+    }
+
+    /// Decides what follows a failed try.
+    pub fn after_failure(
+        &self,
+        plan: &mut AttemptPlan,
+        failure: RetryFailure,
+        customer: &CustomerId,
+    ) -> NextAttempt {
+        let now = self.clock.now();
+        plan.after_failure(failure, customer, &mut self.lock().limiter, now)
+    }
+
+    /// Counts a request and returns when it may be hedged.
+    pub fn hedge_delay(&self, work: &PendingWork) -> Option<Duration> {
+        let WorkTarget::Model(model) = &work.target else {
+            return None;
+        };
+        let mut state = self.lock();
+        state.hedges.record_request();
+        let short = work.size.class() == RequestClass::Short;
+        (work.repeatable && short)
+            .then(|| state.detector.hedge_delay(model))
+            .flatten()
+    }
+
+    /// Takes a hedge from the budget.
+    pub fn try_hedge(&self, work: &PendingWork) -> bool {
+        self.lock()
+            .hedges
+            .try_hedge(work.size.class(), work.repeatable)
+    }
+
+    /// Counts a whole answer.
+    pub fn record_success(&self, customer: &CustomerId) {
+        let now = self.clock.now();
+        self.lock().limiter.record_success(customer, now);
+    }
+
+    /// Takes over load reports, polled here or by another node.
+    pub fn record_loads(&self, loads: &[LoadFact], age: Duration) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let BackendState {
+            servers, detector, ..
+        } = &mut *state;
+        for fact in loads {
+            let hash = |record: &&mut ServerRecord| short_hash(&record.terms.server) == fact.server;
+            let Some(record) = servers.iter_mut().find(hash) else {
+                continue;
+            };
+            let load = ServerLoad {
+                running: u32::from(fact.running),
+                waiting: u32::from(fact.waiting),
+                cache_usage: 0.0,
+                age,
+            };
+            record.report = Some((load, (now - age).0));
+            for member in record.members.values() {
+                detector.record_load(*member, u32::from(fact.running));
+            }
+        }
+    }
+
+    /// Expected wait of a new request for a model, from the load reports.
+    ///
+    /// `queued` requests wait at this node and at each of its `nodes` peers.
+    pub fn expected_wait(&self, model: &ModelName, queued: usize, nodes: usize) -> Duration {
+        let state = self.lock();
+        let spare = state.spare(model, queued * nodes.max(1));
+        Duration::from_millis(spare.map_or(0, |spare| u64::from(spare.wait_ms)))
+    }
+
+    /// Spare capacity of the data centre by model.
+    pub fn spare_by_model(&self) -> BTreeMap<ModelName, ModelSpare> {
+        let state = self.lock();
+        let models: BTreeSet<&ModelName> = state
+            .servers
+            .iter()
+            .flat_map(|record| &record.terms.models)
+            .collect();
+        models
+            .into_iter()
+            .filter_map(|model| Some((model.clone(), state.spare(model, 0)?)))
+            .collect()
+    }
+
+    /// Judges stragglers; called every [`EVALUATE_PERIOD`].
+    pub fn evaluate(&self) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.detector.evaluate(now);
+        state.quarantine.expire(now);
+        state.drain.expire(now);
+    }
+
+    /// What this node knows of requests that crash servers.
+    pub fn suspect_reports(&self) -> Vec<SuspectReport> {
+        let now = self.clock.now();
+        self.lock().quarantine.reports(now)
+    }
+
+    /// Takes over what another node knows of requests that crash servers.
+    pub fn merge_suspects(&self, reports: &[SuspectReport]) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        for report in reports {
+            state.quarantine.merge(report, now);
+        }
+    }
+
+    /// Load of every server at this node.
+    pub fn loads(&self) -> Vec<BackendLoad> {
+        let now = self.clock.now();
+        let state = self.lock();
+        let slow = |record: &ServerRecord| {
+            record
+                .members
+                .values()
+                .any(|member| state.detector.state(*member, now) != ServerState::Active)
+        };
+        state
+            .servers
+            .iter()
+            .map(|record| BackendLoad {
+                server: record.terms.server.clone(),
+                requests: record.requests,
+                tokens: record.tokens,
+                leaving: record.leaving,
+                slow: slow(record),
+            })
+            .collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BackendState> {
+        self.state.lock().unwrap_or_else(|error| error.into_inner())
+    }
+}
+
+impl BackendState {
+    /// Follows the catalog: new, changed and removed servers, planned stops.
+    fn apply(&mut self, catalog: &ServingCatalog, centre: &DataCentre, clock: &NodeClock) {
+        let now = clock.now();
+        if self.applied != Some(catalog.revision()) {
+            self.apply_servers(catalog, centre, clock);
+            self.apply_stops(catalog, centre, clock);
+            self.applied = Some(catalog.revision());
+        }
+        let placement = Placement { centre, rack: None };
+        for record in &mut self.servers {
+            let server = &record.terms.server;
+            record.leaving = !self.drain.accepts(server, placement, LONGEST_REQUEST, now);
+        }
+    }
+
+    fn apply_servers(&mut self, catalog: &ServingCatalog, centre: &DataCentre, clock: &NodeClock) {
+        let now = clock.now();
+        let local = |terms: &&Arc<ServerTerms>| terms.data_centre == *centre;
+        let terms: Vec<&Arc<ServerTerms>> = catalog.servers().iter().filter(local).collect();
+        let named = |server: &ServerId| terms.iter().any(|terms| terms.server == *server);
+        let (kept, removed): (Vec<_>, Vec<_>) = self
+            .servers
+            .drain(..)
+            .partition(|record| named(&record.terms.server));
+        self.servers = kept;
+        for record in removed {
+            for member in record.members.into_values() {
+                self.detector.remove_member(member);
+            }
+            self.drain
+                .withdraw_notice(&record.terms.server, NoticeSource::Operator);
+        }
+        for terms in terms {
+            if terms.leaving {
+                let source = NoticeSource::Operator;
+                self.drain
+                    .record_notice(&terms.server, source, Duration::ZERO, now);
+            } else {
+                self.drain
+                    .withdraw_notice(&terms.server, NoticeSource::Operator);
+            }
+            self.apply_server(terms, clock);
+        }
+    }
+
+    fn apply_server(&mut self, terms: &Arc<ServerTerms>, clock: &NodeClock) {
+        let now = clock.now();
+        let position = self
+            .servers
+            .iter()
+            .position(|record| record.terms.server == terms.server);
+        let position = position.unwrap_or_else(|| {
+            self.servers.push(ServerRecord {
+                terms: terms.clone(),
+                models: Vec::new(),
+                members: HashMap::new(),
+                prefixes: PrefixTable::default(),
+                requests: 0,
+                tokens: 0,
+                report: None,
+                leaving: false,
+            });
+            self.servers.len() - 1
         });
+        let record = &mut self.servers[position];
+        record.terms = terms.clone();
+        record.models = terms.models.iter().map(served_model).collect();
+        for model in &terms.models {
+            if !record.members.contains_key(model.as_str()) {
+                let member = self.detector.add_member(model, now);
+                record.members.insert(model.to_string(), member);
+            }
+        }
+    }
+
+    fn apply_stops(&mut self, catalog: &ServingCatalog, centre: &DataCentre, clock: &NodeClock) {
+        self.drain
+            .retain_stops(|id| catalog.stops().iter().any(|stop| stop.stop == id));
+        for stop in catalog.stops() {
+            let Some(scope) = stop_scope(stop.scope, &stop.target, centre) else {
+                continue;
+            };
+            let planned = PlannedStop {
+                scope,
+                starts: clock.moment_of_unix(stop.from_unix_ms),
+                ends: stop.until_unix_ms.map(|unix| clock.moment_of_unix(unix)),
+            };
+            self.drain.plan_stop(&stop.stop, planned);
+        }
+    }
+
+    fn spare(&self, model: &ModelName, queued: usize) -> Option<ModelSpare> {
+        let mut capacity = 0.0;
+        let mut idle = 0.0;
+        let mut waiting = queued as f64;
+        let serving =
+            |record: &&ServerRecord| !record.leaving && record.terms.models.contains(model);
+        for record in self.servers.iter().filter(serving) {
+            let slots = f64::from(record.terms.slots);
+            capacity += record.terms.tokens_per_s * slots;
+            let running = record
+                .report
+                .map_or(record.requests, |(load, _)| load.running);
+            idle += record.terms.tokens_per_s * (slots - f64::from(running)).max(0.0);
+            waiting += record
+                .report
+                .map_or(0.0, |(load, _)| f64::from(load.waiting));
+        }
+        let wait_s = waiting * FOREIGN_REQUEST_TOKENS / capacity;
+        (capacity > 0.0).then_some(ModelSpare {
+            tokens_per_s: idle as u32,
+            wait_ms: (wait_s * 1_000.0) as u32,
+        })
+    }
+
+    fn exclude_suspects(
+        &mut self,
+        print: &Digest,
+        alone: bool,
+        excluded: &mut Vec<ServerId>,
+        now: Moment,
+    ) {
+        excluded.extend(self.quarantine.isolated());
+        match self.quarantine.decide(print, now) {
+            SuspectDecision::Confined(servers) => {
+                let others = self.servers.iter().map(|record| &record.terms.server);
+                excluded.extend(others.filter(|server| !servers.contains(server)).cloned());
+            }
+            SuspectDecision::Alone { avoid } => excluded.extend(avoid),
+            _ => {}
+        }
+        if alone {
+            let busy = self.servers.iter().filter(|record| record.requests > 0);
+            excluded.extend(busy.map(|record| record.terms.server.clone()));
+        }
+    }
+
+    fn plan(
+        &mut self,
+        work: &PendingWork,
+        excluded: &[ServerId],
+        clock: &NodeClock,
+    ) -> Option<usize> {
+        let now = clock.now();
+        let Self {
+            servers,
+            planner,
+            detector,
+            rng,
+            ..
+        } = self;
+        let views: Vec<ServerView<'_, PrefixTable>> = servers
+            .iter()
+            .map(|record| ServerView {
+                id: &record.terms.server,
+                state: record.state(&work.target, detector, now),
+                own_tokens: record.tokens,
+                own_requests: record.requests,
+                slots: record.terms.slots,
+                tokens_per_s: record.terms.tokens_per_s * f64::from(record.terms.slots),
+                report: record.report.map(|(load, at)| ServerLoad {
+                    age: now.since(Moment(at)),
+                    ..load
+                }),
+                models: &record.models,
+                services: &record.terms.services,
+                prefixes: &record.prefixes,
+            })
+            .collect();
+        let request = RouteRequest {
+            target: match &work.target {
+                WorkTarget::Model(model) => PolicyTarget::Model {
+                    model,
+                    version: None,
+                    adapter: None,
+                    role: ServerRole::Whole,
+                },
+                WorkTarget::Service(service) => PolicyTarget::Service(service),
+            },
+            size: work.size,
+            prefix: work.print.map_or(Digest([0; 32]), |print| print.prefix),
+            low_priority: work.repeatable && work.entry.terms.priority == PriorityLevel::Batch,
+            relayed: false,
+            excluded,
+        };
+        planner
+            .plan(&request, &views, rng)
+            .map(|choice| choice.server)
+    }
+
+    fn start(
+        &mut self,
+        table: &Arc<BackendTable>,
+        index: usize,
+        work: &PendingWork,
+        alone: bool,
+        now: Moment,
+    ) -> WorkGuard {
+        let record = &mut self.servers[index];
+        let tokens = work.size.total();
+        record.requests += 1;
+        record.tokens += u64::from(tokens);
+        let mut flight = None;
+        if let (Some(print), WorkTarget::Model(model)) = (&work.print, &work.target) {
+            record.prefixes.insert(&print.prefix);
+            self.quarantine
+                .start(&print.whole, &record.terms.server, alone);
+            flight = record
+                .members
+                .get(model.as_str())
+                .and_then(|member| self.detector.start(*member, work.size.prompt_tokens, now));
+        }
+        WorkGuard {
+            table: table.clone(),
+            server: record.terms.server.clone(),
+            tokens,
+            print: work.print.map(|print| print.whole),
+            flight,
+            target: None,
+            whole: false,
+        }
     }
 }
 
-/// Try to cancel when its caller goes away.
+impl ServerRecord {
+    fn state(&self, target: &WorkTarget, detector: &StragglerDetector, now: Moment) -> ServerState {
+        if self.leaving {
+            return ServerState::Leaving;
+        }
+        match target {
+            WorkTarget::Model(model) => self
+                .members
+                .get(model.as_str())
+                .map_or(ServerState::Active, |member| detector.state(*member, now)),
+            WorkTarget::Service(_) => ServerState::Active,
+        }
+    }
+}
+
+fn served_model(model: &ModelName) -> ServedModel {
+    ServedModel {
+        model: model.clone(),
+        version: String::new(),
+        adapters: Vec::new(),
+        role: ServerRole::Whole,
+    }
+}
+
+fn stop_scope(scope: ScopeDocument, target: &str, centre: &DataCentre) -> Option<StopScope> {
+    match scope {
+        ScopeDocument::Vm => VmId::new(target).ok().map(StopScope::Vm),
+        ScopeDocument::Server => ServerId::new(target).ok().map(StopScope::Server),
+        ScopeDocument::Rack => Some(StopScope::Rack {
+            centre: centre.clone(),
+            rack: target.to_owned(),
+        }),
+        ScopeDocument::DataCentre => {
+            let name = CentreName::new(target).ok()?;
+            (name == centre.name).then(|| StopScope::Centre(centre.clone()))
+        }
+    }
+}
+
+/// Short hash of a server name, for load reports in gossip.
+pub fn short_hash(server: &ServerId) -> u32 {
+    let digest = Digest::of(server.as_str().as_bytes());
+    u32::from_le_bytes([digest.0[0], digest.0[1], digest.0[2], digest.0[3]])
+}
+
+/// Try to cancel when its answer is not wanted any more.
 struct CancelTarget {
     client: AttemptClient,
     address: SocketAddr,
@@ -70,44 +599,78 @@
 
 /// Counts work at a backend server until dropped.
 pub struct WorkGuard {
-    state: Arc<BackendState>,
-    tokens: u64,
+    table: Arc<BackendTable>,
+    server: ServerId,
+    tokens: u32,
+    print: Option<Digest>,
+    flight: Option<FlightKey>,
     target: Option<Box<CancelTarget>>,
+    whole: bool,
 }
 
 impl WorkGuard {
-    /// Counts `tokens` of estimated work at `state`.
-    pub fn new(state: &Arc<BackendState>, tokens: u32) -> Self {
-        let tokens = u64::from(tokens);
-        state.requests.fetch_add(1, Ordering::Relaxed);
-        state.tokens.fetch_add(tokens, Ordering::Relaxed);
-        Self {
-            state: state.clone(),
-            tokens,
-            target: None,
-        }
-    }
-
-    /// Names the try to cancel if the caller goes away.
+    /// Names the try to cancel unless its answer is whole.
     pub fn set_cancel(&mut self, client: &AttemptClient, address: SocketAddr, attempt: AttemptId) {
+        let client = client.clone();
         self.target = Some(Box::new(CancelTarget {
-            client: client.clone(),
+            client,
             address,
             attempt,
         }));
     }
 
-    /// Tells the engine to stop.
-    pub fn cancel(&mut self) {
-        if let Some(target) = self.target.take() {
-            target.client.cancel(target.address, target.attempt);
+    /// Counts received tokens.
+    pub fn progress(&mut self, tokens: u32) {
+        if let Some(flight) = self.flight {
+            let now = self.table.clock.now();
+            self.table.lock().detector.progress(flight, tokens, now);
         }
     }
+
+    /// The answer is whole.
+    pub fn set_whole(&mut self) {
+        self.whole = true;
+    }
+
+    /// The server crashed with the request in flight.
+    pub fn crash(&mut self) {
+        let now = self.table.clock.now();
+        if self.print.take().is_some() {
+            // Other nodes may have had requests there as well.
+            let prints = self.table.lock().quarantine.crash(&self.server, true, now);
+            for print in prints {
+                log::warn!("requests with digest {print} are quarantined: they crash servers");
+            }
+        }
+    }
+
+    /// The engine refused the request, so there is nothing to cancel.
+    pub fn set_refused(&mut self) {
+        self.target = None;
+    }
 }
 
 impl Drop for WorkGuard {
     fn drop(&mut self) {
-        self.state.requests.fetch_sub(1, Ordering::Relaxed);
-        self.state.tokens.fetch_sub(self.tokens, Ordering::Relaxed);
+        if let Some(target) = self.target.take().filter(|_| !self.whole) {
+            target.client.cancel(target.address, target.attempt);
+        }
+        let now = self.table.clock.now();
+        let mut state = self.table.lock();
+        let server = &self.server;
+        if let Some(record) = state
+            .servers
+            .iter_mut()
+            .find(|record| record.terms.server == *server)
+        {
+            record.requests = record.requests.saturating_sub(1);
+            record.tokens = record.tokens.saturating_sub(u64::from(self.tokens));
+        }
+        if let Some(flight) = self.flight {
+            state.detector.finish(flight, now);
+        }
+        if let Some(print) = &self.print {
+            state.quarantine.finish(print, server, self.whole, now);
+        }
     }
 }
--- a/crates/verbenaring-gateway/src/catalog.rs
+++ b/crates/verbenaring-gateway/src/catalog.rs
@@ -10,7 +10,7 @@
 use verbenaring_policy::contract::{ContractTerms, Revision};
 use verbenaring_policy::id::{CustomerId, Digest};
 use verbenaring_protocol::document::{
-    ContractDocument, ServerDocument, ServerTerms, StopDocument, read_document,
+    ContractDocument, LayoutDocument, ServerDocument, ServerTerms, StopDocument, read_document,
 };
 
 /// Prefix of all configuration keys in the platform store.
@@ -19,6 +19,8 @@
 pub const CONTRACT_PREFIX: &str = "config/contract/";
 /// Prefix of backend servers.
 pub const SERVER_PREFIX: &str = "config/server/";
+/// Key of the layout of the deployment.
+pub const LAYOUT_KEY: &str = "config/region";
 /// Prefix of planned stops.
 pub const STOP_PREFIX: &str = "config/stop/";
 
@@ -36,6 +38,7 @@
     Contract(Arc<ContractEntry>),
     Server(Arc<ServerTerms>),
     Stop(Arc<StopDocument>),
+    Layout(Arc<LayoutDocument>),
     Other,
 }
 
@@ -59,6 +62,7 @@
     by_customer: HashMap<CustomerId, Arc<ContractEntry>>,
     servers: Vec<Arc<ServerTerms>>,
     stops: Vec<Arc<StopDocument>>,
+    layout: Option<Arc<LayoutDocument>>,
     faults: Vec<DocumentFault>,
 }
 
@@ -103,6 +107,7 @@
                 }
                 Document::Server(terms) => self.servers.push(terms.clone()),
                 Document::Stop(stop) => self.stops.push(stop.clone()),
+                Document::Layout(layout) => self.layout = Some(layout.clone()),
                 Document::Other => {}
             }
         }
@@ -145,6 +150,11 @@
         &self.stops
     }
 
+    /// Regions, data centres and members, if operators wrote them.
+    pub fn layout(&self) -> Option<&LayoutDocument> {
+        self.layout.as_deref()
+    }
+
     /// Documents that cannot be read.
     pub fn faults(&self) -> &[DocumentFault] {
         &self.faults
@@ -181,6 +191,9 @@
     if key.starts_with(STOP_PREFIX) {
         return Ok(Document::Stop(Arc::new(read_document(text)?)));
     }
+    if key == LAYOUT_KEY {
+        return Ok(Document::Layout(Arc::new(read_document(text)?)));
+    }
     read_document::<serde_json::Value>(text)?;
     Ok(Document::Other)
 }
--- a/crates/verbenaring-gateway/src/clock.rs
+++ b/crates/verbenaring-gateway/src/clock.rs
@@ -35,6 +35,17 @@
         (self.start_unix + self.start.elapsed()).as_millis() as u64
     }
 
+    /// Moment of an instant of the runtime.
+    pub fn moment(&self, instant: Instant) -> Moment {
+        Moment::default() + instant.saturating_duration_since(self.start)
+    }
+
+    /// Moment of a Unix time in milliseconds; the start for earlier times.
+    pub fn moment_of_unix(&self, unix_ms: u64) -> Moment {
+        let unix = Duration::from_millis(unix_ms);
+        Moment::default() + unix.saturating_sub(self.start_unix)
+    }
+
     /// Instant of the runtime at `moment`.
     pub fn instant(&self, moment: Moment) -> Instant {
         self.start + moment.since(Moment::default())
--- a/crates/verbenaring-gateway/src/cluster.rs
+++ b/crates/verbenaring-gateway/src/cluster.rs
@@ -16,16 +16,19 @@
 use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 use verbenaring_policy::config::DigestSummary;
+use verbenaring_policy::contract::Revision;
 use verbenaring_policy::gossip::{Envelope, GossipMessage, MemberState, StartId};
-use verbenaring_policy::id::{DataCentre, VmId};
+use verbenaring_policy::id::{DataCentre, ModelName, VmId};
 use verbenaring_policy::membership::{MemberSettings, MemberTable, TICK_PERIOD};
 use verbenaring_policy::rendezvous::rendezvous;
 use verbenaring_policy::summary::{
-    CentreStatus, NodeAddress, SummaryEnvelope, SummaryMessage, SummarySettings, SummaryTable,
-    delegates,
+    CentreStatus, CentreSummary, NodeAddress, SummaryEnvelope, SummaryMessage, SummarySettings,
+    SummaryTable, delegates,
 };
 use verbenaring_protocol::control::{LoadFact, NodeCard, NodeFacts};
 
+use crate::admit::AdmissionDesk;
+use crate::backend::BackendTable;
 use crate::clock::NodeClock;
 use crate::config::{NodeSettings, PeerSettings};
 use crate::links::ControlLinks;
@@ -40,6 +43,9 @@
 /// Nodes of another data centre that are kept as forwarding targets.
 const MAX_FAR_NODES: usize = 3;
 
+/// Age assumed of load reports that came by gossip.
+const GOSSIPED_LOAD_AGE: Duration = Duration::from_secs(2);
+
 /// Message of another node.
 #[derive(Debug)]
 pub enum ClusterMessage {
@@ -49,6 +55,15 @@
     Summary(SummaryMessage),
 }
 
+/// Load of a data centre for one model.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CentreLoad {
+    /// Expected wait of a new request.
+    pub wait: Duration,
+    /// Time of the measurement, in milliseconds since 1970-01-01 UTC.
+    pub unix_ms: u64,
+}
+
 /// Other nodes that may be used now.
 #[derive(Debug, Clone, Default)]
 pub struct NodeList {
@@ -56,6 +71,39 @@
     pub near: Vec<PeerSettings>,
     /// Nodes of other data centres.
     pub far: Vec<PeerSettings>,
+    /// Latest known state of other data centres.
+    pub centres: Vec<CentreSummary>,
+}
+
+impl NodeList {
+    /// Load of a data centre; idle where nothing is known.
+    pub fn load_of(
+        &self,
+        centre: &DataCentre,
+        model: Option<&ModelName>,
+        unix_ms: u64,
+    ) -> CentreLoad {
+        let summary = self
+            .centres
+            .iter()
+            .find(|summary| summary.centre == *centre);
+        let spare = summary
+            .zip(model)
+            .and_then(|(summary, model)| summary.status.models.get(model));
+        CentreLoad {
+            wait: Duration::from_millis(spare.map_or(0, |spare| u64::from(spare.wait_ms))),
+            unix_ms: summary.map_or(unix_ms, |summary| summary.status.unix_ms),
+        }
+    }
+
+    /// Newest revision that every data centre has in force on all its nodes.
+    pub fn accepted_revision(&self, own: Revision) -> Revision {
+        let centres = self.centres.iter().map(|summary| match &summary.status {
+            status if status.nodes_in_force >= status.node_count => status.revision,
+            _ => 0,
+        });
+        centres.fold(own, Revision::min)
+    }
 }
 
 /// View of the other nodes, shared with the request path.
@@ -66,13 +114,22 @@
     pub nodes: ArcSwap<NodeList>,
     /// Load of the servers that this node polls.
     pub loads: Mutex<Vec<LoadFact>>,
+    /// Backend servers of the data centre.
+    pub backends: Arc<BackendTable>,
+    /// Limits of contracts at this node.
+    pub desk: Arc<AdmissionDesk>,
     /// Whether a graceful shutdown has begun.
     pub stopping: AtomicBool,
 }
 
 impl ClusterView {
     /// View that starts with the peers of the settings.
-    pub fn new(settings: &NodeSettings, replica: &Arc<ConfigReplica>) -> Self {
+    pub fn new(
+        settings: &NodeSettings,
+        replica: &Arc<ConfigReplica>,
+        backends: &Arc<BackendTable>,
+        desk: &Arc<AdmissionDesk>,
+    ) -> Self {
         let (near, far) = settings
             .peers
             .iter()
@@ -81,7 +138,13 @@
         Self {
             settings: settings.clone(),
             replica: replica.clone(),
-            nodes: ArcSwap::from_pointee(NodeList { near, far }),
+            nodes: ArcSwap::from_pointee(NodeList {
+                near,
+                far,
+                centres: Vec::new(),
+            }),
+            backends: backends.clone(),
+            desk: desk.clone(),
             loads: Mutex::default(),
             stopping: AtomicBool::new(false),
         }
@@ -249,11 +312,43 @@
                 Some((payload.origin.clone(), facts))
             })
             .collect();
+        for (origin, facts) in &self.facts {
+            if *origin != self.view.settings.vm {
+                self.view
+                    .backends
+                    .record_loads(&facts.loads, GOSSIPED_LOAD_AGE);
+            }
+        }
+        self.send_suspects();
         self.choose_watchers();
         self.publish_summary(card.facts.config);
         self.fetch_newer(card.facts.config);
         self.fetch_cards(false);
         self.publish_nodes();
+        let own = card.facts.config.highest;
+        self.view
+            .desk
+            .accept(self.view.nodes.load().accepted_revision(own));
+    }
+
+    /// Tells all known nodes which requests are suspected to crash servers.
+    fn send_suspects(&self) {
+        let reports = self.view.backends.suspect_reports();
+        if reports.is_empty() {
+            return;
+        }
+        let nodes = self.view.nodes.load_full();
+        for node in nodes.near.iter().chain(&nodes.far) {
+            let (links, reports) = (self.links.clone(), reports.clone());
+            let address = node.control_address;
+            tokio::spawn(async move {
+                links
+                    .call(address, |client, context| async move {
+                        client.suspects(context, reports).await
+                    })
+                    .await
+            });
+        }
     }
 
     fn is_delegate(&self) -> bool {
@@ -296,7 +391,7 @@
             node_count: live.len() as u32,
             nodes_in_force: in_force.count() as u32,
             nodes,
-            models: Default::default(),
+            models: self.view.backends.spare_by_model(),
             revision: config.highest,
             unix_ms: self.clock.unix_ms(),
         };
@@ -383,9 +478,15 @@
                     ))
                 })
         });
+        let centres = self
+            .summaries
+            .fresh(self.clock.now())
+            .filter(|summary| summary.centre != *own)
+            .cloned();
         let mut list = NodeList {
             near: near.collect(),
             far: far.collect(),
+            centres: centres.collect(),
         };
         self.add_configured(&mut list);
         self.view.nodes.store(Arc::new(list));
--- a/crates/verbenaring-gateway/src/control.rs
+++ b/crates/verbenaring-gateway/src/control.rs
@@ -12,6 +12,7 @@
 use tokio_util::sync::CancellationToken;
 use verbenaring_policy::config::{ConfigDelta, ConfigDigest, DeltaRequest, SnapshotPiece};
 use verbenaring_policy::gossip::GossipMessage;
+use verbenaring_policy::quarantine::SuspectReport;
 use verbenaring_policy::summary::SummaryMessage;
 use verbenaring_protocol::control::{NodeCard, NodeControl, TimelinePage};
 
@@ -66,6 +67,10 @@
         self.timeline.page(sequence)
     }
 
+    async fn suspects(self, _: context::Context, reports: Vec<SuspectReport>) {
+        self.view.backends.merge_suspects(&reports);
+    }
+
     async fn status(self, _: context::Context) -> NodeCard {
         self.view.card()
     }
--- a/crates/verbenaring-gateway/src/controller.rs
+++ b/crates/verbenaring-gateway/src/controller.rs
@@ -20,14 +20,16 @@
 use uuid::Uuid;
 use verbenaring_policy::id::AttemptId;
 use verbenaring_policy::outcome::RunOutcome;
+use verbenaring_policy::retry::{AttemptPlan, NextAttempt};
 use verbenaring_protocol::header;
 
-use crate::account::AnswerRecord;
+use crate::account::{AnswerObservers, AnswerRecord, WorkTickets};
+use crate::admit::AdmissionDesk;
 use crate::attempt::{
     AttemptClient, AttemptFailure, AttemptRequest, EchoRule, is_refusal, json_headers,
 };
 use crate::authenticate::authenticate_caller;
-use crate::backend::{BackendState, BackendTable, WorkGuard};
+use crate::backend::{BackendTable, ChosenServer, PrintDecision, WorkGuard};
 use crate::body::AnswerBody;
 use crate::catalog::{ContractEntry, ServingCatalog};
 use crate::clock::NodeClock;
@@ -43,15 +45,31 @@
 use crate::refusal::Refusal;
 use crate::relay::{RelayMode, RelayStream, has_foreign_identity};
 use crate::replica::ConfigReplica;
-use crate::route::{RouteContext, RouteTarget, TriedTargets, route_work};
+use crate::route::{RegionRouter, RouteContext, RouteTarget, TriedTargets};
+use crate::schedule::RequestQueues;
 use crate::store::PlatformStore;
 use crate::timeline::{EventKind, TimelineRing};
 use crate::work::{PendingWork, WorkTarget};
 
 /// Largest answer that is collected before it is passed on.
 const MAX_WHOLE_ANSWER_BYTES: usize = 16 * 1024 * 1024;
-/// Tries of one request, the first included.
-const MAX_ATTEMPTS: usize = 3;
+/// Wait before a request that may crash servers is considered again.
+const SUSPECT_WAIT: Duration = Duration::from_millis(100);
+
+/// Answer of a target up to the point where the caller's begins.
+struct AnswerHead {
+    attempt: AttemptId,
+    status: StatusCode,
+    headers: HeaderMap,
+    body: HeadBody,
+    place: Option<String>,
+    guard: Option<WorkGuard>,
+}
+
+enum HeadBody {
+    Whole(Bytes),
+    Open(Incoming, RelayMode),
+}
 
 /// Shared state of one node.
 pub struct NodeCore<S> {
@@ -62,7 +80,15 @@
     /// Configuration in force.
     pub catalog: Arc<ArcSwap<ServingCatalog>>,
     /// Backend servers as this node uses them.
-    pub backends: BackendTable,
+    pub backends: Arc<BackendTable>,
+    /// Limits of contracts at this node.
+    pub desk: Arc<AdmissionDesk>,
+    /// Fair queues of this node.
+    pub queues: Arc<RequestQueues>,
+    /// Choice between data centres.
+    pub regions: RegionRouter,
+    /// Observers of answers.
+    pub observers: AnswerObservers,
     /// Client of backend servers and nodes.
     pub client: AttemptClient,
     /// Gate for requests of other nodes.
@@ -173,7 +199,7 @@
     }
 
     /// Serves a request that another node forwarded, in this data centre only.
-    async fn answer_peer(&self, parts: &Parts, body: Incoming) -> Outcome {
+    async fn answer_peer(self: &Arc<Self>, parts: &Parts, body: Incoming) -> Outcome {
         let body = self.read_body(body).await?;
         let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
         let message = SignedMessage {
@@ -206,69 +232,184 @@
         self.run(work).await
     }
 
-    /// Tries targets until one answers or no further try is allowed.
-    async fn run(&self, work: PendingWork) -> Outcome {
+    /// Admits, queues and tries a request until a target answers.
+    async fn run(self: &Arc<Self>, work: PendingWork) -> Outcome {
+        let catalog = self.catalog.load_full();
+        work.check_residency(&self.settings.data_centre.region)?;
+        let mut tickets = WorkTickets::default();
+        if work.forwarded.is_none() {
+            tickets.admission = Some(self.desk.admit(&catalog, &work)?);
+        }
+        if self.backends.can_run(&catalog, &work) {
+            let nodes = self.cluster.nodes.load().near.len() + 1;
+            tickets.run = self.queues.enter(&catalog, nodes, &work).await?;
+        }
+        let mut tickets = Some(tickets);
+        self.try_targets(&work, &mut tickets).await
+    }
+
+    async fn try_targets(&self, work: &PendingWork, tickets: &mut Option<WorkTickets>) -> Outcome {
+        let entry_node = work.forwarded.is_none();
+        let deadline = self.clock.moment(work.deadline);
+        let mut plan = AttemptPlan::new(deadline, work.repeatable, entry_node);
         let mut tried = TriedTargets::default();
         let mut outcome = RunOutcome::NotRun;
-        for remaining in (0..MAX_ATTEMPTS).rev() {
+        loop {
             work.check_deadline()
                 .map_err(|refusal| refusal.with_outcome(outcome))?;
-            let catalog = self.catalog.load_full();
-            let target = route_work(&self.route_context(&catalog), &work, &tried)
-                .map_err(|refusal| refusal.with_outcome(outcome))?;
-            let failure = match self.attempt(&work, target, &mut tried).await {
+            let alone = match self.backends.decide(work) {
+                PrintDecision::Send { alone } => alone,
+                PrintDecision::Refused => return Err(quarantined().with_outcome(outcome)),
+                PrintDecision::Wait => {
+                    tokio::time::sleep(SUSPECT_WAIT).await;
+                    continue;
+                }
+            };
+            let target = match self.route(work, &tried, alone) {
+                Ok(target) => target,
+                Err(_) if alone => {
+                    tokio::time::sleep(SUSPECT_WAIT).await;
+                    continue;
+                }
+                Err(refusal) => return Err(refusal.with_outcome(outcome)),
+            };
+            let failure = match self.attempt_hedged(work, target, &mut tried, tickets).await {
                 Ok(answer) => return Ok(answer),
                 Err(failure) => failure,
             };
             self.timeline
                 .record(EventKind::AttemptFailed, &work.request, None);
             outcome = outcome.combine(failure.outcome);
-            let retry = work.repeatable && work.forwarded.is_none() && remaining > 0;
-            if !retry {
+            if let Some(server) = tried.servers.last() {
+                plan.record_attempt(server);
+            }
+            let customer = &work.entry.terms.customer;
+            let next = self
+                .backends
+                .after_failure(&mut plan, failure.kind(), customer);
+            if let NextAttempt::GiveUp(_) = next {
                 return Err(refuse_failure(failure, outcome));
             }
         }
-        unreachable!("the last try returns")
     }
 
-    async fn attempt(
+    fn route(
+        &self,
+        work: &PendingWork,
+        tried: &TriedTargets,
+        alone: bool,
+    ) -> Result<RouteTarget, Refusal> {
+        let catalog = self.catalog.load_full();
+        let nodes = self.cluster.nodes.load_full();
+        let wait = match &work.target {
+            WorkTarget::Model(model) => {
+                let queued = self.queues.queued(model);
+                self.backends
+                    .expected_wait(model, queued, nodes.near.len() + 1)
+            }
+            WorkTarget::Service(_) => Duration::ZERO,
+        };
+        let context = RouteContext {
+            centre: &self.settings.data_centre,
+            catalog: &catalog,
+            nodes,
+            backends: &self.backends,
+            wait,
+        };
+        self.regions.route(&context, work, tried, alone)
+    }
+
+    /// Chooses a target for a call that may not be repeated.
+    pub fn route_once(&self, work: &PendingWork) -> Result<RouteTarget, Refusal> {
+        self.route(work, &TriedTargets::default(), false)
+    }
+
+    /// Sends a try and, if no answer begins in the usual time, a second one.
+    async fn attempt_hedged(
         &self,
         work: &PendingWork,
         target: RouteTarget,
         tried: &mut TriedTargets,
+        tickets: &mut Option<WorkTickets>,
+    ) -> Result<Response<AnswerBody>, AttemptFailure> {
+        tried.add(&target);
+        let delay = self
+            .backends
+            .hedge_delay(work)
+            .filter(|_| work.forwarded.is_none());
+        let first = self.attempt(work, target);
+        let Some(delay) = delay else {
+            return self.answer(work, first.await?, tickets);
+        };
+        tokio::pin!(first);
+        tokio::select! {
+            head = &mut first => return self.answer(work, head?, tickets),
+            () = tokio::time::sleep(delay) => {}
+        }
+        let second = self
+            .route(work, tried, false)
+            .ok()
+            .filter(|_| self.backends.try_hedge(work));
+        let Some(second) = second else {
+            return self.answer(work, first.await?, tickets);
+        };
+        tried.add(&second);
+        let second = self.attempt(work, second);
+        tokio::pin!(second);
+        // The loser is dropped, which closes its connection and cancels it.
+        let head = tokio::select! {
+            head = &mut first => match head {
+                Ok(head) => head,
+                Err(_) => second.await?,
+            },
+            head = &mut second => match head {
+                Ok(head) => head,
+                Err(_) => first.await?,
+            },
+        };
+        self.answer(work, head, tickets)
+    }
+
+    fn answer(
+        &self,
+        work: &PendingWork,
+        head: AnswerHead,
+        tickets: &mut Option<WorkTickets>,
     ) -> Result<Response<AnswerBody>, AttemptFailure> {
+        let tickets = tickets.take().unwrap_or_default();
+        let observers = &self.observers;
+        let mut record = AnswerRecord::new(work, head.attempt, observers, head.guard, tickets);
+        let body = match head.body {
+            HeadBody::Whole(body) => {
+                record.add_tokens(read_answer_tokens(&body));
+                record.succeed();
+                AnswerBody::Whole(Some(body))
+            }
+            HeadBody::Open(upstream, mode) => {
+                let identity = head.attempt.to_string();
+                let stream = RelayStream::new(upstream, mode, identity, work.deadline, record);
+                AnswerBody::Relay(Box::new(stream))
+            }
+        };
+        Ok(caller_answer(head.status, &head.headers, body, head.place))
+    }
+
+    async fn attempt(
+        &self,
+        work: &PendingWork,
+        target: RouteTarget,
+    ) -> Result<AnswerHead, AttemptFailure> {
         let attempt = match &work.forwarded {
             Some(head) => head.attempt,
             None => AttemptId(Uuid::new_v4()),
         };
         let (label, result) = match target {
-            RouteTarget::Server(terms, mut guard) => {
-                tried.servers.push(terms.server.clone());
+            RouteTarget::Server(chosen) => {
                 self.timeline
                     .record(EventKind::AttemptSent, &work.request, Some(attempt));
-                if work.print.is_some() {
-                    guard.set_cancel(&self.client, terms.address, attempt);
-                }
-                let request = AttemptRequest {
-                    address: terms.address,
-                    attempt,
-                    method: &work.method,
-                    path: &work.path,
-                    headers: &work.headers,
-                    body: work.body.clone(),
-                    echo: match &work.target {
-                        WorkTarget::Model(_) => EchoRule::Required,
-                        WorkTarget::Service(_) => EchoRule::IfPresent,
-                    },
-                };
-                let place = format!("{}/{}", self.settings.vm, terms.server);
-                (
-                    "server",
-                    self.exchange(work, &request, guard, Some(place)).await,
-                )
+                ("server", self.attempt_server(work, *chosen, attempt).await)
             }
             RouteTarget::Peer(peer) => {
-                tried.peers.push(peer.vm.clone());
                 self.timeline
                     .record(EventKind::AttemptForwarded, &work.request, Some(attempt));
                 ("node", self.forward(work, &peer, attempt).await)
@@ -284,12 +425,53 @@
         result
     }
 
+    async fn attempt_server(
+        &self,
+        work: &PendingWork,
+        chosen: ChosenServer,
+        attempt: AttemptId,
+    ) -> Result<AnswerHead, AttemptFailure> {
+        let ChosenServer { terms, mut guard } = chosen;
+        if work.print.is_some() {
+            guard.set_cancel(&self.client, terms.address, attempt);
+        }
+        let request = AttemptRequest {
+            address: terms.address,
+            attempt,
+            method: &work.method,
+            path: &work.path,
+            headers: &work.headers,
+            body: work.body.clone(),
+            echo: match &work.target {
+                WorkTarget::Model(_) => EchoRule::Required,
+                WorkTarget::Service(_) => EchoRule::IfPresent,
+            },
+        };
+        let place = format!("{}/{}", self.settings.vm, terms.server);
+        let result = self.exchange(work, &request, Some(place)).await;
+        match result {
+            Ok(head) => Ok(AnswerHead {
+                guard: Some(guard),
+                ..head
+            }),
+            Err(failure) => {
+                if failure.crashed && failure.outcome == RunOutcome::Unknown {
+                    guard.crash();
+                }
+                if failure.outcome == RunOutcome::NotRun {
+                    guard.set_refused();
+                }
+                Err(failure)
+            }
+        }
+    }
+
     async fn forward(
         &self,
         work: &PendingWork,
         peer: &PeerSettings,
         attempt: AttemptId,
-    ) -> Result<Response<AnswerBody>, AttemptFailure> {
+    ) -> Result<AnswerHead, AttemptFailure> {
         let mut work = work.clone();
         self.sign_forward(&mut work, peer, attempt)
             .ok_or_else(|| AttemptFailure {
@@ -307,18 +489,42 @@
             body: work.body.clone(),
             echo: EchoRule::Required,
         };
-        let guard = WorkGuard::new(&Arc::new(BackendState::default()), work.size.total());
-        self.exchange(&work, &request, guard, None).await
+        self.exchange(&work, &request, None).await
     }
 
-    /// What a routing decision looks at.
-    pub fn route_context<'a>(&'a self, catalog: &'a ServingCatalog) -> RouteContext<'a> {
-        RouteContext {
-            settings: &self.settings,
-            catalog,
-            nodes: self.cluster.nodes.load_full(),
-            backends: &self.backends,
+    /// Sends one try and takes its answer up to the point where the caller's begins.
+    async fn exchange(
+        &self,
+        work: &PendingWork,
+        request: &AttemptRequest<'_>,
+        place: Option<String>,
+    ) -> Result<AnswerHead, AttemptFailure> {
+        let answer = self.client.send(request, remaining(work.deadline)).await?;
+        let (head, upstream) = answer.into_parts();
+        if let Some(failure) = refused_answer(head.status, &head.headers, work) {
+            return Err(failure);
         }
+        let events = is_event_stream(&head.headers);
+        let body = if work.print.is_some() && !events {
+            let identity = request.attempt.to_string();
+            HeadBody::Whole(collect_answer(upstream, &identity, work.deadline).await?)
+        } else {
+            let mode = if events {
+                RelayMode::Events
+            } else {
+                RelayMode::Plain
+            };
+            HeadBody::Open(upstream, mode)
+        };
+        let place = place.or_else(|| header_text(&head.headers, header::SERVED_BY));
+        Ok(AnswerHead {
+            attempt: request.attempt,
+            status: head.status,
+            headers: head.headers,
+            body,
+            place,
+            guard: None,
+        })
     }
 
     /// Adds the forwarding headers to the request.
@@ -349,44 +555,6 @@
         )
     }
 
-    /// Sends one try and turns its answer into the answer for the caller.
-    async fn exchange(
-        &self,
-        work: &PendingWork,
-        request: &AttemptRequest<'_>,
-        guard: WorkGuard,
-        place: Option<String>,
-    ) -> Result<Response<AnswerBody>, AttemptFailure> {
-        let answer = self.client.send(request, remaining(work.deadline)).await?;
-        let (head, upstream) = answer.into_parts();
-        if let Some(failure) = refused_answer(head.status, &head.headers, work) {
-            return Err(failure);
-        }
-        let record = AnswerRecord::new(
-            work.request.clone(),
-            request.attempt,
-            work.entry.terms.customer.clone(),
-            work.accepted,
-            (&self.metrics, &self.timeline),
-            guard,
-        );
-        let identity = request.attempt.to_string();
-        let events = is_event_stream(&head.headers);
-        let body = if work.print.is_some() && !events {
-            collect_answer(upstream, &identity, work.deadline, record).await?
-        } else {
-            let mode = if events {
-                RelayMode::Events
-            } else {
-                RelayMode::Plain
-            };
-            let stream = RelayStream::new(upstream, mode, identity, work.deadline, record);
-            AnswerBody::Relay(Box::new(stream))
-        };
-        let place = place.or_else(|| header_text(&head.headers, header::SERVED_BY));
-        Ok(caller_answer(head.status, &head.headers, body, place))
-    }
-
     async fn read_body(&self, body: Incoming) -> Result<Bytes, Refusal> {
         let guards = &self.settings.guards;
         let limited = Limited::new(body, guards.max_body_bytes);
@@ -580,8 +748,7 @@
     upstream: Incoming,
     identity: &str,
     deadline: Instant,
-    mut record: AnswerRecord,
-) -> Result<AnswerBody, AttemptFailure> {
+) -> Result<Bytes, AttemptFailure> {
     let failure = |code, message: String| AttemptFailure {
         outcome: RunOutcome::Unknown,
         code,
@@ -589,34 +756,26 @@
         crashed: code == "backend_failed",
     };
     let limited = Limited::new(upstream, MAX_WHOLE_ANSWER_BYTES);
-    let collected = tokio::time::timeout_at(deadline, limited.collect()).await;
-    let body = match collected {
-        Err(_) => {
-            record.fail("deadline exceeded");
-            return Err(failure(
-                "deadline_exceeded",
-                "answer was not whole in time".into(),
-            ));
-        }
-        Ok(Err(error)) => {
-            record.fail("answer was truncated");
-            return Err(failure(
-                "backend_failed",
-                format!("answer was truncated: {error}"),
-            ));
-        }
-        Ok(Ok(body)) => body.to_bytes(),
-    };
+    let body = tokio::time::timeout_at(deadline, limited.collect())
+        .await
+        .map_err(|_| failure("deadline_exceeded", "answer was not whole in time".into()))?
+        .map_err(|error| failure("backend_failed", format!("answer was truncated: {error}")))?
+        .to_bytes();
     if has_foreign_identity(&body, identity.as_bytes()) {
-        record.fail("answer of another request");
         return Err(failure(
             "foreign_answer",
             "backend server answered another request".into(),
         ));
     }
-    record.add_tokens(read_answer_tokens(&body));
-    record.succeed();
-    Ok(AnswerBody::Whole(Some(body)))
+    Ok(body)
+}
+
+fn quarantined() -> Refusal {
+    Refusal::not_run(
+        StatusCode::UNPROCESSABLE_ENTITY,
+        "request_quarantined",
+        "this request crashed backend servers and is refused for a while",
+    )
 }
 
 fn read_answer_tokens(body: &[u8]) -> u32 {
--- a/crates/verbenaring-gateway/src/lib.rs
+++ b/crates/verbenaring-gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! crate `verbenaring-policy`; this crate adds sockets, clocks and tasks.
 
 pub mod account;
+pub mod admit;
 pub mod app;
 pub mod attempt;
 pub mod authenticate;
@@ -20,6 +21,7 @@
 pub mod etcd;
 pub mod handshake;
 pub mod identify;
+pub mod layout;
 pub mod links;
 pub mod listener;
 pub mod logger;
@@ -27,11 +29,13 @@
 pub mod node;
 pub mod operation;
 pub mod peer;
+pub mod poller;
 pub mod records;
 pub mod refusal;
 pub mod relay;
 pub mod replica;
 pub mod route;
+pub mod schedule;
 pub mod store;
 pub mod timeline;
 pub mod watcher;
--- a/crates/verbenaring-gateway/src/node.rs
+++ b/crates/verbenaring-gateway/src/node.rs
@@ -12,6 +12,8 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::account::AnswerObservers;
+use crate::admit::AdmissionDesk;
 use crate::attempt::AttemptClient;
 use crate::backend::BackendTable;
 use crate::clock::NodeClock;
@@ -25,8 +27,11 @@
 use crate::listener::NodeListener;
 use crate::metrics::NodeMetrics;
 use crate::peer::PeerGate;
+use crate::poller::poll_loads;
 use crate::records::RecordStore;
 use crate::replica::ConfigReplica;
+use crate::route::RegionRouter;
+use crate::schedule::RequestQueues;
 use crate::timeline::{EventKind, TimelineRing};
 use crate::watcher::ConfigWatcher;
 
@@ -83,13 +88,24 @@
         let metrics = Arc::new(NodeMetrics::default());
         let timeline = Arc::new(TimelineRing::new(&settings.vm));
         let replica = Arc::new(ConfigReplica::new(&catalog, &metrics, &timeline));
-        let view = Arc::new(ClusterView::new(&settings, &replica));
+        let backends = Arc::new(BackendTable::new(&settings.data_centre, clock));
+        let desk = Arc::new(AdmissionDesk::new(&settings, clock));
+        let view = Arc::new(ClusterView::new(&settings, &replica, &backends, &desk));
+        let observers = AnswerObservers {
+            metrics: metrics.clone(),
+            timeline: timeline.clone(),
+            backends: backends.clone(),
+        };
         let core = Arc::new(NodeCore {
             clock,
             catalog,
             replica: replica.clone(),
             cluster: view.clone(),
-            backends: BackendTable::default(),
+            backends,
+            desk,
+            queues: Arc::new(RequestQueues::new(&settings, clock)),
+            regions: RegionRouter::new(clock),
+            observers,
             client: AttemptClient::new(settings.guards.connect_timeout),
             gate: PeerGate::new(&settings.vm, &settings.cluster_keys, clock.unix_ms()),
             records: RecordStore::start(store.clone()),
@@ -151,6 +167,7 @@
     tokio::spawn(server.listen(control, background.clone()));
     tokio::spawn(ConfigWatcher::new(store, &core.replica).run(enabled));
     tokio::spawn(task.run(messages, background.clone()));
+    tokio::spawn(poll_loads(core.clone(), background.clone()));
 }
 
 /// Node that serves requests; dropping it ends its background tasks.
--- a/crates/verbenaring-gateway/src/operation.rs
+++ b/crates/verbenaring-gateway/src/operation.rs
@@ -27,7 +27,7 @@
 use crate::controller::{NodeCore, Outcome, caller_answer, header_text};
 use crate::records::operation_key;
 use crate::refusal::Refusal;
-use crate::route::{RouteTarget, TriedTargets, route_work};
+use crate::route::RouteTarget;
 use crate::store::PlatformStore;
 use crate::timeline::EventKind;
 use crate::work::PendingWork;
@@ -171,14 +171,15 @@
             return LedgerEvent::GaveUp;
         }
         let core = self.core.clone();
-        let catalog = core.catalog.load_full();
-        let tried = TriedTargets::default();
-        let routed = route_work(&core.route_context(&catalog), &self.work, &tried);
+        let routed = core.route_once(&self.work);
         let (address, place) = match &routed {
-            Ok(RouteTarget::Server(terms, _)) => (
-                terms.address,
-                Some(format!("{}/{}", core.settings.vm, terms.server)),
-            ),
+            Ok(RouteTarget::Server(chosen)) => {
+                let terms = &chosen.terms;
+                (
+                    terms.address,
+                    Some(format!("{}/{}", core.settings.vm, terms.server)),
+                )
+            }
             Ok(RouteTarget::Peer(peer)) => {
                 if core
                     .sign_forward(&mut self.work, peer, self.attempt)
--- a/crates/verbenaring-gateway/src/relay.rs
+++ b/crates/verbenaring-gateway/src/relay.rs
@@ -82,7 +82,10 @@
             let frame = match Pin::new(&mut self.upstream).poll_frame(context) {
                 Poll::Pending => return Poll::Pending,
                 Poll::Ready(None) => return self.finish(),
-                Poll::Ready(Some(Err(_))) => return self.fail("connection broke"),
+                Poll::Ready(Some(Err(_))) => {
+                    self.record.set_crashed();
+                    return self.fail("connection broke");
+                }
                 Poll::Ready(Some(Ok(frame))) => frame,
             };
             let Ok(data) = frame.into_data() else {
--- a/crates/verbenaring-gateway/src/route.rs
+++ b/crates/verbenaring-gateway/src/route.rs
@@ -1,24 +1,43 @@
 //! Sixth filter: which backend server or node runs a request.
+//!
+//! The region comes first, then the server. A request that another node
+//! forwarded is served by this data centre or refused; nothing else decides
+//! on forwarding.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use hyper::StatusCode;
-use verbenaring_policy::id::{ServerId, VmId};
-use verbenaring_protocol::document::ServerTerms;
+use verbenaring_policy::id::{DataCentre, ModelName, ServerId, VmId};
+use verbenaring_policy::region::{
+    LinkBudget, ROUND_TRIP, RegionChoice, RegionRequest, RegionSelector, RegionView,
+};
 
-use crate::backend::{BackendTable, WorkGuard};
+use crate::backend::{BackendTable, ChosenServer};
 use crate::catalog::ServingCatalog;
-use crate::cluster::NodeList;
-use crate::config::{NodeSettings, PeerSettings};
+use crate::clock::NodeClock;
+use crate::cluster::{CentreLoad, NodeList};
+use crate::config::PeerSettings;
 use crate::refusal::Refusal;
-use crate::work::PendingWork;
+use crate::work::{PendingWork, WorkTarget};
+
+/// Round trip between two data centres of one region.
+const CENTRE_ROUND_TRIP: Duration = Duration::from_millis(1);
+/// Prompt tokens that an engine processes per second, for the cold-cache penalty.
+const PREFILL_TOKENS_PER_S: f64 = 8_000.0;
+/// Bytes per token of a request and its answer on a link, framing included.
+const LINK_BYTES_PER_TOKEN: u64 = 200;
+/// Link rate when the layout names none, in Mbit/s.
+const DEFAULT_LINK_MBIT_PER_S: f64 = 1_000.0;
+/// Burst of a link budget, in seconds of its rate.
+const LINK_BURST_S: f64 = 2.0;
 
 /// Where a request is sent.
 pub enum RouteTarget {
     /// Backend server of this data centre.
-    Server(Arc<ServerTerms>, WorkGuard),
+    Server(Box<ChosenServer>),
     /// Node of another data centre.
-    Peer(PeerSettings),
+    Peer(Box<PeerSettings>),
 }
 
 /// Servers and nodes that already failed a request.
@@ -30,84 +49,205 @@
     pub peers: Vec<VmId>,
 }
 
+impl TriedTargets {
+    /// Remembers a target that is about to be tried.
+    pub fn add(&mut self, target: &RouteTarget) {
+        match target {
+            RouteTarget::Server(chosen) => self.servers.push(chosen.terms.server.clone()),
+            RouteTarget::Peer(peer) => self.peers.push(peer.vm.clone()),
+        }
+    }
+}
+
 /// What a routing decision looks at.
 pub struct RouteContext<'a> {
-    /// Settings of the node.
-    pub settings: &'a NodeSettings,
+    /// Data centre of the node.
+    pub centre: &'a DataCentre,
     /// Configuration in force.
     pub catalog: &'a ServingCatalog,
     /// Other nodes that may be used now.
     pub nodes: Arc<NodeList>,
-    /// Backend servers as this node uses them.
-    pub backends: &'a BackendTable,
+    /// Backend servers of this data centre.
+    pub backends: &'a Arc<BackendTable>,
+    /// Expected wait in this data centre.
+    pub wait: Duration,
+}
+
+/// Chooses regions and remembers link budgets.
+pub struct RegionRouter {
+    clock: NodeClock,
+    selector: Mutex<(RegionSelector, Option<(u64, usize)>)>,
+}
+
+impl RegionRouter {
+    /// Router of a node.
+    pub fn new(clock: NodeClock) -> Self {
+        Self {
+            clock,
+            selector: Mutex::default(),
+        }
+    }
+
+    /// Chooses a target for `work`.
+    pub fn route(
+        &self,
+        context: &RouteContext<'_>,
+        work: &PendingWork,
+        tried: &TriedTargets,
+        alone: bool,
+    ) -> Result<RouteTarget, Refusal> {
+        work.check_residency(&context.centre.region)?;
+        let peers = self.usable_peers(context, work, tried);
+        let can_run = context.backends.can_run(context.catalog, work);
+        let choice = self.choose_place(context, work, &peers, can_run);
+        if let RegionChoice::Remote(index) = choice {
+            return Ok(RouteTarget::Peer(Box::new(peers[index].0.clone())));
+        }
+        let chosen = context
+            .backends
+            .choose(context.catalog, work, &tried.servers, alone);
+        if let Some(chosen) = chosen {
+            return Ok(RouteTarget::Server(Box::new(chosen)));
+        }
+        // Every server here was tried: another data centre is the last resort.
+        match peers.first() {
+            Some((peer, _)) if work.forwarded.is_none() && !alone => {
+                Ok(RouteTarget::Peer(Box::new(peer.clone())))
+            }
+            _ => Err(no_backend()),
+        }
+    }
+
+    fn choose_place(
+        &self,
+        context: &RouteContext<'_>,
+        work: &PendingWork,
+        peers: &[(PeerSettings, CentreLoad)],
+        can_run: bool,
+    ) -> RegionChoice {
+        if work.forwarded.is_some() {
+            return RegionChoice::Local;
+        }
+        let now = self.clock.now();
+        let unix_ms = self.clock.unix_ms();
+        let mut selector = self
+            .selector
+            .lock()
+            .unwrap_or_else(|error| error.into_inner());
+        set_links(&mut selector, context, now);
+        let own = view_of(
+            &context.centre.region,
+            can_run.then_some(context.wait),
+            true,
+        );
+        let remotes: Vec<RegionView<'_>> = peers
+            .iter()
+            .map(|(peer, load)| RegionView {
+                age: Duration::from_millis(unix_ms.saturating_sub(load.unix_ms)),
+                ..view_of(
+                    &peer.data_centre.region,
+                    Some(load.wait),
+                    peer.data_centre.region == context.centre.region,
+                )
+            })
+            .collect();
+        let request = RegionRequest {
+            terms: &work.entry.terms,
+            prompt_tokens: work.size.prompt_tokens,
+            bytes: work.body.len() as u64
+                + LINK_BYTES_PER_TOKEN * u64::from(work.size.answer_tokens),
+            forwarded: false,
+        };
+        selector.0.select(&request, &own, &remotes, now)
+    }
+
+    /// One node of every other data centre that may run the work.
+    fn usable_peers(
+        &self,
+        context: &RouteContext<'_>,
+        work: &PendingWork,
+        tried: &TriedTargets,
+    ) -> Vec<(PeerSettings, CentreLoad)> {
+        let mut peers: Vec<(PeerSettings, CentreLoad)> = Vec::new();
+        if work.forwarded.is_some() {
+            return peers;
+        }
+        for peer in &context.nodes.far {
+            let centre = &peer.data_centre;
+            let usable = work.entry.terms.residency.allows(&centre.region)
+                && !tried.peers.contains(&peer.vm)
+                && peers.iter().all(|(known, _)| known.data_centre != *centre)
+                && offers(context.catalog, centre, work);
+            if usable {
+                let load = context
+                    .nodes
+                    .load_of(centre, model_of(work), self.clock.unix_ms());
+                peers.push((peer.clone(), load));
+            }
+        }
+        peers.sort_by_key(|(peer, load)| {
+            (peer.data_centre.region != context.centre.region, load.wait)
+        });
+        peers
+    }
 }
 
-/// Chooses a target for `work`.
-pub fn route_work(
+fn model_of(work: &PendingWork) -> Option<&ModelName> {
+    match &work.target {
+        WorkTarget::Model(model) => Some(model),
+        WorkTarget::Service(_) => None,
+    }
+}
+
+fn offers(catalog: &ServingCatalog, centre: &DataCentre, work: &PendingWork) -> bool {
+    catalog.servers().iter().any(|terms| {
+        terms.data_centre == *centre && !terms.leaving && work.target.is_offered_by(terms)
+    })
+}
+
+fn view_of(
+    region: &verbenaring_policy::id::RegionName,
+    wait: Option<Duration>,
+    near: bool,
+) -> RegionView<'_> {
+    RegionView {
+        region,
+        reachable: true,
+        wait,
+        age: Duration::ZERO,
+        round_trip: if near { CENTRE_ROUND_TRIP } else { ROUND_TRIP },
+        prefill_tokens_per_s: PREFILL_TOKENS_PER_S,
+        warm: false,
+        cost: if near { 0.0 } else { 1.0 },
+    }
+}
+
+/// Gives this node its equal part of the link to every region.
+fn set_links(
+    selector: &mut (RegionSelector, Option<(u64, usize)>),
     context: &RouteContext<'_>,
-    work: &PendingWork,
-    tried: &TriedTargets,
-) -> Result<RouteTarget, Refusal> {
-    let region = &context.settings.data_centre.region;
-    let local = work
-        .check_residency(region)
-        .map(|()| choose_server(context, work, tried));
-    match local {
-        Ok(Some(target)) => return Ok(target),
-        Err(refusal) if work.forwarded.is_some() => return Err(refusal),
-        _ => {}
+    now: verbenaring_policy::time::Moment,
+) {
+    let version = (context.catalog.revision(), context.nodes.near.len());
+    if selector.1 == Some(version) {
+        return;
     }
-    if work.forwarded.is_none()
-        && let Some(peer) = choose_peer(context, work, tried)
-    {
-        return Ok(RouteTarget::Peer(peer));
+    selector.1 = Some(version);
+    let layout = context.catalog.layout();
+    let rate = layout.map_or(DEFAULT_LINK_MBIT_PER_S, |layout| layout.link_mbit_per_s);
+    let bytes_per_s = rate * 1e6 / 8.0 / (version.1 + 1) as f64;
+    for terms in context.catalog.servers() {
+        let region = &terms.data_centre.region;
+        let budget = LinkBudget::new(bytes_per_s, bytes_per_s * LINK_BURST_S, now);
+        selector.0.set_link(region, budget);
     }
+}
+
+fn no_backend() -> Refusal {
     let refusal = Refusal::not_run(
         StatusCode::SERVICE_UNAVAILABLE,
         "no_backend",
         "no backend server that the contract allows can run the request now",
     );
-    Err(refusal.with_retry_after(1))
-}
-
-fn choose_server(
-    context: &RouteContext<'_>,
-    work: &PendingWork,
-    tried: &TriedTargets,
-) -> Option<RouteTarget> {
-    let candidates = context.catalog.servers().iter().filter(|terms| {
-        terms.data_centre == context.settings.data_centre
-            && !terms.leaving
-            && work.target.is_offered_by(terms)
-            && !tried.servers.contains(&terms.server)
-    });
-    let (terms, state) = candidates
-        .map(|terms| (terms, context.backends.state(&terms.server)))
-        .min_by_key(|(_, state)| state.tokens())?;
-    let guard = WorkGuard::new(&state, work.size.total());
-    Some(RouteTarget::Server(terms.clone(), guard))
-}
-
-fn choose_peer(
-    context: &RouteContext<'_>,
-    work: &PendingWork,
-    tried: &TriedTargets,
-) -> Option<PeerSettings> {
-    let offers = |peer: &&PeerSettings| {
-        context.catalog.servers().iter().any(|terms| {
-            terms.data_centre == peer.data_centre
-                && !terms.leaving
-                && work.target.is_offered_by(terms)
-        })
-    };
-    context
-        .nodes
-        .far
-        .iter()
-        .filter(|peer| peer.data_centre != context.settings.data_centre)
-        .filter(|peer| work.entry.terms.residency.allows(&peer.data_centre.region))
-        .filter(|peer| !tried.peers.contains(&peer.vm))
-        .filter(offers)
-        .min_by_key(|peer| peer.data_centre.region != context.settings.data_centre.region)
-        .cloned()
+    refusal.with_retry_after(1)
 }
--- a/crates/verbenaring-policy/src/drain.rs
+++ b/crates/verbenaring-policy/src/drain.rs
@@ -185,6 +185,11 @@
         self.stops.remove(id);
     }
 
+    /// Removes planned stops that `keep` refuses.
+    pub fn retain_stops(&mut self, mut keep: impl FnMut(&str) -> bool) {
+        self.stops.retain(|id, _| keep(id));
+    }
+
     /// Time since the first notice that the server leaves.
     pub fn leaving_for(&self, server: &ServerId, now: Moment) -> Option<Duration> {
         let notice = self.notices.get(server)?;
--- a/crates/verbenaring-protocol/src/control.rs
+++ b/crates/verbenaring-protocol/src/control.rs
@@ -6,6 +6,7 @@
 };
 use verbenaring_policy::gossip::GossipMessage;
 use verbenaring_policy::id::{DataCentre, VmId};
+use verbenaring_policy::quarantine::SuspectReport;
 use verbenaring_policy::summary::SummaryMessage;
 
 use crate::timeline::TimelineEvent;
@@ -78,6 +79,8 @@
         async fn config_snapshot(after: Option<String>) -> SnapshotPiece;
         /// Events since a sequence number.
         async fn timeline_since(sequence: u64) -> TimelinePage;
+        /// Takes what the caller knows of requests that crash servers.
+        async fn suspects(reports: Vec<SuspectReport>);
         /// Addresses and facts of the node.
         async fn status() -> NodeCard;
     }
--- a/crates/verbenaring-protocol/src/document.rs
+++ b/crates/verbenaring-protocol/src/document.rs
@@ -15,6 +15,7 @@
 
 use crate::error::{Error, Result};
 pub use crate::generated::contract::{ContractDocument, PriorityDocument};
+pub use crate::generated::region::LayoutDocument;
 pub use crate::generated::server::{KindDocument, ServerDocument};
 pub use crate::generated::settings::SettingsDocument;
 pub use crate::generated::stop::{ScopeDocument, StopDocument};
--- a/crates/verbenaring-protocol/src/lib.rs
+++ b/crates/verbenaring-protocol/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod generated {
     //! Types generated from the JSON Schemas in `schemas/`.
     pub mod contract;
+    pub mod region;
     pub mod server;
     pub mod settings;
     pub mod stop;
