Widen the checks of crashes, retention and clock rates

Cause: three attempts were checked without a crash, the end of the retention with one fault only, and a fast clock of the successor not at all. Change: three attempts with a crash, two faults at the end of the retention, a successor whose clock is fast by a quarter; a successor at twice the true rate must fail. Conclusion: no property is broken within these bounds; a slow holder together with a fast successor is outside the stated assumptions.

--- a/crates/verbenaring-policy/tests/model_lease.rs
+++ b/crates/verbenaring-policy/tests/model_lease.rs
@@ -32,6 +32,8 @@
     NoTokenCheck,
     /// A late answer is taken for the answer to the open request.
     AnswerWithoutSerial,
+    /// The clock of the successor runs at twice the true rate.
+    FastSuccessor,
     /// No safeguard: asserts that no successor gives orders, to show that one does.
     ExpectNoSuccessor,
 }
@@ -105,8 +107,8 @@
     calls: [u32; 2],
     /// Whether the engines check tokens.
     checked: bool,
-    /// Whether the clock of the first node runs slow by a third.
-    slow: bool,
+    /// Rate of each node's clock as a fraction of the true rate.
+    rates: [(u32, u32); 2],
     flaw: Flaw,
 }
 
@@ -128,10 +130,11 @@
     }
 
     fn clock(&self, node: usize, now: u8) -> Moment {
-        let ticks = match self.slow && node == 0 {
-            true => u32::from(now) * 2 / 3,
-            false => u32::from(now),
+        let (numerator, denominator) = match (self.flaw, node) {
+            (Flaw::FastSuccessor, 1) => (2, 1),
+            _ => self.rates[node],
         };
+        let ticks = u32::from(now) * numerator / denominator;
         Moment::default() + TICK * ticks
     }
 
@@ -385,7 +388,7 @@
     faults: 1,
     calls: [2, 1],
     checked: false,
-    slow: false,
+    rates: [(1, 1); 2],
     flaw: Flaw::None,
 };
 
@@ -407,16 +410,22 @@
     count_states("lease, engines that check tokens, 1 fault", &model);
 }
 
-/// Guards against margins that are too small for a slow clock of the holder.
+/// Guards against margins that are too small for a slow clock of the holder
+/// or a fast clock of the successor.
 #[test]
-fn slow_clock_of_the_holder_is_covered() {
-    let model = LeaseModel {
-        slow: true,
+fn clocks_of_different_rates_are_covered() {
+    let slow = LeaseModel {
+        rates: [(2, 3), (1, 1)],
+        ..DEFAULT
+    };
+    count_states("lease, clock of the holder slow by a third, 1 fault", &slow);
+    let fast = LeaseModel {
+        rates: [(1, 1), (5, 4)],
         ..DEFAULT
     };
     count_states(
-        "lease, clock of the holder slow by a third, 1 fault",
-        &model,
+        "lease, clock of the successor fast by a quarter, 1 fault",
+        &fast,
     );
 }
 
@@ -430,6 +439,7 @@
         (Flaw::UnboundedTransit, OVERLAP),
         (Flaw::NoTokenCheck, STALE),
         (Flaw::AnswerWithoutSerial, OVERLAP),
+        (Flaw::FastSuccessor, OVERLAP),
         (Flaw::ExpectNoSuccessor, "a successor gave orders"),
     ];
     for (flaw, property) in flaws {
--- a/crates/verbenaring-policy/tests/model_ledger.rs
+++ b/crates/verbenaring-policy/tests/model_ledger.rs
@@ -32,21 +32,21 @@
 fn three_attempts_run_at_most_once() {
     let model = LedgerModel {
         slots: 3,
-        crashes: 0,
         ..DEFAULT
     };
-    assert!(count_states("ledger, 3 attempts, 1 fault", &model) >= 100_000);
+    assert!(count_states("ledger, 3 attempts, 1 fault, 1 crash", &model) >= 100_000);
 }
 
 /// Guards against a run after the record of the first run was dropped.
 #[test]
 fn dropped_records_allow_no_second_run() {
     let model = LedgerModel {
+        faults: 2,
         expiry: true,
         ..DEFAULT
     };
     count_states(
-        "ledger, 2 attempts, 1 fault, 1 crash, end of retention",
+        "ledger, 2 attempts, 2 faults, 1 crash, end of retention",
         &model,
     );
 }
