--- a/crates/verbenaring-policy/src/summary.rs
+++ b/crates/verbenaring-policy/src/summary.rs
@@ -56,9 +56,9 @@
 /// Content of a summary as its publisher measures it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CentreStatus {
-    /// Live nodes, delegates first.
+    /// Live nodes in any order; published with delegates first.
     pub nodes: Vec<NodeAddress>,
-    /// Number of live nodes.
+    /// Number of live nodes; set when published.
     pub node_count: u32,
     /// Spare capacity per model.
     pub models: BTreeMap<ModelName, ModelSpare>,
@@ -71,7 +71,14 @@
 }
 
 impl CentreStatus {
-    fn truncate(&mut self) {
+    /// Orders nodes in the same way for every publisher, then cuts to size.
+    fn arrange(&mut self, centre: &CentreName) {
+        let chosen = delegates(centre, self.nodes.iter().map(|node| &node.vm));
+        let chosen: Vec<VmId> = chosen.into_iter().cloned().collect();
+        let rank = |vm: &VmId| chosen.iter().position(|delegate| delegate == vm);
+        self.nodes
+            .sort_by_cached_key(|node| (rank(&node.vm).unwrap_or(DELEGATES), node.vm.clone()));
+        self.node_count = self.nodes.len() as u32;
         self.nodes.truncate(MAX_ADDRESSES);
         while self.models.len() > MAX_MODELS {
             self.models.pop_last();
@@ -101,6 +108,20 @@
     pub summary: CentreSummary,
     /// Time since it was published.
     pub age_ms: u32,
+    /// Digest of the node addresses if they are left out because the receiver
+    /// has them: they change rarely and are half of a summary.
+    pub omitted_nodes: Option<u32>,
+}
+
+/// Version of a summary that a node has.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KnownVersion {
+    /// Data centre.
+    pub centre: CentreName,
+    /// Version.
+    pub version: u64,
+    /// Digest of the node addresses.
+    pub nodes: u32,
 }
 
 /// Step of an exchange.
@@ -108,13 +129,13 @@
 #[serde(rename_all = "snake_case")]
 pub enum SummaryBody {
     /// Versions that the sender has.
-    Offer(Vec<(CentreName, u64)>),
+    Offer(Vec<KnownVersion>),
     /// Summaries that the offering side lacks, and names of those wanted.
     Reply {
         /// Newer summaries.
         newer: Vec<AgedSummary>,
-        /// Data centres whose offered version is newer.
-        wanted: Vec<CentreName>,
+        /// Data centres whose offered version is newer, with the version known.
+        wanted: Vec<KnownVersion>,
     },
     /// Summaries that were wanted.
     Delivery(Vec<AgedSummary>),
@@ -183,6 +204,7 @@
 #[derive(Debug, Clone)]
 struct SummaryEntry {
     summary: CentreSummary,
+    nodes_digest: u32,
     received: Moment,
     age_then: Duration,
     unanswered: bool,
@@ -192,6 +214,28 @@
     fn age(&self, now: Moment) -> Duration {
         self.age_then + now.since(self.received)
     }
+
+    fn known_version(&self) -> KnownVersion {
+        KnownVersion {
+            centre: self.summary.centre.name.clone(),
+            version: self.summary.version,
+            nodes: self.nodes_digest,
+        }
+    }
+
+    /// Summary for a node that has addresses with the digest `known_nodes`.
+    fn aged(&self, now: Moment, known_nodes: Option<u32>) -> AgedSummary {
+        let mut summary = self.summary.clone();
+        let omitted_nodes = known_nodes.filter(|known| *known == self.nodes_digest);
+        if omitted_nodes.is_some() {
+            summary.status.nodes.clear();
+        }
+        AgedSummary {
+            summary,
+            age_ms: u32::try_from(self.age(now).as_millis()).unwrap_or(u32::MAX),
+            omitted_nodes,
+        }
+    }
 }
 
 /// Newest summary of each data centre.
@@ -218,11 +262,7 @@
 
     /// Summaries young enough to act on, that of the own data centre included.
     pub fn fresh(&self, now: Moment) -> impl Iterator<Item = &CentreSummary> {
-        let retention = self.settings.retention;
-        self.entries
-            .values()
-            .filter(move |entry| entry.age(now) < retention)
-            .map(|entry| &entry.summary)
+        self.fresh_entries(now).map(|entry| &entry.summary)
     }
 
     /// Newest known revision of any data centre, and who reported it.
@@ -232,20 +272,24 @@
             .max_by_key(|(revision, _)| *revision)
     }
 
-    /// Publishes the own data centre if a new version is due; called by delegates.
+    /// Publishes the own data centre if a new version is due; called by delegates
+    /// with their position in [`delegates`].
     ///
     /// A new revision is published at once, a change of nodes or counts after
-    /// the change period, anything else after the publish period.
-    pub fn publish(&mut self, now: Moment, mut status: CentreStatus) -> bool {
-        status.truncate();
+    /// the change period, anything else after the publish period. The second
+    /// delegate waits one publish period longer: news from the first one takes
+    /// seconds, and with a wait of 2 s both published most versions.
+    pub fn publish(&mut self, now: Moment, rank: usize, mut status: CentreStatus) -> bool {
         let centre = self.settings.centre.clone();
+        status.arrange(&centre.name);
         let known = self.entries.get(&centre.name);
         let due = known.is_none_or(|known| {
             let old = &known.summary.status;
             let changed = status.nodes != old.nodes
                 || status.node_count != old.node_count
                 || status.nodes_in_force != old.nodes_in_force;
-            let age = known.age(now);
+            let wait = self.settings.publish_period * (rank as u32);
+            let age = known.age(now).saturating_sub(wait);
             status.revision > old.revision
                 || changed && age >= self.settings.change_period
                 || age >= self.settings.publish_period
@@ -261,13 +305,18 @@
             version: least.max(status.unix_ms),
             status,
         };
-        self.merge(now, AgedSummary { summary, age_ms: 0 })
+        let published = AgedSummary {
+            summary,
+            age_ms: 0,
+            omitted_nodes: None,
+        };
+        self.merge(now, published)
     }
 
     /// Keeps the summary if it is newer than the known one.
     pub fn merge(&mut self, now: Moment, aged: AgedSummary) -> bool {
-        let AgedSummary { summary, age_ms } = aged;
-        let age_then = Duration::from_millis(age_ms.into());
+        let age_then = Duration::from_millis(aged.age_ms.into());
+        let mut summary = aged.summary;
         let known = self.entries.get(&summary.centre.name);
         let newer = known.is_none_or(|known| known.summary.version < summary.version);
         let fits = known.is_some() || self.entries.len() < MAX_CENTRES;
@@ -275,6 +324,12 @@
         if !newer || !fits || expired || !summary.status.is_bounded() {
             return false;
         }
+        if let Some(digest) = aged.omitted_nodes {
+            let Some(known) = known.filter(|known| known.nodes_digest == digest) else {
+                return false;
+            };
+            summary.status.nodes = known.summary.status.nodes.clone();
+        }
         let newest = self.newest_revision(now).map(|(revision, _)| revision);
         if newest.is_none_or(|newest| newest < summary.status.revision) {
             self.next_exchange = now;
@@ -283,6 +338,7 @@
             received: now,
             age_then,
             unanswered: known.is_some_and(|known| known.unanswered),
+            nodes_digest: nodes_digest(&summary.status.nodes),
             summary,
         };
         self.entries
@@ -291,7 +347,9 @@
     }
 
     /// Starts the exchange that is due: with one of the `local` addresses or,
-    /// if this node is a delegate, with another data centre.
+    /// if this node is a delegate, with another data centre. Nodes other than
+    /// delegates pass only each other as `local`: delegates, which have the
+    /// news first, would otherwise send most of the local traffic.
     ///
     /// The exchanges of one period are spread over it: two at the same time
     /// would bring the same summaries twice.
@@ -324,7 +382,8 @@
             let others = local.iter().copied().filter(|address| *address != own);
             others.choose(rng)
         };
-        let body = SummaryBody::Offer(self.versions(now));
+        let versions = self.fresh_entries(now).map(SummaryEntry::known_version);
+        let body = SummaryBody::Offer(versions.collect());
         target.map(|to| self.envelope(to, body))
     }
 
@@ -342,8 +401,10 @@
                 self.merge_all(now, newer);
                 let wanted = wanted.iter().take(MAX_CENTRES);
                 let summaries: Vec<_> = wanted
-                    .filter_map(|name| self.entries.get(name))
-                    .map(|entry| aged(entry, now))
+                    .filter_map(|known| {
+                        let entry = self.entries.get(&known.centre)?;
+                        Some(entry.aged(now, Some(known.nodes)))
+                    })
                     .collect();
                 let body = SummaryBody::Delivery(summaries);
                 let empty = SummaryBody::Delivery(Vec::new());
@@ -363,38 +424,35 @@
         }
     }
 
-    fn versions(&self, now: Moment) -> Vec<(CentreName, u64)> {
-        self.fresh(now)
-            .map(|summary| (summary.centre.name.clone(), summary.version))
-            .collect()
+    fn fresh_entries(&self, now: Moment) -> impl Iterator<Item = &SummaryEntry> {
+        let retention = self.settings.retention;
+        self.entries
+            .values()
+            .filter(move |entry| entry.age(now) < retention)
     }
 
     /// An empty reply is sent too: it tells the other side that it was heard.
-    fn reply(&self, now: Moment, versions: &[(CentreName, u64)]) -> SummaryBody {
-        let offered: BTreeMap<_, _> = versions.iter().cloned().collect();
-        let lacks = |entry: &&SummaryEntry| {
-            let name = &entry.summary.centre.name;
-            let version = offered.get(name).copied();
-            version.is_none_or(|version| version < entry.summary.version)
-        };
-        let retention = self.settings.retention;
-        let newer = self
-            .entries
-            .values()
-            .filter(|entry| entry.age(now) < retention)
-            .filter(lacks)
-            .map(|entry| aged(entry, now))
-            .collect();
-        let is_newer = |name: &CentreName, version: u64| {
-            let known = self.entries.get(name);
-            known.is_none_or(|known| known.summary.version < version)
-        };
-        let wanted = offered
-            .iter()
-            .filter(|(name, version)| is_newer(name, **version))
-            .map(|(name, _)| name.clone())
-            .collect();
-        SummaryBody::Reply { newer, wanted }
+    fn reply(&self, now: Moment, offered: &[KnownVersion]) -> SummaryBody {
+        let by_name: BTreeMap<_, _> = offered.iter().map(|known| (&known.centre, known)).collect();
+        let newer = self.fresh_entries(now).filter_map(|entry| {
+            let known = by_name.get(&entry.summary.centre.name);
+            let lacks = known.is_none_or(|known| known.version < entry.summary.version);
+            lacks.then(|| entry.aged(now, known.map(|known| known.nodes)))
+        });
+        let wanted = offered.iter().filter_map(|offer| {
+            let known = self.entries.get(&offer.centre);
+            let none = KnownVersion {
+                version: 0,
+                nodes: 0,
+                ..offer.clone()
+            };
+            let known = known.map_or(none, SummaryEntry::known_version);
+            (known.version < offer.version).then_some(known)
+        });
+        SummaryBody::Reply {
+            newer: newer.collect(),
+            wanted: wanted.collect(),
+        }
     }
 
     /// Delegate of a random other data centre; any of its nodes if the last
@@ -428,10 +486,13 @@
     }
 }
 
-fn aged(entry: &SummaryEntry, now: Moment) -> AgedSummary {
-    let age_ms = u32::try_from(entry.age(now).as_millis()).unwrap_or(u32::MAX);
-    AgedSummary {
-        summary: entry.summary.clone(),
-        age_ms,
+fn nodes_digest(nodes: &[NodeAddress]) -> u32 {
+    let mut hasher = blake3::Hasher::new();
+    for node in nodes {
+        hasher.update(node.vm.as_str().as_bytes());
+        hasher.update(node.address.to_string().as_bytes());
     }
+    let hash = hasher.finalize();
+    let bytes = hash.as_bytes().first_chunk::<4>();
+    bytes.map_or(0, |bytes| u32::from_le_bytes(*bytes))
 }
--- a/crates/verbenaring-policy/tests/summary.rs
+++ b/crates/verbenaring-policy/tests/summary.rs
@@ -51,7 +51,11 @@
         version,
         status: status(index, 1),
     };
-    AgedSummary { summary, age_ms }
+    AgedSummary {
+        summary,
+        age_ms,
+        omitted_nodes: None,
+    }
 }
 
 fn table(index: usize) -> SummaryTable {
@@ -88,7 +92,7 @@
             let now = self.now;
             let mut sent: Vec<(usize, SummaryEnvelope)> = Vec::new();
             for (index, table) in self.tables.iter_mut().enumerate() {
-                table.publish(now, status(index, self.revisions[index]));
+                table.publish(now, 0, status(index, self.revisions[index]));
                 let offers = table.tick(now, &[], true, &mut self.rng);
                 sent.extend(offers.into_iter().map(|offer| (index, offer)));
             }
@@ -184,7 +188,7 @@
     assert!(table.merge(now, aged(1, 9_000, 0)));
     let mut large = status(1, 2);
     large.nodes = vec![large.nodes[0].clone(); MAX_ADDRESSES + 10];
-    assert!(table.publish(now, large));
+    assert!(table.publish(now, 0, large));
     let own = table.fresh(now).next().unwrap();
     assert_eq!(own.version, 9_001);
     assert_eq!(own.status.nodes.len(), MAX_ADDRESSES);
@@ -193,6 +197,40 @@
     assert!(!table.merge(now, oversized));
 }
 
+// Guards against addresses that are lost when a peer leaves them out, and
+// against a summary whose left-out addresses this node does not have.
+#[test]
+fn omitted_addresses_are_kept() {
+    let now = Moment(0);
+    let (mut left, mut right) = (table(0), table(1));
+    assert!(left.merge(now, aged(2, 1, 0)));
+    assert!(right.merge(now, aged(2, 1, 0)));
+    assert!(right.merge(now, aged(2, 2, 0)));
+    let local = [address(1)];
+    let offer = left.tick(now, &local, false, &mut ChaCha8Rng::seed_from_u64(1));
+    let reply = right.receive(now, offer.unwrap().message).unwrap();
+    let SummaryBody::Reply { newer, .. } = &reply.message.body else {
+        panic!("an offer is answered by a reply");
+    };
+    assert!(newer[0].omitted_nodes.is_some() && newer[0].summary.status.nodes.is_empty());
+    assert!(!table(3).merge(now, newer[0].clone()));
+    left.receive(now, reply.message);
+    let summary = left.fresh(now).next().unwrap();
+    assert_eq!((summary.version, summary.status.nodes.len()), (2, 1));
+}
+
+// Guards against two delegates that both publish each version.
+#[test]
+fn second_delegate_waits_for_the_first() {
+    let mut table = table(1);
+    assert!(table.publish(Moment(0), 0, status(1, 1)));
+    let due = Moment(10_000_000);
+    assert!(!table.clone().publish(due, 1, status(1, 1)));
+    assert!(table.clone().publish(due, 0, status(1, 1)));
+    assert!(table.clone().publish(due, 1, status(1, 2)));
+    assert!(table.publish(due + Duration::from_secs(10), 1, status(1, 1)));
+}
+
 // Guards against nodes that disagree on the delegates, and against delegates
 // that change when another node is lost.
 #[test]
