Bound the number of payloads in a gossip message

Cause: the bound on payload bytes does not limit the number of payloads when their content is empty, so such messages grew with the number of nodes.

Change: at most 16 payloads per message, checked on both sides. The test network checks the bounds of every message it carries.

Conclusion: the new test `messages_stay_within_bounds` fails without the limit and passes with it.

--- a/crates/verbenaring-policy/src/gossip.rs
+++ b/crates/verbenaring-policy/src/gossip.rs
@@ -20,6 +20,9 @@
 /// Most payload bytes in one message; a full message of 2 per second stays under 2 KB/s.
 pub const MAX_MESSAGE_PAYLOAD_BYTES: usize = 640;
 
+/// Most payloads in one message; bounds the message when payloads are empty.
+pub const MAX_PAYLOADS: usize = 16;
+
 /// Identifier of one start of a process, drawn at random.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct StartId(pub u64);
@@ -126,7 +129,9 @@
     /// Whether the message keeps the size bounds.
     pub fn is_bounded(&self) -> bool {
         let bytes: usize = self.payloads.iter().map(|item| item.content.len()).sum();
-        self.updates.len() <= MAX_JOIN_UPDATES && bytes <= MAX_MESSAGE_PAYLOAD_BYTES
+        self.updates.len() <= MAX_JOIN_UPDATES
+            && self.payloads.len() <= MAX_PAYLOADS
+            && bytes <= MAX_MESSAGE_PAYLOAD_BYTES
     }
 }
 
@@ -177,7 +182,7 @@
         let mut room = MAX_MESSAGE_PAYLOAD_BYTES;
         let mut selected = Vec::new();
         for (payload, sends) in waiting {
-            if payload.content.len() <= room {
+            if payload.content.len() <= room && selected.len() < MAX_PAYLOADS {
                 room -= payload.content.len();
                 *sends = sends.saturating_sub(1);
                 selected.push(payload.clone());
--- a/crates/verbenaring-policy/tests/membership.rs
+++ b/crates/verbenaring-policy/tests/membership.rs
@@ -86,6 +86,7 @@
                 let dead = events.filter(|event| event.to == MemberState::Dead);
                 self.removed.extend(dead.map(|event| (index, event.vm)));
             }
+            assert!(sent.iter().all(|(_, sent)| sent.message.is_bounded()));
             sent.retain(|(from, envelope)| {
                 let to = usize::from(envelope.to.port()) - 1;
                 !self.blocked.contains(&(*from, to)) && !self.rng.random_bool(self.loss)
@@ -271,6 +272,20 @@
     assert!(network.node(0).set_payload(large).is_err());
 }
 
+// Guards against messages that grow with the number of nodes, even if each
+// node supplies an empty payload. The network checks the bounds of each message.
+#[test]
+fn messages_stay_within_bounds() {
+    let count = 20;
+    let mut network = Network::settled(count, 12);
+    for size in [0, MAX_PAYLOAD_BYTES] {
+        for index in 0..count {
+            network.node(index).set_payload(vec![0; size]).unwrap();
+        }
+        network.run(5);
+    }
+}
+
 // Guards against a reused address that joins two data centres, and against
 // messages above the bounds.
 #[test]
