Publish data-centre summaries by delegate rank

Cause: the measured membership code takes the rank of the publishing delegate, so that the second one waits and versions are not published twice.

--- a/crates/verbenaring-gateway/src/cluster.rs
+++ b/crates/verbenaring-gateway/src/cluster.rs
@@ -366,20 +366,20 @@
     }
 
     fn publish_summary(&mut self, config: DigestSummary) {
-        if !self.is_delegate() {
-            return;
-        }
         let centre = &self.view.settings.data_centre.name;
         let live: Vec<_> = self.members.live().collect();
         let chosen = delegates(centre, live.iter().map(|member| &member.vm));
-        let mut nodes: Vec<NodeAddress> = live
+        let own = &self.view.settings.vm;
+        let Some(rank) = chosen.iter().position(|vm| *vm == own) else {
+            return;
+        };
+        let nodes: Vec<NodeAddress> = live
             .iter()
             .map(|member| NodeAddress {
                 vm: member.vm.clone(),
                 address: member.address,
             })
             .collect();
-        nodes.sort_by_key(|node| !chosen.contains(&&node.vm));
         let in_force = live.iter().filter(|member| {
             member.vm == self.view.settings.vm
                 || self
@@ -395,7 +395,7 @@
             revision: config.highest,
             unix_ms: self.clock.unix_ms(),
         };
-        self.summaries.publish(self.clock.now(), status);
+        self.summaries.publish(self.clock.now(), rank, status);
     }
 
     /// Asks a node that has newer or other configuration for what is missing.
