Add the operators' interface of a node

Cause: operators had to write to the platform store directly, unchecked, and could not ask a node what it has in force.

Change: HTTP/JSON below /operator/v1/ with a bearer key compared in constant time. Documents are checked before they are written, amendments run the state machine of verbenaring-policy, and the loser of a race receives both documents. The catalog reads wrapped entries, so an entry without a document removes the contract. Counters per contract are kept only in regions that the contract allows.

Conclusion: the node answers contracts, servers, stops, status, time line and report; statuses and events of other nodes are not collected yet.

--- a/crates/verbenaring-gateway/src/account.rs
+++ b/crates/verbenaring-gateway/src/account.rs
@@ -107,6 +107,9 @@
             AnswerEnd::Open => "caller_gone",
         };
         self.metrics.requests.with_label_values(&[label]).inc();
+        self.metrics
+            .contracts
+            .count_answer(&self.customer, label, self.tokens);
         if self.end == AnswerEnd::Open {
             self.guard.cancel();
             self.timeline
--- a/crates/verbenaring-gateway/src/catalog.rs
+++ b/crates/verbenaring-gateway/src/catalog.rs
@@ -7,11 +7,13 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
+use verbenaring_policy::config::ConfigValue;
 use verbenaring_policy::contract::{ContractTerms, Revision};
-use verbenaring_policy::id::{CustomerId, Digest};
+use verbenaring_policy::id::{ChangeId, CustomerId, Digest};
 use verbenaring_protocol::document::{
     ContractDocument, ServerDocument, ServerTerms, StopDocument, read_document,
 };
+use verbenaring_protocol::stored::read_entry;
 
 /// Prefix of all configuration keys in the platform store.
 pub const CONFIG_PREFIX: &str = "config/";
@@ -27,6 +29,8 @@
 pub struct ContractEntry {
     /// Revision of the contract.
     pub revision: Revision,
+    /// Amendment that wrote the contract.
+    pub change: ChangeId,
     /// Terms of the contract.
     pub terms: ContractTerms,
 }
@@ -130,6 +134,11 @@
         }
     }
 
+    /// Revision in force of one document.
+    pub fn revision_of(&self, key: &str) -> Option<Revision> {
+        self.documents.get(key).map(|(revision, _)| *revision)
+    }
+
     /// Revision of the configuration in force.
     pub fn revision(&self) -> Revision {
         self.revision
@@ -178,11 +187,17 @@
     revision: Revision,
     value: &[u8],
 ) -> verbenaring_protocol::Result<Document> {
+    let entry = read_entry(key, revision, Some(value));
+    let ConfigValue::Text(text) = &entry.value else {
+        return Ok(Document::Other);
+    };
+    let value = text.as_bytes();
     if key.starts_with(CONTRACT_PREFIX) {
         let document: ContractDocument = read_document(value)?;
         let terms = ContractTerms::try_from(&document)?;
         return Ok(Document::Contract(Arc::new(ContractEntry {
             revision,
+            change: entry.change,
             terms,
         })));
     }
--- a/crates/verbenaring-gateway/src/controller.rs
+++ b/crates/verbenaring-gateway/src/controller.rs
@@ -101,7 +101,17 @@
             _ => {
                 let catalog = self.catalog.load_full();
                 let entry = authenticate_caller(&catalog, &parts.headers)?;
-                self.answer_customer(entry, parts, body, request).await
+                let customer = entry.terms.customer.clone();
+                let counted = entry
+                    .terms
+                    .residency
+                    .allows(&self.settings.data_centre.region);
+                let outcome = self.answer_customer(entry, parts, body, request).await;
+                if counted {
+                    let failed = outcome.as_ref().err().map(|refusal| refusal.outcome);
+                    self.metrics.contracts.count_request(&customer, failed);
+                }
+                outcome
             }
         }
     }
@@ -369,7 +379,7 @@
         Ok(caller_answer(head.status, &head.headers, body, place))
     }
 
-    async fn read_body(&self, body: Incoming) -> Result<Bytes, Refusal> {
+    pub(crate) async fn read_body(&self, body: Incoming) -> Result<Bytes, Refusal> {
         let guards = &self.settings.guards;
         let limited = Limited::new(body, guards.max_body_bytes);
         match tokio::time::timeout(guards.body_timeout, limited.collect()).await {
@@ -650,7 +660,7 @@
     answer
 }
 
-fn json_answer(text: String) -> Response<AnswerBody> {
+pub(crate) fn json_answer(text: String) -> Response<AnswerBody> {
     let mut answer = Response::new(AnswerBody::from(text));
     *answer.headers_mut() = json_headers();
     answer
--- a/crates/verbenaring-gateway/src/lib.rs
+++ b/crates/verbenaring-gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! crate `verbenaring-policy`; this crate adds sockets, clocks and tasks.
 
 pub mod account;
+pub mod amend;
 pub mod app;
 pub mod attempt;
 pub mod authenticate;
@@ -22,10 +23,12 @@
 pub mod metrics;
 pub mod node;
 pub mod operation;
+pub mod operator;
 pub mod peer;
 pub mod records;
 pub mod refusal;
 pub mod relay;
+pub mod report;
 pub mod route;
 pub mod store;
 pub mod timeline;
--- a/crates/verbenaring-gateway/src/metrics.rs
+++ b/crates/verbenaring-gateway/src/metrics.rs
@@ -5,6 +5,8 @@
     TextEncoder,
 };
 
+use crate::report::ReportTable;
+
 const LATENCY_BUCKETS_S: [f64; 14] = [
     0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.36, 0.75, 1.5, 5.0, 20.0, 60.0,
 ];
@@ -28,6 +30,8 @@
     pub config_revision: IntGauge,
     /// Configuration documents that cannot be read.
     pub config_faults: IntGauge,
+    /// Counters per contract, for operators only.
+    pub contracts: ReportTable,
 }
 
 impl Default for NodeMetrics {
@@ -92,6 +96,7 @@
                 "verbenaring_config_faults",
                 "Configuration documents that cannot be read",
             ),
+            contracts: ReportTable::default(),
             registry,
         }
     }
--- a/crates/verbenaring-gateway/src/node.rs
+++ b/crates/verbenaring-gateway/src/node.rs
@@ -19,6 +19,7 @@
 use crate::etcd::EtcdStore;
 use crate::listener::NodeListener;
 use crate::metrics::NodeMetrics;
+use crate::operator::OperatorHandler;
 use crate::peer::PeerGate;
 use crate::records::RecordStore;
 use crate::timeline::{EventKind, TimelineRing};
@@ -32,6 +33,7 @@
     settings: NodeSettings,
     callers: NodeListener,
     peers: NodeListener,
+    operators: NodeListener,
 }
 
 impl BoundNode {
@@ -40,12 +42,16 @@
         let guards = settings.guards;
         let callers = NodeListener::bind("caller_address", settings.caller_address, guards).await?;
         let peers = NodeListener::bind("peer_address", settings.peer_address, guards).await?;
+        let operators =
+            NodeListener::bind("operator_address", settings.operator_address, guards).await?;
+        settings.operator_address = operators.address();
         settings.caller_address = callers.address();
         settings.peer_address = peers.address();
         Ok(Self {
             settings,
             callers,
             peers,
+            operators,
         })
     }
 
@@ -91,6 +97,11 @@
                 .serve(PeerHandler(core.clone()), shutdown.clone()),
         );
         let background = CancellationToken::new();
+        // Operators follow a graceful shutdown until its end.
+        tokio::spawn(
+            self.operators
+                .serve(OperatorHandler::new(&core, &store), background.clone()),
+        );
         let watcher = ConfigWatcher::new(store, &core.catalog, &core.metrics, &core.timeline);
         tokio::spawn(watcher.run(background.clone()));
         RunningNode {
@@ -121,6 +132,11 @@
         self.core.settings.caller_address
     }
 
+    /// Address for operators.
+    pub fn operator_address(&self) -> SocketAddr {
+        self.core.settings.operator_address
+    }
+
     /// Lets readiness fall, accepts nothing new and waits for open requests.
     pub async fn stop(mut self) {
         self.core.stopping.store(true, Ordering::Relaxed);
--- a/crates/verbenaring-protocol/src/lib.rs
+++ b/crates/verbenaring-protocol/src/lib.rs
@@ -2,12 +2,15 @@
 //!
 //! Documents that operators write are generated from the JSON Schemas in
 //! `schemas/` and converted to checked types at the border ([`document`]).
-//! Types that only nodes exchange are in [`node`].
+//! Types that only nodes exchange are in [`node`], those of the operators'
+//! interface in [`operator`].
 
 pub mod document;
 pub mod error;
 pub mod header;
 pub mod node;
+pub mod operator;
+pub mod rules;
 pub mod stored;
 
 #[allow(missing_docs, dead_code, clippy::derivable_impls)]
--- a/crates/verbenaring-testbed/src/deployment.rs
+++ b/crates/verbenaring-testbed/src/deployment.rs
@@ -11,7 +11,8 @@
 use verbenaring_gateway::etcd::EtcdStore;
 use verbenaring_gateway::node::{BoundNode, RunningNode};
 use verbenaring_gateway::store::{PlatformStore, SwapCondition, SwapOutcome, SwapRequest};
-use verbenaring_policy::id::{CentreName, DataCentre, Digest, RegionName, VmId};
+use verbenaring_policy::id::{CentreName, ChangeId, DataCentre, Digest, RegionName, VmId};
+use verbenaring_protocol::stored::StoredEntry;
 
 use crate::engine::{EngineServer, EngineSettings};
 use crate::error::Result;
@@ -120,12 +121,15 @@
     /// Writes a configuration document and waits until it is in force.
     pub async fn write(&self, key: &str, document: &Value) -> u64 {
         let current = self.writer.get(key).await.expect("store is up");
+        let base = current.as_ref().map_or(0, |value| value.revision);
+        let change = ChangeId(uuid::Uuid::new_v4());
+        let entry = StoredEntry::wrap(change, base, Some(&document.to_string()));
         let request = SwapRequest {
             key: key.to_owned(),
             condition: current.map_or(SwapCondition::Absent, |value| {
                 SwapCondition::Revision(value.revision)
             }),
-            value: Some(document.to_string().into_bytes()),
+            value: Some(entry.expect("a document is JSON").to_value()),
             lease: 0,
         };
         match self
