Add the operators' client verbenaring

Cause: the operators' interface had no client, and nothing checked documents before they were sent.

Change: commands for contracts, stops, servers, status, report, time line, operations, keys and entry VMs, with tables or JSON and one exit code per kind of failure. A fault in a file is named with line and column, also where only a rule of the contract is broken. A write that never left the node is reported as not written at once.

--- a/crates/verbenaring-cli/src/main.rs
+++ b/crates/verbenaring-cli/src/main.rs
@@ -1,3 +1,8 @@
-//! Entry point.
+//! Entry point of `verbenaring`.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let arguments = std::env::args_os().skip(1).collect();
+    ExitCode::from(verbenaring_cli::run(arguments))
+}
--- a/crates/verbenaring-gateway/src/amend.rs
+++ b/crates/verbenaring-gateway/src/amend.rs
@@ -130,7 +130,10 @@
                 Ok(AmendmentEvent::Refused(found.as_ref().map(entry_of)))
             }
             Ok(None) => self.lose("answer lacks the write".into(), true),
-            Err(error @ StoreError::Refused(_)) if !self.sent => Err(error.to_string()),
+            // Certain at once, so the operator need not wait for the time limit.
+            Err(error @ (StoreError::Refused(_) | StoreError::Unreachable(_))) if !self.sent => {
+                Err(error.to_string())
+            }
             Err(error) => {
                 let sent = matches!(error, StoreError::NoAnswer(_));
                 self.lose(error.to_string(), sent)
--- a/crates/verbenaring-protocol/src/error.rs
+++ b/crates/verbenaring-protocol/src/error.rs
@@ -4,7 +4,7 @@
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
     /// The text is not the expected JSON.
-    #[error("line {line}, column {column}: field {field}: {reason}")]
+    #[error("line {line}, column {column}: {}{reason}", field_prefix(field))]
     Document {
         /// Line of the fault, from 1.
         line: usize,
@@ -30,3 +30,11 @@
 
 /// Result of the wire layer.
 pub type Result<T> = std::result::Result<T, Error>;
+
+/// Names the field, unless the fault is in the syntax or in the whole document.
+fn field_prefix(field: &str) -> String {
+    match field {
+        "?" | "." => String::new(),
+        field => format!("field {field}: "),
+    }
+}
--- a/crates/verbenaring-protocol/src/rules.rs
+++ b/crates/verbenaring-protocol/src/rules.rs
@@ -1,6 +1,7 @@
 //! Rules that a configuration document must meet before it is written, and
 //! the way back from checked types to documents.
 
+use serde_json::Value;
 use verbenaring_policy::contract::{ContractTerms, PriorityLevel};
 use verbenaring_policy::id::{CentreName, Digest, ServerId, VmId};
 
@@ -58,6 +59,17 @@
     }
 }
 
+/// Content of a document with defaults filled in.
+pub fn normal_form(kind: DocumentKind, text: &str) -> Result<Value> {
+    let text = text.as_bytes();
+    let value = match kind {
+        DocumentKind::Contract => serde_json::to_value(read_document::<ContractDocument>(text)?),
+        DocumentKind::Server => serde_json::to_value(read_document::<ServerDocument>(text)?),
+        DocumentKind::Stop => serde_json::to_value(read_document::<StopDocument>(text)?),
+    };
+    Ok(value.expect("a document is JSON"))
+}
+
 fn check_contract(document: &ContractDocument) -> Result<String> {
     let terms = ContractTerms::try_from(document)?;
     Ok(terms.customer.to_string())
