--- a/crates/verbenaring-testbed/examples/quickstart.rs
+++ b/crates/verbenaring-testbed/examples/quickstart.rs
@@ -8,7 +8,7 @@
 use uuid::Uuid;
 use verbenaring_testbed::client::{TestAnswer, TestClient};
 use verbenaring_testbed::deployment::{
-    CUSTOMER_KEY, CentreSpec, DeploymentSpec, TestDeployment, contract_document,
+    CUSTOMER_KEY, CentreSpec, DeploymentSpec, OPERATOR_KEY, TestDeployment, contract_document,
 };
 use verbenaring_testbed::{EngineSettings, expected_answer};
 
@@ -154,10 +154,11 @@
 }
 
 fn print_addresses(deployment: &TestDeployment) {
-    println!("\nRunning. Stop with Ctrl-C. Key: {CUSTOMER_KEY}");
+    println!("\nRunning. Stop with Ctrl-C. Key: {CUSTOMER_KEY}, operators' key: {OPERATOR_KEY}");
     for node in deployment.centres.iter().flat_map(|centre| &centre.nodes) {
         let settings = &node.core().settings;
         println!("  {} http://{}/v1", settings.vm, node.caller_address());
+        println!("    for operators: --node {}", node.operator_address());
     }
     println!("  platform store http://{}", deployment.store.address());
 }
