--- a/crates/verbenaring-gateway/src/account.rs
+++ b/crates/verbenaring-gateway/src/account.rs
@@ -150,6 +150,9 @@
             AnswerEnd::Open => "caller_gone",
         };
         metrics.requests.with_label_values(&[label]).inc();
+        metrics
+            .contracts
+            .count_answer(&self.customer, label, self.tokens);
         metrics
             .request_seconds
             .observe(self.accepted.elapsed().as_secs_f64());
--- a/crates/verbenaring-gateway/src/catalog.rs
+++ b/crates/verbenaring-gateway/src/catalog.rs
@@ -7,8 +7,9 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
+use verbenaring_policy::config::{ConfigEntry, ConfigValue};
 use verbenaring_policy::contract::{ContractTerms, Revision};
-use verbenaring_policy::id::{CustomerId, Digest};
+use verbenaring_policy::id::{ChangeId, CustomerId, Digest};
 use verbenaring_protocol::document::{
     ContractDocument, LayoutDocument, ServerDocument, ServerTerms, StopDocument, read_document,
 };
@@ -29,6 +30,8 @@
 pub struct ContractEntry {
     /// Revision of the contract.
     pub revision: Revision,
+    /// Amendment that wrote the contract.
+    pub change: ChangeId,
     /// Terms of the contract.
     pub terms: ContractTerms,
 }
@@ -71,7 +74,7 @@
     pub fn build<'a>(
         previous: &ServingCatalog,
         revision: Revision,
-        entries: impl Iterator<Item = (&'a str, Revision, &'a str)>,
+        entries: impl Iterator<Item = &'a ConfigEntry>,
         faults: Vec<DocumentFault>,
     ) -> Self {
         let mut catalog = ServingCatalog {
@@ -79,16 +82,15 @@
             faults,
             ..Self::default()
         };
-        for (key, revision, text) in entries {
-            let known = previous.documents.get(key);
+        for entry in entries {
+            let known = previous.documents.get(&entry.key);
             let document = match known {
-                Some((known, document)) if *known == revision => Some(document.clone()),
-                _ => parse_document(key, revision, text).ok(),
+                Some((known, document)) if *known == entry.revision => Some(document.clone()),
+                _ => parse_document(entry).ok(),
             };
             if let Some(document) = document {
-                catalog
-                    .documents
-                    .insert(key.to_owned(), (revision, document));
+                let versioned = (entry.revision, document);
+                catalog.documents.insert(entry.key.clone(), versioned);
             }
         }
         catalog.index();
@@ -113,6 +115,11 @@
         }
     }
 
+    /// Revision in force of one document.
+    pub fn revision_of(&self, key: &str) -> Option<Revision> {
+        self.documents.get(key).map(|(revision, _)| *revision)
+    }
+
     /// Revision of the configuration in force.
     pub fn revision(&self) -> Revision {
         self.revision
@@ -163,22 +170,29 @@
 
 /// Checks the text of a document before it comes into force.
 pub fn check_document(key: &str, text: &str) -> Result<(), String> {
-    parse_document(key, 0, text)
+    let entry = ConfigEntry {
+        key: key.to_owned(),
+        revision: 0,
+        change: ChangeId::default(),
+        base: 0,
+        value: ConfigValue::Text(text.to_owned()),
+    };
+    parse_document(&entry)
         .map(|_| ())
         .map_err(|error| error.to_string())
 }
 
-fn parse_document(
-    key: &str,
-    revision: Revision,
-    text: &str,
-) -> verbenaring_protocol::Result<Document> {
-    let text = text.as_bytes();
+fn parse_document(entry: &ConfigEntry) -> verbenaring_protocol::Result<Document> {
+    let ConfigValue::Text(text) = &entry.value else {
+        return Ok(Document::Other);
+    };
+    let (key, text) = (entry.key.as_str(), text.as_bytes());
     if key.starts_with(CONTRACT_PREFIX) {
         let document: ContractDocument = read_document(text)?;
         let terms = ContractTerms::try_from(&document)?;
         return Ok(Document::Contract(Arc::new(ContractEntry {
-            revision,
+            revision: entry.revision,
+            change: entry.change,
             terms,
         })));
     }
--- a/crates/verbenaring-gateway/src/control.rs
+++ b/crates/verbenaring-gateway/src/control.rs
@@ -15,33 +15,36 @@
 use verbenaring_policy::quarantine::SuspectReport;
 use verbenaring_policy::summary::SummaryMessage;
 use verbenaring_protocol::control::{NodeCard, NodeControl, TimelinePage};
+use verbenaring_protocol::operator::NodeStatus;
 
-use crate::cluster::{ClusterMessage, ClusterView};
-use crate::config::ClusterKey;
+use crate::cluster::ClusterMessage;
+use crate::controller::NodeCore;
 use crate::handshake;
 use crate::links::frame_codec;
-use crate::replica::ConfigReplica;
-use crate::timeline::TimelineRing;
+use crate::operator::own_status;
+use crate::store::PlatformStore;
 
 /// Longest time for the proof of a cluster key.
 const PROOF_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Answers control calls of other nodes.
-#[derive(Clone)]
-pub struct ControlServer {
+pub struct ControlServer<S> {
     /// Messages for the cluster task.
     pub inbox: mpsc::Sender<ClusterMessage>,
-    /// Configuration of this node.
-    pub replica: Arc<ConfigReplica>,
-    /// Events of this node.
-    pub timeline: Arc<TimelineRing>,
-    /// View of the other nodes and facts of this one.
-    pub view: Arc<ClusterView>,
-    /// Accepted cluster keys.
-    pub keys: Arc<[ClusterKey]>,
+    /// Shared state of this node.
+    pub core: Arc<NodeCore<S>>,
 }
 
-impl NodeControl for ControlServer {
+impl<S> Clone for ControlServer<S> {
+    fn clone(&self) -> Self {
+        Self {
+            inbox: self.inbox.clone(),
+            core: self.core.clone(),
+        }
+    }
+}
+
+impl<S: PlatformStore> NodeControl for ControlServer<S> {
     async fn gossip(self, _: context::Context, message: GossipMessage) {
         // A full inbox drops the message; the failure detector tolerates loss.
         let _ = self.inbox.try_send(ClusterMessage::Gossip(message));
@@ -52,31 +55,35 @@
     }
 
     async fn config_digest(self, _: context::Context) -> ConfigDigest {
-        self.replica.digest()
+        self.core.replica.digest()
     }
 
     async fn config_delta(self, _: context::Context, request: DeltaRequest) -> ConfigDelta {
-        self.replica.delta(&request)
+        self.core.replica.delta(&request)
     }
 
     async fn config_snapshot(self, _: context::Context, after: Option<String>) -> SnapshotPiece {
-        self.replica.snapshot(after.as_deref())
+        self.core.replica.snapshot(after.as_deref())
     }
 
     async fn timeline_since(self, _: context::Context, sequence: u64) -> TimelinePage {
-        self.timeline.page(sequence)
+        self.core.timeline.page(sequence)
     }
 
     async fn suspects(self, _: context::Context, reports: Vec<SuspectReport>) {
-        self.view.backends.merge_suspects(&reports);
+        self.core.backends.merge_suspects(&reports);
+    }
+
+    async fn node_status(self, _: context::Context) -> NodeStatus {
+        own_status(&self.core)
     }
 
     async fn status(self, _: context::Context) -> NodeCard {
-        self.view.card()
+        self.core.cluster.card()
     }
 }
 
-impl ControlServer {
+impl<S: PlatformStore> ControlServer<S> {
     /// Serves control connections until `shutdown`.
     pub async fn listen(self, listener: TcpListener, shutdown: CancellationToken) {
         loop {
@@ -101,7 +108,7 @@
     }
 
     async fn serve_connection(self, mut socket: TcpStream) {
-        let proof = handshake::accept(&mut socket, &self.keys);
+        let proof = handshake::accept(&mut socket, &self.core.settings.cluster_keys);
         match tokio::time::timeout(PROOF_TIMEOUT, proof).await {
             Ok(Ok(())) => {}
             Ok(Err(fault)) => return log::warn!("control connection refused: {fault}"),
--- a/crates/verbenaring-gateway/src/controller.rs
+++ b/crates/verbenaring-gateway/src/controller.rs
@@ -37,6 +37,7 @@
 use crate::config::{NodeSettings, PeerSettings};
 use crate::entry::entry_list;
 use crate::identify::{identify_inference, identify_service};
+use crate::links::ControlLinks;
 use crate::listener::RequestHandler;
 use crate::metrics::NodeMetrics;
 use crate::operation::{read_operation, run_operation};
@@ -103,6 +104,8 @@
     pub timeline: Arc<TimelineRing>,
     /// Configuration merged from the platform store and from peers.
     pub replica: Arc<ConfigReplica>,
+    /// Control connections to other nodes.
+    pub links: Arc<ControlLinks>,
     /// View of the other nodes.
     pub cluster: Arc<ClusterView>,
 }
@@ -135,7 +138,17 @@
             _ => {
                 let catalog = self.catalog.load_full();
                 let entry = authenticate_caller(&catalog, &parts.headers)?;
-                self.answer_customer(entry, parts, body, request).await
+                let customer = entry.terms.customer.clone();
+                let counted = entry
+                    .terms
+                    .residency
+                    .allows(&self.settings.data_centre.region);
+                let outcome = self.answer_customer(entry, parts, body, request).await;
+                if counted {
+                    let failed = outcome.as_ref().err().map(|refusal| refusal.outcome);
+                    self.metrics.contracts.count_request(&customer, failed);
+                }
+                outcome
             }
         }
     }
@@ -555,7 +568,7 @@
         )
     }
 
-    async fn read_body(&self, body: Incoming) -> Result<Bytes, Refusal> {
+    pub(crate) async fn read_body(&self, body: Incoming) -> Result<Bytes, Refusal> {
         let guards = &self.settings.guards;
         let limited = Limited::new(body, guards.max_body_bytes);
         match tokio::time::timeout(guards.body_timeout, limited.collect()).await {
@@ -827,7 +840,7 @@
     answer
 }
 
-fn json_answer(text: String) -> Response<AnswerBody> {
+pub(crate) fn json_answer(text: String) -> Response<AnswerBody> {
     let mut answer = Response::new(AnswerBody::from(text));
     *answer.headers_mut() = json_headers();
     answer
--- a/crates/verbenaring-gateway/src/lib.rs
+++ b/crates/verbenaring-gateway/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod account;
 pub mod admit;
+pub mod amend;
 pub mod app;
 pub mod attempt;
 pub mod authenticate;
@@ -28,12 +29,14 @@
 pub mod metrics;
 pub mod node;
 pub mod operation;
+pub mod operator;
 pub mod peer;
 pub mod poller;
 pub mod records;
 pub mod refusal;
 pub mod relay;
 pub mod replica;
+pub mod report;
 pub mod route;
 pub mod schedule;
 pub mod store;
--- a/crates/verbenaring-gateway/src/node.rs
+++ b/crates/verbenaring-gateway/src/node.rs
@@ -26,6 +26,7 @@
 use crate::links::ControlLinks;
 use crate::listener::NodeListener;
 use crate::metrics::NodeMetrics;
+use crate::operator::OperatorHandler;
 use crate::peer::PeerGate;
 use crate::poller::poll_loads;
 use crate::records::RecordStore;
@@ -46,6 +47,7 @@
     callers: NodeListener,
     peers: NodeListener,
     control: TcpListener,
+    operators: NodeListener,
 }
 
 impl BoundNode {
@@ -54,6 +56,9 @@
         let guards = settings.guards;
         let callers = NodeListener::bind("caller_address", settings.caller_address, guards).await?;
         let peers = NodeListener::bind("peer_address", settings.peer_address, guards).await?;
+        let operators =
+            NodeListener::bind("operator_address", settings.operator_address, guards).await?;
+        settings.operator_address = operators.address();
         settings.caller_address = callers.address();
         settings.peer_address = peers.address();
         let control = bind_control(settings.control_address).await?;
@@ -63,6 +68,7 @@
             callers,
             peers,
             control: control.0,
+            operators,
         })
     }
 
@@ -96,7 +102,10 @@
             timeline: timeline.clone(),
             backends: backends.clone(),
         };
+        let gate = PeerGate::new(&settings.vm, &settings.cluster_keys, clock.unix_ms());
         let core = Arc::new(NodeCore {
+            links: Arc::new(ControlLinks::new(gate.signing_key())),
+            gate,
             clock,
             catalog,
             replica: replica.clone(),
@@ -107,7 +116,6 @@
             regions: RegionRouter::new(clock),
             observers,
             client: AttemptClient::new(settings.guards.connect_timeout),
-            gate: PeerGate::new(&settings.vm, &settings.cluster_keys, clock.unix_ms()),
             records: RecordStore::start(store.clone()),
             operations: TaskTracker::new(),
             metrics,
@@ -126,6 +134,11 @@
         );
         let background = CancellationToken::new();
         start_cluster(&core, self.control, &store, &background);
+        // Operators follow a graceful shutdown until its end.
+        tokio::spawn(
+            self.operators
+                .serve(OperatorHandler::new(&core, &store), background.clone()),
+        );
         RunningNode {
             core,
             servers,
@@ -155,14 +168,10 @@
 ) {
     let (inbox, messages) = mpsc::channel(INBOX_MESSAGES);
     let (watcher, enabled) = watch::channel(false);
-    let links = Arc::new(ControlLinks::new(core.gate.signing_key()));
-    let task = ClusterTask::new(&core.cluster, &links, core.clock, watcher);
+    let task = ClusterTask::new(&core.cluster, &core.links, core.clock, watcher);
     let server = ControlServer {
         inbox,
-        replica: core.replica.clone(),
-        timeline: core.timeline.clone(),
-        view: core.cluster.clone(),
-        keys: core.settings.cluster_keys.clone().into(),
+        core: core.clone(),
     };
     tokio::spawn(server.listen(control, background.clone()));
     tokio::spawn(ConfigWatcher::new(store, &core.replica).run(enabled));
@@ -189,6 +198,11 @@
         self.core.settings.caller_address
     }
 
+    /// Address for operators.
+    pub fn operator_address(&self) -> SocketAddr {
+        self.core.settings.operator_address
+    }
+
     /// Lets readiness fall, accepts nothing new and waits for open requests.
     pub async fn stop(mut self) {
         self.core.cluster.stopping.store(true, Ordering::Relaxed);
--- a/crates/verbenaring-gateway/src/replica.rs
+++ b/crates/verbenaring-gateway/src/replica.rs
@@ -115,12 +115,7 @@
     fn publish(&self, book: &ConfigBook) {
         let entries = book
             .with_prefix(CONFIG_PREFIX)
-            .filter_map(|entry| match &entry.value {
-                ConfigValue::Text(text) => {
-                    Some((entry.key.as_str(), entry.revision, text.as_str()))
-                }
-                _ => None,
-            });
+            .filter(|entry| matches!(entry.value, ConfigValue::Text(_)));
         let faults: Vec<DocumentFault> = book
             .faults()
             .map(|(entry, reason)| DocumentFault {
--- a/crates/verbenaring-protocol/src/control.rs
+++ b/crates/verbenaring-protocol/src/control.rs
@@ -9,6 +9,7 @@
 use verbenaring_policy::quarantine::SuspectReport;
 use verbenaring_policy::summary::SummaryMessage;
 
+use crate::operator::NodeStatus;
 use crate::timeline::TimelineEvent;
 
 /// Most bytes of entries in one configuration delta.
@@ -81,6 +82,8 @@
         async fn timeline_since(sequence: u64) -> TimelinePage;
         /// Takes what the caller knows of requests that crash servers.
         async fn suspects(reports: Vec<SuspectReport>);
+        /// Status of the node for operators.
+        async fn node_status() -> NodeStatus;
         /// Addresses and facts of the node.
         async fn status() -> NodeCard;
     }
