Report not ready for a drain time before a stop

Cause: a stopping node closed its sockets in the same moment in which its readiness fell, so callers had no time to leave. During this time the node answers /readyz with 503, is missing from its /v1/entry and still serves. Deployments of the test bed take the time from their specification, and mark an engine as resumable only if it is.

--- a/crates/verbenaring-gateway/src/config.rs
+++ b/crates/verbenaring-gateway/src/config.rs
@@ -104,6 +104,8 @@
     pub cluster_keys: Vec<ClusterKey>,
     /// Limits that protect the node's memory.
     pub guards: GuardSettings,
+    /// Time on a stop during which the node reports not ready and still serves.
+    pub drain: Duration,
     /// Lowest level that is logged.
     pub log_level: log::LevelFilter,
 }
@@ -139,6 +141,7 @@
             10,
             60_000,
         )?;
+        check_range("drain_ms", document.drain_ms, 0, 60_000)?;
         check_range("store_timeout_ms", document.store_timeout_ms, 10, 60_000)?;
         let stores = document.store_addresses.iter().enumerate();
         let keys = document.cluster_keys.iter().enumerate();
@@ -177,6 +180,7 @@
                 connect_timeout: millis(document.connect_timeout_ms),
                 max_connections: document.max_connections.get() as usize,
             },
+            drain: millis(document.drain_ms),
             log_level: match document.log_level {
                 LevelDocument::Error => log::LevelFilter::Error,
                 LevelDocument::Warn => log::LevelFilter::Warn,
--- a/crates/verbenaring-gateway/src/node.rs
+++ b/crates/verbenaring-gateway/src/node.rs
@@ -121,12 +121,16 @@
         self.core.settings.caller_address
     }
 
-    /// Lets readiness fall, accepts nothing new and waits for open requests.
+    /// Stops gracefully.
+    ///
+    /// Readiness falls first and the node still serves, so that callers learn
+    /// of it and leave. Then it accepts nothing new and waits for open requests.
     pub async fn stop(mut self) {
         self.core.stopping.store(true, Ordering::Relaxed);
         self.core
             .timeline
             .record(EventKind::ShutdownStarted, "", None);
+        tokio::time::sleep(self.core.settings.drain).await;
         self.shutdown.cancel();
         while self.servers.join_next().await.is_some() {}
         self.core.operations.close();
--- a/crates/verbenaring-testbed/src/deployment.rs
+++ b/crates/verbenaring-testbed/src/deployment.rs
@@ -59,6 +59,8 @@
     pub centres: Vec<CentreSpec>,
     /// Memory limits of the nodes.
     pub guards: GuardSettings,
+    /// Time on a stop during which nodes report not ready and still serve.
+    pub drain: Duration,
 }
 
 /// Running data centre.
@@ -90,7 +92,7 @@
         let writer = EtcdStore::new(&[store.address()], Duration::from_secs(2));
         let mut bound = Vec::new();
         for centre in &spec.centres {
-            bound.push(bind_nodes(centre, spec.guards, store.address()).await);
+            bound.push(bind_nodes(centre, spec, store.address()).await);
         }
         let peers: Vec<PeerSettings> = bound
             .iter()
@@ -170,7 +172,7 @@
                 "server": server, "region": place.region, "data_centre": place.name,
                 "address": engine.address().to_string(), "kind": "engine",
                 "models": settings.model_names, "slots": settings.slots,
-                "tokens_per_s": settings.tokens_per_s, "resumes": true,
+                "tokens_per_s": settings.tokens_per_s, "resumes": settings.resume,
             });
             self.write(&format!("config/server/{}/{server}", place.name), &document)
                 .await;
@@ -220,7 +222,7 @@
 
 async fn bind_nodes(
     centre: &CentreSpec,
-    guards: GuardSettings,
+    spec: &DeploymentSpec,
     store: SocketAddr,
 ) -> Vec<BoundNode> {
     let mut nodes = Vec::new();
@@ -240,7 +242,8 @@
                 id: "k1".into(),
                 secret: [7; 32],
             }],
-            guards,
+            guards: spec.guards,
+            drain: spec.drain,
             log_level: log::LevelFilter::Info,
         };
         nodes.push(
