Resume broken streams and make the error event arrive

Cause: before this change the tests of broken streams, which follow, saw that the error event never reached the caller: the connection broke before it was flushed. When a failed request found no further server, the caller saw 503 no_backend with outcome unknown instead of the failure. Event streams of plain services were held to the end marker of engines. The error event is flushed before the connection breaks. A broken stream of a server with resumes is continued at most twice under the same attempt identifier, only after the engine confirms the number of tokens. The last failure is reported when no server is left. An answer that broke is also cancelled at the engine.

--- a/crates/verbenaring-gateway/src/account.rs
+++ b/crates/verbenaring-gateway/src/account.rs
@@ -65,14 +65,14 @@
         }
     }
 
-    /// Counts one relayed token.
-    pub fn add_token(&mut self) {
-        if self.tokens == 0 {
+    /// Counts relayed tokens.
+    pub fn add_streamed(&mut self, tokens: u32) {
+        if self.tokens == 0 && tokens > 0 {
             self.metrics
                 .first_token
                 .observe(self.accepted.elapsed().as_secs_f64());
         }
-        self.tokens += 1;
+        self.add_tokens(tokens);
     }
 
     /// Counts the tokens of an answer that was not streamed.
@@ -80,6 +80,12 @@
         self.tokens = self.tokens.saturating_add(tokens);
     }
 
+    /// The answer continues on a new connection.
+    pub fn resume(&self) {
+        self.timeline
+            .record(EventKind::StreamResumed, &self.request, Some(self.attempt));
+    }
+
     /// The answer is whole.
     pub fn succeed(&mut self) {
         self.end = AnswerEnd::Whole;
@@ -107,8 +113,10 @@
             AnswerEnd::Open => "caller_gone",
         };
         self.metrics.requests.with_label_values(&[label]).inc();
-        if self.end == AnswerEnd::Open {
+        if self.end != AnswerEnd::Whole {
             self.guard.cancel();
+        }
+        if self.end == AnswerEnd::Open {
             self.timeline
                 .record(EventKind::CallerGone, &self.request, Some(self.attempt));
         }
--- a/crates/verbenaring-gateway/src/controller.rs
+++ b/crates/verbenaring-gateway/src/controller.rs
@@ -33,6 +33,7 @@
 use crate::clock::NodeClock;
 use crate::config::{NodeSettings, PeerSettings};
 use crate::entry::entry_list;
+use crate::event::has_foreign_identity;
 use crate::identify::{identify_inference, identify_service};
 use crate::listener::RequestHandler;
 use crate::metrics::NodeMetrics;
@@ -40,7 +41,8 @@
 use crate::peer::{ForwardHead, PeerGate, SignedMessage};
 use crate::records::RecordStore;
 use crate::refusal::Refusal;
-use crate::relay::{RelayMode, RelayStream, has_foreign_identity};
+use crate::relay::{RelayMode, RelayStream};
+use crate::resume::ResumeSource;
 use crate::route::{RouteTarget, TriedTargets, route_work};
 use crate::store::PlatformStore;
 use crate::timeline::{EventKind, TimelineRing};
@@ -202,12 +204,16 @@
     async fn run(&self, work: PendingWork) -> Outcome {
         let mut tried = TriedTargets::default();
         let mut outcome = RunOutcome::NotRun;
+        let mut last = None;
         for remaining in (0..MAX_ATTEMPTS).rev() {
             work.check_deadline()
                 .map_err(|refusal| refusal.with_outcome(outcome))?;
             let catalog = self.catalog.load_full();
-            let target = route_work(&self.settings, &catalog, &self.backends, &work, &tried)
-                .map_err(|refusal| refusal.with_outcome(outcome))?;
+            let routed = route_work(&self.settings, &catalog, &self.backends, &work, &tried);
+            let target = routed.map_err(|refusal| match last.take() {
+                Some(failure) => refuse_failure(failure, outcome),
+                None => refusal,
+            })?;
             let failure = match self.attempt(&work, target, &mut tried).await {
                 Ok(answer) => return Ok(answer),
                 Err(failure) => failure,
@@ -219,6 +225,7 @@
             if !retry {
                 return Err(refuse_failure(failure, outcome));
             }
+            last = Some(failure);
         }
         unreachable!("the last try returns")
     }
@@ -254,9 +261,12 @@
                     },
                 };
                 let place = format!("{}/{}", self.settings.vm, terms.server);
+                let resume = (terms.resumes && work.stream)
+                    .then(|| ResumeSource::new(&self.client, &request));
                 (
                     "server",
-                    self.exchange(work, &request, guard, Some(place)).await,
+                    self.exchange(work, &request, guard, Some(place), resume)
+                        .await,
                 )
             }
             RouteTarget::Peer(peer) => {
@@ -300,7 +310,7 @@
             echo: EchoRule::Required,
         };
         let guard = WorkGuard::new(&Arc::new(BackendState::default()), work.size.total());
-        self.exchange(&work, &request, guard, None).await
+        self.exchange(&work, &request, guard, None, None).await
     }
 
     /// Adds the forwarding headers to the request.
@@ -338,6 +348,7 @@
         request: &AttemptRequest<'_>,
         guard: WorkGuard,
         place: Option<String>,
+        resume: Option<ResumeSource>,
     ) -> Result<Response<AnswerBody>, AttemptFailure> {
         let answer = self.client.send(request, remaining(work.deadline)).await?;
         let (head, upstream) = answer.into_parts();
@@ -353,8 +364,9 @@
             guard,
         );
         let identity = request.attempt.to_string();
-        let events = is_event_stream(&head.headers);
-        let body = if work.print.is_some() && !events {
+        let engine = work.print.is_some();
+        let events = engine && is_event_stream(&head.headers);
+        let body = if engine && !events {
             collect_answer(upstream, &identity, work.deadline, record).await?
         } else {
             let mode = if events {
@@ -363,7 +375,7 @@
                 RelayMode::Plain
             };
             let stream = RelayStream::new(upstream, mode, identity, work.deadline, record);
-            AnswerBody::Relay(Box::new(stream))
+            AnswerBody::Relay(Box::new(stream.with_resume(resume)))
         };
         let place = place.or_else(|| header_text(&head.headers, header::SERVED_BY));
         Ok(caller_answer(head.status, &head.headers, body, place))
@@ -589,7 +601,7 @@
         }
         Ok(Ok(body)) => body.to_bytes(),
     };
-    if has_foreign_identity(&body, identity.as_bytes()) {
+    if has_foreign_identity(&body, identity) {
         record.fail("answer of another request");
         return Err(failure(
             "foreign_answer",
--- a/crates/verbenaring-gateway/src/relay.rs
+++ b/crates/verbenaring-gateway/src/relay.rs
@@ -1,44 +1,54 @@
 //! Eighth filter: relays the answer of a backend server to the caller.
 //!
-//! A streamed answer is checked event by event: each event carries the attempt
-//! identifier, and the stream is whole only with its end marker. Only an event
-//! that is not yet complete is buffered. Dropping the stream, as happens when
-//! the caller goes away, closes the connection to the backend server.
+//! A streamed answer is checked event by event ([`crate::event`]). Only an
+//! event that is not yet complete is buffered. A stream that breaks is resumed
+//! where the engine allows it. Dropping the stream, as happens when the caller
+//! goes away, closes the connection to the backend server.
 
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use hyper::body::{Body, Incoming};
+use hyper_util::client::legacy::ResponseFuture;
 use tokio::time::{Instant, Sleep};
 
 use crate::account::AnswerRecord;
 use crate::body::BrokenStream;
-
-/// Largest event that is buffered.
-const MAX_EVENT_BYTES: usize = 1024 * 1024;
-const EVENT_END: &[u8] = b"\n\n";
-const DONE_EVENT: &[u8] = b"data: [DONE]";
+use crate::event::EventReader;
+use crate::resume::{ResumeAnswer, ResumeSource};
 
 /// How the end of a relayed answer is recognised.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RelayMode {
-    /// Server-sent events, whole with the end marker.
+    /// Server-sent events of an engine, whole with the end marker.
     Events,
     /// Any other body, whole with its announced length.
     Plain,
 }
 
+/// Where the next part comes from.
+enum RelaySource {
+    Body(Incoming),
+    Delay(Pin<Box<Sleep>>),
+    Resume(ResponseFuture),
+    Ended,
+    /// The error event was handed out; the connection breaks once it is flushed.
+    Failed {
+        reason: &'static str,
+        flushed: bool,
+    },
+}
+
+type Part = Poll<Option<Result<Bytes, BrokenStream>>>;
+
 /// Answer being relayed to a caller.
 pub struct RelayStream {
-    upstream: Incoming,
+    source: RelaySource,
     mode: RelayMode,
-    identity: String,
-    partial: BytesMut,
+    reader: EventReader,
     deadline: Pin<Box<Sleep>>,
-    done: bool,
-    ended: bool,
-    failed: Option<&'static str>,
+    resume: Option<Box<ResumeSource>>,
     record: AnswerRecord,
 }
 
@@ -52,107 +62,144 @@
         record: AnswerRecord,
     ) -> Self {
         Self {
-            upstream,
+            source: RelaySource::Body(upstream),
             mode,
-            identity,
-            partial: BytesMut::new(),
+            reader: EventReader::new(identity),
             deadline: Box::pin(tokio::time::sleep_until(deadline)),
-            done: false,
-            ended: false,
-            failed: None,
+            resume: None,
             record,
         }
     }
 
+    /// Same stream, resumed from `source` when it breaks.
+    pub fn with_resume(self, source: Option<ResumeSource>) -> Self {
+        let resume = source.map(Box::new);
+        Self { resume, ..self }
+    }
+
     /// Next part for the caller.
-    pub fn poll_part(
-        &mut self,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Bytes, BrokenStream>>> {
-        if let Some(reason) = self.failed {
-            return Poll::Ready(Some(Err(BrokenStream(reason))));
-        }
-        if self.ended {
-            return Poll::Ready(None);
-        }
+    pub fn poll_part(&mut self, context: &mut Context<'_>) -> Part {
         loop {
+            match &mut self.source {
+                RelaySource::Ended => return Poll::Ready(None),
+                RelaySource::Failed { reason, flushed } => {
+                    if *flushed {
+                        return Poll::Ready(Some(Err(BrokenStream(reason))));
+                    }
+                    // The connection is flushed before the stream is polled again.
+                    *flushed = true;
+                    context.waker().wake_by_ref();
+                    return Poll::Pending;
+                }
+                _ => {}
+            }
             if self.deadline.as_mut().poll(context).is_ready() {
                 return self.fail("deadline exceeded");
             }
-            let frame = match Pin::new(&mut self.upstream).poll_frame(context) {
-                Poll::Pending => return Poll::Pending,
-                Poll::Ready(None) => return self.finish(),
-                Poll::Ready(Some(Err(_))) => return self.fail("connection broke"),
-                Poll::Ready(Some(Ok(frame))) => frame,
-            };
-            let Ok(data) = frame.into_data() else {
-                continue;
-            };
-            let part = match self.mode {
-                RelayMode::Plain => Ok(Some(data)),
-                RelayMode::Events => self.take_events(&data),
-            };
-            match part {
-                Ok(Some(part)) => return Poll::Ready(Some(Ok(part))),
-                Ok(None) => {}
-                Err(reason) => return self.fail(reason),
+            if let Some(part) = ready!(self.poll_source(context)) {
+                return part;
             }
         }
     }
 
-    fn take_events(&mut self, data: &[u8]) -> Result<Option<Bytes>, &'static str> {
-        if self.done {
-            return Err("data after the end marker");
+    /// Advances the source; without a part the source has changed.
+    fn poll_source(&mut self, context: &mut Context<'_>) -> Poll<Option<Part>> {
+        match &mut self.source {
+            RelaySource::Body(upstream) => {
+                let frame = ready!(Pin::new(upstream).poll_frame(context));
+                Poll::Ready(match frame {
+                    None => self.finish(),
+                    Some(Err(_)) => self.interrupt("connection broke"),
+                    Some(Ok(frame)) => frame.into_data().ok().and_then(|data| self.pass(data)),
+                })
+            }
+            RelaySource::Delay(delay) => {
+                ready!(delay.as_mut().poll(context));
+                Poll::Ready(self.start_resume())
+            }
+            RelaySource::Resume(answer) => {
+                let answer = ready!(Pin::new(answer).poll(context));
+                Poll::Ready(self.settle_resume(answer.ok()))
+            }
+            RelaySource::Ended | RelaySource::Failed { .. } => Poll::Ready(None),
         }
-        self.partial.extend_from_slice(data);
-        let Some(end) = find_last(&self.partial, EVENT_END) else {
-            let oversize = self.partial.len() > MAX_EVENT_BYTES;
-            return if oversize {
-                Err("event is too large")
-            } else {
-                Ok(None)
-            };
-        };
-        let events = self.partial.split_to(end + EVENT_END.len()).freeze();
-        for event in split_events(&events) {
-            self.check_event(event)?;
+    }
+
+    fn pass(&mut self, data: Bytes) -> Option<Part> {
+        if self.mode == RelayMode::Plain {
+            return Some(Poll::Ready(Some(Ok(data))));
+        }
+        let before = self.reader.tokens();
+        match self.reader.take(data) {
+            Ok(events) => {
+                self.record.add_streamed(self.reader.tokens() - before);
+                events.map(|events| Poll::Ready(Some(Ok(events))))
+            }
+            Err(reason) => Some(self.fail(reason)),
         }
-        Ok(Some(events))
     }
 
-    fn check_event(&mut self, event: &[u8]) -> Result<(), &'static str> {
-        if event.starts_with(DONE_EVENT) {
-            self.done = true;
-            return Ok(());
+    fn finish(&mut self) -> Option<Part> {
+        if self.mode == RelayMode::Events && !self.reader.is_whole() {
+            return self.interrupt("stream ended without its end marker");
         }
-        if self.done {
-            return Err("event after the end marker");
+        self.source = RelaySource::Ended;
+        self.record.succeed();
+        Some(Poll::Ready(None))
+    }
+
+    /// Resumes a stream that broke, or fails.
+    fn interrupt(&mut self, reason: &'static str) -> Option<Part> {
+        if self.mode == RelayMode::Events && self.reader.is_whole() {
+            return self.finish();
         }
-        let Some(value) = event.strip_prefix(b"data:") else {
-            return Ok(());
-        };
-        if has_foreign_identity(value, self.identity.as_bytes()) {
-            return Err("event of another answer");
+        let delay = self.resume.as_mut().and_then(|resume| resume.next_delay());
+        match delay {
+            Some(delay) => {
+                let delay = tokio::time::sleep(delay);
+                self.source = RelaySource::Delay(Box::pin(delay));
+                None
+            }
+            None => Some(self.fail(reason)),
         }
-        self.record.add_token();
-        Ok(())
     }
 
-    fn finish(&mut self) -> Poll<Option<Result<Bytes, BrokenStream>>> {
-        if self.mode == RelayMode::Events && !(self.done && self.partial.is_empty()) {
-            return self.fail("stream ended without its end marker");
+    fn start_resume(&mut self) -> Option<Part> {
+        let tokens = self.reader.tokens();
+        match self.resume.as_ref().and_then(|resume| resume.start(tokens)) {
+            Some(answer) => {
+                self.source = RelaySource::Resume(answer);
+                None
+            }
+            None => Some(self.fail("stream cannot be resumed")),
+        }
+    }
+
+    fn settle_resume(&mut self, answer: Option<hyper::Response<Incoming>>) -> Option<Part> {
+        let tokens = self.reader.tokens();
+        let checked = match (&self.resume, answer) {
+            (Some(resume), Some(answer)) => resume.check(answer, tokens),
+            _ => ResumeAnswer::Unready,
+        };
+        match checked {
+            ResumeAnswer::Continued(upstream) => {
+                self.reader.resume();
+                self.source = RelaySource::Body(upstream);
+                self.record.resume();
+                None
+            }
+            ResumeAnswer::Unready => self.interrupt("stream cannot be resumed"),
+            ResumeAnswer::Refused => Some(self.fail("engine did not confirm the resume")),
         }
-        self.ended = true;
-        self.record.succeed();
-        Poll::Ready(None)
     }
 
     /// Sends an error event, then breaks the connection, so that the caller
     /// never sees a clean end of a partial answer.
-    fn fail(&mut self, reason: &'static str) -> Poll<Option<Result<Bytes, BrokenStream>>> {
-        self.failed = Some(reason);
+    fn fail(&mut self, reason: &'static str) -> Part {
         self.record.fail(reason);
-        if self.mode == RelayMode::Plain {
+        let flushed = self.mode == RelayMode::Plain;
+        self.source = RelaySource::Failed { reason, flushed };
+        if flushed {
             return Poll::Ready(Some(Err(BrokenStream(reason))));
         }
         let event = serde_json::json!({ "error": {
@@ -165,43 +212,3 @@
         Poll::Ready(Some(Ok(Bytes::from(format!("data: {event}\n\n")))))
     }
 }
-
-fn find_last(text: &[u8], pattern: &[u8]) -> Option<usize> {
-    text.windows(pattern.len())
-        .rposition(|window| window == pattern)
-}
-
-fn split_events(events: &[u8]) -> impl Iterator<Item = &[u8]> {
-    let mut rest = events;
-    std::iter::from_fn(move || {
-        let end = rest
-            .windows(EVENT_END.len())
-            .position(|window| window == EVENT_END)?;
-        let event = &rest[..end];
-        rest = &rest[end + EVENT_END.len()..];
-        Some(event)
-    })
-}
-
-/// Whether the event's top-level `id` names another attempt.
-///
-/// Engines put a prefix such as `chatcmpl-` before the identifier.
-pub fn has_foreign_identity(event: &[u8], identity: &[u8]) -> bool {
-    const FIELD: &[u8] = b"\"id\":";
-    let Some(start) = event
-        .windows(FIELD.len())
-        .position(|window| window == FIELD)
-    else {
-        return false;
-    };
-    let value = &event[start + FIELD.len()..];
-    let value = value.trim_ascii_start();
-    let Some(value) = value.strip_prefix(b"\"") else {
-        return false;
-    };
-    let end = value
-        .iter()
-        .position(|byte| *byte == b'"')
-        .unwrap_or(value.len());
-    !value[..end].ends_with(identity)
-}
--- /dev/null
+++ b/crates/verbenaring-gateway/src/resume.rs
@@ -0,0 +1,108 @@
+//! Continues broken streams at engines that can resume them.
+//!
+//! A resumed stream has the identifier of the attempt that it continues, so
+//! the caller sees one answer. The engine confirms by repeating the number of
+//! tokens that it leaves out; without it the stream could repeat tokens.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::header::{HeaderMap, HeaderValue};
+use hyper::{Method, Response, StatusCode};
+use hyper_util::client::legacy::ResponseFuture;
+use verbenaring_policy::id::AttemptId;
+use verbenaring_protocol::header;
+
+use crate::attempt::{AttemptClient, AttemptRequest, EchoRule};
+
+/// Delays before the resumes of one answer; there are no further ones.
+///
+/// The first is for a broken connection, the second for an engine that restarts.
+const RESUME_DELAYS: [Duration; 2] = [Duration::from_millis(100), Duration::from_secs(1)];
+
+/// Answer to a resume.
+pub enum ResumeAnswer {
+    /// Stream that starts after the tokens that the caller has.
+    Continued(Incoming),
+    /// Engine is not ready; a later resume may succeed.
+    Unready,
+    /// Engine would start the answer again.
+    Refused,
+}
+
+/// What is needed to send a request again as a resume.
+pub struct ResumeSource {
+    client: AttemptClient,
+    address: SocketAddr,
+    attempt: AttemptId,
+    method: Method,
+    path: String,
+    headers: HeaderMap,
+    body: Bytes,
+    resumes: usize,
+}
+
+impl ResumeSource {
+    /// Source for the stream that answers `request`.
+    pub fn new(client: &AttemptClient, request: &AttemptRequest<'_>) -> Self {
+        Self {
+            client: client.clone(),
+            address: request.address,
+            attempt: request.attempt,
+            method: request.method.clone(),
+            path: request.path.to_owned(),
+            headers: request.headers.clone(),
+            body: request.body.clone(),
+            resumes: 0,
+        }
+    }
+
+    /// Delay before the next resume, none if no further one is allowed.
+    pub fn next_delay(&mut self) -> Option<Duration> {
+        let delay = RESUME_DELAYS.get(self.resumes).copied();
+        self.resumes += 1;
+        delay
+    }
+
+    /// Asks the engine to continue after `tokens` tokens.
+    pub fn start(&self, tokens: u32) -> Option<ResponseFuture> {
+        let mut headers = self.headers.clone();
+        let attempt = HeaderValue::from_str(&self.attempt.to_string()).ok()?;
+        headers.insert(header::RESUME_ATTEMPT, attempt);
+        headers.insert(header::RESUME_FROM, HeaderValue::from(tokens));
+        let request = AttemptRequest {
+            address: self.address,
+            attempt: self.attempt,
+            method: &self.method,
+            path: &self.path,
+            headers: &headers,
+            body: self.body.clone(),
+            echo: EchoRule::Required,
+        };
+        self.client.start(&request).ok().map(|(answer, _)| answer)
+    }
+
+    /// Checks that the engine continues after `tokens` tokens.
+    pub fn check(&self, answer: Response<Incoming>, tokens: u32) -> ResumeAnswer {
+        if answer.status() != StatusCode::OK {
+            return ResumeAnswer::Unready;
+        }
+        let text = |name| {
+            let value = answer.headers().get(name);
+            value.and_then(|value: &HeaderValue| value.to_str().ok())
+        };
+        let same = text(header::REQUEST_ID) == Some(self.attempt.to_string().as_str());
+        let confirmed = match text(header::RESUME_FROM) {
+            Some(from) => from == tokens.to_string(),
+            // Without a token at the caller, a new start repeats nothing.
+            None => tokens == 0,
+        };
+        if same && confirmed {
+            ResumeAnswer::Continued(answer.into_body())
+        } else {
+            ResumeAnswer::Refused
+        }
+    }
+}
--- a/crates/verbenaring-gateway/src/timeline.rs
+++ b/crates/verbenaring-gateway/src/timeline.rs
@@ -29,6 +29,8 @@
     AttemptForwarded,
     /// A try failed.
     AttemptFailed,
+    /// A broken stream was resumed.
+    StreamResumed,
     /// An answer was relayed whole.
     AnswerWhole,
     /// An answer broke.
