Refuse unreadable request heads with a typed error

Cause: the HTTP library answers a head that is too large or cannot be parsed with a bare status, so callers saw neither error object nor outcome. Change: the guarded socket replaces this answer as long as no request of the connection was handled. Conclusion: oversize heads, invalid headers and conflicting lengths of the first request on a connection get the outcome not_run. Later requests on the same connection still get the bare status, because their place in the output cannot be told from content.

--- a/crates/verbenaring-gateway/src/listener.rs
+++ b/crates/verbenaring-gateway/src/listener.rs
@@ -2,6 +2,7 @@
 //!
 //! Each connection has a bounded head, a time limit for the head and for a
 //! caller that does not read. A graceful shutdown lets open requests end.
+//! Heads that cannot be parsed are refused here, as no handler sees them.
 
 use std::convert::Infallible;
 use std::future::Future;
@@ -9,9 +10,12 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::task::{Context, Poll};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
+use bytes::{Buf, Bytes};
+use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -23,10 +27,12 @@
 use tokio::sync::Semaphore;
 use tokio::time::Sleep;
 use tokio_util::sync::CancellationToken;
+use verbenaring_protocol::header;
 
 use crate::body::AnswerBody;
 use crate::config::GuardSettings;
 use crate::error::{Error, Result};
+use crate::refusal::Refusal;
 
 /// Answers requests of one listening socket.
 pub trait RequestHandler: Clone + Send + Sync + 'static {
@@ -117,8 +123,10 @@
         socket: TcpStream,
         handler: H,
     ) -> impl hyper_util::server::graceful::GracefulConnection<Error = hyper::Error> + use<H> {
-        let stream = StallGuard::new(socket, self.guards.stall_timeout);
+        let handled = Arc::new(AtomicBool::new(false));
+        let stream = StallGuard::new(socket, self.guards.stall_timeout, handled.clone());
         let service = service_fn(move |request| {
+            handled.store(true, Ordering::Relaxed);
             let handler = handler.clone();
             async move { Ok::<_, Infallible>(handler.handle(request).await) }
         });
@@ -132,21 +140,45 @@
 }
 
 /// Ends a connection whose peer accepts nothing for too long.
+///
+/// The HTTP library answers a head that it cannot parse with a status and no
+/// body. Such an answer is replaced by a refusal as long as no request of the
+/// connection was handled; later bytes could be content of an answer.
 struct StallGuard {
     socket: TcpStream,
     timeout: Duration,
     stalled: Option<Pin<Box<Sleep>>>,
+    handled: Arc<AtomicBool>,
+    refusal: Option<Bytes>,
 }
 
 impl StallGuard {
-    fn new(socket: TcpStream, timeout: Duration) -> Self {
+    fn new(socket: TcpStream, timeout: Duration, handled: Arc<AtomicBool>) -> Self {
         Self {
             socket,
             timeout,
             stalled: None,
+            handled,
+            refusal: None,
         }
     }
 
+    /// Refusal to write instead of `data`, if `data` is an answer without a request.
+    fn replace(&mut self, data: &[u8]) -> Option<&mut Bytes> {
+        if self.refusal.is_none() && !self.handled.load(Ordering::Relaxed) {
+            self.refusal = head_refusal(data).map(Bytes::from);
+        }
+        self.refusal.as_mut()
+    }
+
+    fn poll_refusal(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        while let Some(rest) = self.refusal.as_mut().filter(|rest| rest.has_remaining()) {
+            let written = ready!(Pin::new(&mut self.socket).poll_write(context, rest))?;
+            rest.advance(written);
+        }
+        Poll::Ready(Ok(()))
+    }
+
     fn watch<T>(
         &mut self,
         context: &mut Context<'_>,
@@ -183,7 +215,10 @@
         context: &mut Context<'_>,
         data: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let result = Pin::new(&mut self.socket).poll_write(context, data);
+        let result = match self.replace(data) {
+            Some(_) => self.poll_refusal(context).map_ok(|()| data.len()),
+            None => Pin::new(&mut self.socket).poll_write(context, data),
+        };
         self.watch(context, result)
     }
 
@@ -192,6 +227,12 @@
         context: &mut Context<'_>,
         data: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        let first = data.iter().find(|slice| !slice.is_empty());
+        if let Some(first) = first
+            && self.replace(first).is_some()
+        {
+            return self.poll_write(context, first);
+        }
         let result = Pin::new(&mut self.socket).poll_write_vectored(context, data);
         self.watch(context, result)
     }
@@ -209,3 +250,25 @@
         Pin::new(&mut self.socket).poll_shutdown(context)
     }
 }
+
+/// Refusal in place of an answer of the HTTP library.
+fn head_refusal(answer: &[u8]) -> Option<String> {
+    let status = answer.strip_prefix(b"HTTP/1.1 ")?.get(..3)?;
+    let status = StatusCode::from_bytes(status).ok()?;
+    let (code, message) = match status {
+        StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE | StatusCode::URI_TOO_LONG => {
+            ("head_too_large", "head of the request is too large")
+        }
+        StatusCode::BAD_REQUEST => ("invalid_head", "head of the request cannot be read"),
+        _ => return None,
+    };
+    let refusal = Refusal::not_run(status, code, message);
+    let body = refusal.to_json();
+    Some(format!(
+        "HTTP/1.1 {status}\r\ncontent-type: application/json\r\n{}: {}\r\n\
+         content-length: {}\r\nconnection: close\r\n\r\n{body}",
+        header::OUTCOME,
+        refusal.outcome.as_str(),
+        body.len(),
+    ))
+}
