--- /dev/null
+++ b/crates/verbenaring-testbed/tests/failure/library.rs
@@ -0,0 +1,76 @@
+//! An unmodified client library with base URL and key by configuration.
+
+use async_openai::Client;
+use async_openai::config::OpenAIConfig;
+use async_openai::error::OpenAIError;
+use async_openai::types::{
+    ChatCompletionRequestUserMessageArgs, CreateChatCompletionRequest,
+    CreateChatCompletionRequestArgs,
+};
+use futures::StreamExt;
+use verbenaring_testbed::deployment::{CUSTOMER_KEY, TestDeployment};
+use verbenaring_testbed::expected_answer;
+
+use crate::{engine, start_dublin};
+
+fn library(deployment: &TestDeployment, key: &str) -> Client<OpenAIConfig> {
+    let base = format!("http://{}/v1", deployment.node(0).caller_address());
+    let config = OpenAIConfig::new().with_api_base(base).with_api_key(key);
+    Client::with_config(config)
+}
+
+fn request(model: &str) -> CreateChatCompletionRequest {
+    let message = ChatCompletionRequestUserMessageArgs::default()
+        .content("which fabric")
+        .build()
+        .unwrap();
+    CreateChatCompletionRequestArgs::default()
+        .model(model)
+        .max_completion_tokens(9_u32)
+        .messages([message.into()])
+        .build()
+        .unwrap()
+}
+
+/// Chat, stream, model list and errors must be understood by the library.
+#[tokio::test]
+async fn client_library_is_served() {
+    let (deployment, _) = start_dublin(vec![engine()]).await;
+    let client = library(&deployment, CUSTOMER_KEY);
+    let expected = expected_answer("which fabric", 9);
+
+    let answer = client.chat().create(request("standin")).await.unwrap();
+    assert_eq!(answer.choices[0].message.content.as_ref(), Some(&expected));
+    assert_eq!(answer.usage.unwrap().completion_tokens, 9);
+
+    let mut stream = client
+        .chat()
+        .create_stream(request("standin"))
+        .await
+        .unwrap();
+    let mut text = String::new();
+    while let Some(event) = stream.next().await {
+        for choice in event.unwrap().choices {
+            text.push_str(&choice.delta.content.unwrap_or_default());
+        }
+    }
+    assert_eq!(text, expected);
+
+    let models = client.models().list().await.unwrap();
+    assert_eq!(models.data[0].id, "standin");
+
+    let error = client.chat().create(request("other")).await.unwrap_err();
+    let OpenAIError::ApiError(error) = error else {
+        panic!("not an API error: {error}");
+    };
+    assert_eq!(error.code.as_deref(), Some("model_not_found"));
+    let refused = library(&deployment, "nobody")
+        .chat()
+        .create(request("standin"))
+        .await;
+    let OpenAIError::ApiError(error) = refused.unwrap_err() else {
+        panic!("not an API error");
+    };
+    assert_eq!(error.code.as_deref(), Some("invalid_api_key"));
+    deployment.stop().await;
+}
--- /dev/null
+++ b/crates/verbenaring-testbed/tests/failure/stream.rs
@@ -0,0 +1,219 @@
+//! Answers that are crossed, late, truncated or cut by a crash.
+
+use std::time::Duration;
+
+use serde_json::json;
+use verbenaring_testbed::client::{TestAnswer, TestClient};
+use verbenaring_testbed::{CrashPoint, EngineFaults, EngineSettings, expected_answer};
+
+use crate::{ENGINE_KEY, amend, engine, start_dublin};
+
+const PROMPT: &str = "the arm of the awning is bent";
+
+fn without_resume() -> EngineSettings {
+    EngineSettings {
+        resume: false,
+        ..engine()
+    }
+}
+
+/// The caller has `tokens` tokens, then an explicit error and no clean end.
+fn assert_broken(answer: &TestAnswer, tokens: u32) {
+    let events = answer.events();
+    let error: serde_json::Value = serde_json::from_str(events.last().unwrap()).unwrap();
+    assert_eq!(error["error"]["code"], "stream_broken");
+    assert_eq!(error["error"]["outcome"], "unknown");
+    assert!(answer.broken);
+    assert!(!events.iter().any(|event| event == "[DONE]"));
+    assert_eq!(answer.chat_text(), expected_answer(PROMPT, tokens));
+}
+
+fn assert_whole(answer: &TestAnswer, prompt: &str, tokens: u32) {
+    assert_eq!(answer.status, 200);
+    assert!(!answer.broken);
+    assert_eq!(answer.chat_text(), expected_answer(prompt, tokens));
+}
+
+/// An answer with another identifier must never reach a caller.
+#[tokio::test]
+async fn crossed_answer_is_withheld() {
+    let (deployment, client) = start_dublin(vec![engine()]).await;
+    let engines = &deployment.centres[0].engines;
+    engines[0].set_faults(EngineFaults {
+        crossed: true,
+        ..EngineFaults::default()
+    });
+    for stream in [false, true] {
+        let answer = client.chat(PROMPT, 6, stream).await;
+        assert_eq!(answer.status, 502);
+        assert_eq!(answer.json()["error"]["code"], "foreign_answer");
+        assert_eq!(answer.header("x-verbenaring-outcome"), "unknown");
+    }
+    deployment.stop().await;
+}
+
+/// Concurrent callers must each get their own answer from a healthy engine
+/// while another engine crosses answers.
+#[tokio::test]
+async fn crossed_answers_are_retried() {
+    let (deployment, client) = start_dublin(vec![engine(), engine()]).await;
+    deployment.centres[0].engines[0].set_faults(EngineFaults {
+        crossed: true,
+        ..EngineFaults::default()
+    });
+    let prompts: Vec<String> = (0..6).map(|index| format!("caller {index}")).collect();
+    let answers = prompts.iter().map(|prompt| client.chat(prompt, 6, true));
+    for (prompt, answer) in prompts.iter().zip(futures::future::join_all(answers).await) {
+        assert_whole(&answer, prompt, 6);
+    }
+    deployment.stop().await;
+}
+
+/// An answer that comes after its deadline must not go to the next caller.
+#[tokio::test]
+async fn late_answer_is_dropped() {
+    let (deployment, client) = start_dublin(vec![engine()]).await;
+    let contract = "config/contract/council";
+    let limits = |deadline: u32| {
+        json!({ "requests_per_s": 1000.0, "tokens_per_s": 1_000_000.0, "concurrent": 1000,
+            "deadline_ms": deadline })
+    };
+    amend(&deployment, contract, "limits", limits(200)).await;
+    deployment.centres[0].engines[0].set_faults(EngineFaults {
+        late: Duration::from_millis(300),
+        ..EngineFaults::default()
+    });
+    let late = client.chat("late", 4, false).await;
+    assert_eq!(late.status, 504);
+    assert_eq!(late.header("x-verbenaring-outcome"), "unknown");
+    amend(&deployment, contract, "limits", limits(30_000)).await;
+    for index in 0..3 {
+        let prompt = format!("next {index}");
+        assert_whole(&client.chat(&prompt, 4, false).await, &prompt, 4);
+    }
+    deployment.stop().await;
+}
+
+/// A stream without its end marker must not look complete, also when the HTTP
+/// message is complete.
+#[tokio::test]
+async fn truncated_stream_ends_with_an_error() {
+    let (deployment, client) = start_dublin(vec![without_resume()]).await;
+    for truncate_cleanly in [false, true] {
+        deployment.centres[0].engines[0].set_faults(EngineFaults {
+            truncate_after: Some(5),
+            truncate_cleanly,
+            ..EngineFaults::default()
+        });
+        assert_broken(&client.chat(PROMPT, 12, true).await, 5);
+    }
+    deployment.stop().await;
+}
+
+/// A crash before the first byte must not reach the caller of an idempotent
+/// request while another server can run it.
+#[tokio::test]
+async fn crash_before_the_first_byte_is_retried() {
+    let (deployment, client) = start_dublin(vec![engine(), engine()]).await;
+    let engines = &deployment.centres[0].engines;
+    for stream in [false, true] {
+        engines[0].set_faults(EngineFaults {
+            crash: Some(CrashPoint::BeforeFirstByte),
+            ..EngineFaults::default()
+        });
+        let crashes = engines[0].counters().crashes;
+        assert_whole(&client.chat(PROMPT, 6, stream).await, PROMPT, 6);
+        assert_eq!(engines[0].counters().crashes, crashes + 1);
+    }
+    deployment.stop().await;
+}
+
+/// Without another server the caller learns that the outcome is unknown.
+#[tokio::test]
+async fn crash_of_the_only_engine_is_unknown() {
+    let (deployment, client) = start_dublin(vec![engine()]).await;
+    deployment.centres[0].engines[0].set_faults(EngineFaults {
+        crash: Some(CrashPoint::BeforeFirstByte),
+        ..EngineFaults::default()
+    });
+    let answer = client.chat(PROMPT, 6, false).await;
+    assert_eq!(answer.status, 502);
+    assert_eq!(answer.json()["error"]["code"], "backend_failed");
+    assert_eq!(answer.header("x-verbenaring-outcome"), "unknown");
+    deployment.stop().await;
+}
+
+/// A crash after some tokens of an engine without resume must be an error.
+#[tokio::test]
+async fn crash_in_mid_stream_ends_with_an_error() {
+    let (deployment, client) = start_dublin(vec![without_resume()]).await;
+    deployment.centres[0].engines[0].set_faults(EngineFaults {
+        crash: Some(CrashPoint::AfterTokens(4)),
+        ..EngineFaults::default()
+    });
+    assert_broken(&client.chat(PROMPT, 12, true).await, 4);
+    deployment.stop().await;
+}
+
+async fn chat_with_usage(client: &TestClient) -> TestAnswer {
+    let body = json!({ "model": "standin", "max_tokens": 12, "stream": true,
+        "messages": [{ "role": "user", "content": PROMPT }],
+        "stream_options": { "include_usage": true } });
+    let path = "/v1/chat/completions";
+    let body = body.to_string().into_bytes();
+    client.send(hyper::Method::POST, path, &[], body).await
+}
+
+/// A resumed stream must repeat and miss nothing, token counts included, also
+/// when the engine takes no connection at the first resume.
+#[tokio::test]
+async fn broken_stream_is_resumed() {
+    for restart_time in [Duration::ZERO, Duration::from_millis(500)] {
+        let settings = EngineSettings {
+            restart_time,
+            ..engine()
+        };
+        let (deployment, client) = start_dublin(vec![settings]).await;
+        deployment.centres[0].engines[0].set_faults(EngineFaults {
+            crash: Some(CrashPoint::AfterTokens(5)),
+            ..EngineFaults::default()
+        });
+        let answer = chat_with_usage(&client).await;
+        assert_whole(&answer, PROMPT, 12);
+        let events = answer.events();
+        assert_eq!(events.len(), 12 + 3);
+        assert_eq!(events.last().unwrap(), "[DONE]");
+        let usage: serde_json::Value = serde_json::from_str(&events[13]).unwrap();
+        assert_eq!(usage["usage"]["completion_tokens"], 12);
+        assert_eq!(deployment.centres[0].engines[0].counters().started, 2);
+        deployment.stop().await;
+    }
+}
+
+/// A stream that breaks again and again must end with the error after two
+/// resumes.
+#[tokio::test]
+async fn resumes_are_bounded() {
+    let (deployment, client) = start_dublin(vec![engine()]).await;
+    let engines = &deployment.centres[0].engines;
+    engines[0].set_faults(EngineFaults {
+        truncate_after: Some(5),
+        ..EngineFaults::default()
+    });
+    assert_broken(&client.chat(PROMPT, 12, true).await, 7);
+    assert_eq!(engines[0].counters().started, 3);
+    deployment.stop().await;
+}
+
+/// An engine that starts the answer again must not cause repeated tokens.
+#[tokio::test]
+async fn unconfirmed_resume_is_an_error() {
+    let (deployment, client) = start_dublin(vec![without_resume()]).await;
+    amend(&deployment, ENGINE_KEY, "resumes", json!(true)).await;
+    deployment.centres[0].engines[0].set_faults(EngineFaults {
+        crash: Some(CrashPoint::AfterTokens(5)),
+        ..EngineFaults::default()
+    });
+    assert_broken(&client.chat(PROMPT, 12, true).await, 5);
+    deployment.stop().await;
+}
