--- a/crates/verbenaring-gateway/src/account.rs
+++ b/crates/verbenaring-gateway/src/account.rs
@@ -83,11 +83,16 @@
     }
 
     /// Counts relayed tokens.
-    pub fn add_tokens(&mut self, tokens: u32) {
+    pub fn add_streamed(&mut self, tokens: u32) {
         if self.tokens == 0 && tokens > 0 {
             let seconds = self.accepted.elapsed().as_secs_f64();
             self.observers.metrics.first_token.observe(seconds);
         }
+        self.add_tokens(tokens);
+    }
+
+    /// Counts the tokens of an answer that was not streamed.
+    pub fn add_tokens(&mut self, tokens: u32) {
         self.tokens = self.tokens.saturating_add(tokens);
         if let Some(guard) = &mut self.guard {
             guard.progress(tokens);
@@ -97,6 +102,11 @@
         }
     }
 
+    /// The answer continues on a new connection.
+    pub fn resume(&self) {
+        self.record(EventKind::StreamResumed);
+    }
+
     /// The answer is whole.
     pub fn succeed(&mut self) {
         self.end = AnswerEnd::Whole;
@@ -107,11 +117,6 @@
         self.record(EventKind::AnswerWhole);
     }
 
-    /// Counts one relayed token.
-    pub fn add_token(&mut self) {
-        self.add_tokens(1);
-    }
-
     /// The server seems to have crashed with the answer under way.
     pub fn set_crashed(&mut self) {
         if let Some(guard) = &mut self.guard {
--- a/crates/verbenaring-gateway/src/backend.rs
+++ b/crates/verbenaring-gateway/src/backend.rs
@@ -96,6 +96,24 @@
     Refused,
 }
 
+/// Servers that a request must not use.
+struct SuspectLimits {
+    /// Excluded for this request.
+    lasting: Vec<ServerId>,
+    /// Excluded until other requests end.
+    passing: Vec<ServerId>,
+}
+
+/// Result of the choice of a server.
+pub enum ServerChoice {
+    /// Server for the try.
+    Chosen(ChosenServer),
+    /// A server can run the request after other requests have ended.
+    Busy,
+    /// No server can run the request.
+    None,
+}
+
 /// Server chosen for one try.
 pub struct ChosenServer {
     /// Server.
@@ -138,18 +156,22 @@
         work: &PendingWork,
         tried: &[ServerId],
         alone: bool,
-    ) -> Option<ChosenServer> {
+    ) -> ServerChoice {
         let now = self.clock.now();
         let mut state = self.lock();
         state.apply(catalog, &self.centre, &self.clock);
         let state = &mut *state;
-        let mut excluded = tried.to_vec();
-        if let Some(print) = &work.print {
-            state.exclude_suspects(&print.whole, alone, &mut excluded, now);
-        }
-        let index = state.plan(work, &excluded, &self.clock)?;
+        let limits = state.suspect_limits(work, tried, alone, now);
+        let excluded = [limits.lasting.as_slice(), &limits.passing].concat();
+        let Some(index) = state.plan(work, &excluded, &self.clock) else {
+            return if state.offers(work, &limits.lasting) {
+                ServerChoice::Busy
+            } else {
+                ServerChoice::None
+            };
+        };
         let guard = state.start(self, index, work, alone, now);
-        Some(ChosenServer {
+        ServerChoice::Chosen(ChosenServer {
             terms: state.servers[index].terms.clone(),
             guard,
         })
@@ -159,12 +181,7 @@
     pub fn can_run(&self, catalog: &ServingCatalog, work: &PendingWork) -> bool {
         let mut state = self.lock();
         state.apply(catalog, &self.centre, &self.clock);
-        let offers = |record: &&ServerRecord| work.target.is_offered_by(&record.terms);
-        state
-            .servers
-            .iter()
-            .filter(offers)
-            .any(|record| !record.leaving)
+        state.offers(work, &[])
     }
 
     /// Whether a request may be sent, by what is known of its digest.
@@ -436,26 +453,52 @@
         })
     }
 
-    fn exclude_suspects(
+    /// Whether a server that is not excluded offers the work, busy or not.
+    fn offers(&self, work: &PendingWork, excluded: &[ServerId]) -> bool {
+        self.servers.iter().any(|record| {
+            !record.leaving
+                && work.target.is_offered_by(&record.terms)
+                && !excluded.contains(&record.terms.server)
+        })
+    }
+
+    /// Servers that must not run the request, for good or at the moment.
+    fn suspect_limits(
         &mut self,
-        print: &Digest,
+        work: &PendingWork,
+        tried: &[ServerId],
         alone: bool,
-        excluded: &mut Vec<ServerId>,
         now: Moment,
-    ) {
-        excluded.extend(self.quarantine.isolated());
-        match self.quarantine.decide(print, now) {
-            SuspectDecision::Confined(servers) => {
-                let others = self.servers.iter().map(|record| &record.terms.server);
-                excluded.extend(others.filter(|server| !servers.contains(server)).cloned());
+    ) -> SuspectLimits {
+        let mut limits = SuspectLimits {
+            lasting: tried.to_vec(),
+            passing: self.quarantine.isolated(),
+        };
+        let servers = self.servers.iter().map(|record| &record.terms.server);
+        let decision = work
+            .print
+            .map(|print| self.quarantine.decide(&print.whole, now));
+        match decision {
+            Some(SuspectDecision::Confined(confined)) => {
+                let others = servers.filter(|server| !confined.contains(server));
+                limits.passing.extend(others.cloned());
+            }
+            Some(SuspectDecision::Alone { avoid }) => {
+                let avoided = [limits.lasting.as_slice(), &avoid].concat();
+                // Where every server was lost once, the same one may run the
+                // suspect again; the third crash quarantines it.
+                if self.offers(work, &avoided) {
+                    limits.lasting = avoided;
+                }
             }
-            SuspectDecision::Alone { avoid } => excluded.extend(avoid),
             _ => {}
         }
         if alone {
             let busy = self.servers.iter().filter(|record| record.requests > 0);
-            excluded.extend(busy.map(|record| record.terms.server.clone()));
+            let busy = busy.map(|record| record.terms.server.clone());
+            limits.passing.extend(busy);
         }
+        limits
     }
 
     fn plan(
--- a/crates/verbenaring-gateway/src/controller.rs
+++ b/crates/verbenaring-gateway/src/controller.rs
@@ -36,6 +36,7 @@
 use crate::cluster::ClusterView;
 use crate::config::{NodeSettings, PeerSettings};
 use crate::entry::entry_list;
+use crate::event::has_foreign_identity;
 use crate::identify::{identify_inference, identify_service};
 use crate::links::ControlLinks;
 use crate::listener::RequestHandler;
@@ -44,9 +45,10 @@
 use crate::peer::{ForwardHead, PeerGate, SignedMessage};
 use crate::records::RecordStore;
 use crate::refusal::Refusal;
-use crate::relay::{RelayMode, RelayStream, has_foreign_identity};
+use crate::relay::{RelayMode, RelayStream};
 use crate::replica::ConfigReplica;
-use crate::route::{RegionRouter, RouteContext, RouteTarget, TriedTargets};
+use crate::resume::ResumeSource;
+use crate::route::{RegionRouter, RouteContext, RouteFault, RouteTarget, TriedTargets};
 use crate::schedule::RequestQueues;
 use crate::store::PlatformStore;
 use crate::timeline::{EventKind, TimelineRing};
@@ -65,6 +67,7 @@
     body: HeadBody,
     place: Option<String>,
     guard: Option<WorkGuard>,
+    resume: Option<ResumeSource>,
 }
 
 enum HeadBody {
@@ -267,6 +270,7 @@
         let mut plan = AttemptPlan::new(deadline, work.repeatable, entry_node);
         let mut tried = TriedTargets::default();
         let mut outcome = RunOutcome::NotRun;
+        let mut last = None;
         loop {
             work.check_deadline()
                 .map_err(|refusal| refusal.with_outcome(outcome))?;
@@ -280,11 +284,16 @@
             };
             let target = match self.route(work, &tried, alone) {
                 Ok(target) => target,
-                Err(_) if alone => {
+                Err(RouteFault::Busy) => {
                     tokio::time::sleep(SUSPECT_WAIT).await;
                     continue;
                 }
-                Err(refusal) => return Err(refusal.with_outcome(outcome)),
+                Err(RouteFault::Refused(refusal)) => {
+                    return Err(match last {
+                        Some(failure) => refuse_failure(failure, outcome),
+                        None => refusal,
+                    });
+                }
             };
             let failure = match self.attempt_hedged(work, target, &mut tried, tickets).await {
                 Ok(answer) => return Ok(answer),
@@ -303,6 +312,7 @@
             if let NextAttempt::GiveUp(_) = next {
                 return Err(refuse_failure(failure, outcome));
             }
+            last = Some(failure);
         }
     }
 
@@ -311,7 +321,7 @@
         work: &PendingWork,
         tried: &TriedTargets,
         alone: bool,
-    ) -> Result<RouteTarget, Refusal> {
+    ) -> Result<RouteTarget, RouteFault> {
         let catalog = self.catalog.load_full();
         let nodes = self.cluster.nodes.load_full();
         let wait = match &work.target {
@@ -333,7 +343,7 @@
     }
 
     /// Chooses a target for a call that may not be repeated.
-    pub fn route_once(&self, work: &PendingWork) -> Result<RouteTarget, Refusal> {
+    pub fn route_once(&self, work: &PendingWork) -> Result<RouteTarget, RouteFault> {
         self.route(work, &TriedTargets::default(), false)
     }
 
@@ -401,7 +411,7 @@
             HeadBody::Open(upstream, mode) => {
                 let identity = head.attempt.to_string();
                 let stream = RelayStream::new(upstream, mode, identity, work.deadline, record);
-                AnswerBody::Relay(Box::new(stream))
+                AnswerBody::Relay(Box::new(stream.with_resume(head.resume)))
             }
         };
         Ok(caller_answer(head.status, &head.headers, body, head.place))
@@ -461,10 +471,13 @@
             },
         };
         let place = format!("{}/{}", self.settings.vm, terms.server);
+        let resume =
+            (terms.resumes && work.stream).then(|| ResumeSource::new(&self.client, &request));
         let result = self.exchange(work, &request, Some(place)).await;
         match result {
             Ok(head) => Ok(AnswerHead {
                 guard: Some(guard),
+                resume,
                 ..head
             }),
             Err(failure) => {
@@ -517,8 +530,9 @@
         if let Some(failure) = refused_answer(head.status, &head.headers, work) {
             return Err(failure);
         }
-        let events = is_event_stream(&head.headers);
-        let body = if work.print.is_some() && !events {
+        let engine = work.print.is_some();
+        let events = engine && is_event_stream(&head.headers);
+        let body = if engine && !events {
             let identity = request.attempt.to_string();
             HeadBody::Whole(collect_answer(upstream, &identity, work.deadline).await?)
         } else {
@@ -537,6 +551,7 @@
             body,
             place,
             guard: None,
+            resume: None,
         })
     }
 
@@ -774,7 +789,7 @@
         .map_err(|_| failure("deadline_exceeded", "answer was not whole in time".into()))?
         .map_err(|error| failure("backend_failed", format!("answer was truncated: {error}")))?
         .to_bytes();
-    if has_foreign_identity(&body, identity.as_bytes()) {
+    if has_foreign_identity(&body, identity) {
         return Err(failure(
             "foreign_answer",
             "backend server answered another request".into(),
--- a/crates/verbenaring-gateway/src/node.rs
+++ b/crates/verbenaring-gateway/src/node.rs
@@ -204,11 +204,16 @@
     }
 
     /// Lets readiness fall, accepts nothing new and waits for open requests.
+    /// Stops gracefully.
+    ///
+    /// Readiness falls first and the node still serves, so that callers learn
+    /// of it and leave. Then it accepts nothing new and waits for open requests.
     pub async fn stop(mut self) {
         self.core.cluster.stopping.store(true, Ordering::Relaxed);
         self.core
             .timeline
             .record(EventKind::ShutdownStarted, "", None);
+        tokio::time::sleep(self.core.settings.drain).await;
         self.shutdown.cancel();
         while self.servers.join_next().await.is_some() {}
         self.core.operations.close();
--- a/crates/verbenaring-gateway/src/route.rs
+++ b/crates/verbenaring-gateway/src/route.rs
@@ -13,7 +13,7 @@
     LinkBudget, ROUND_TRIP, RegionChoice, RegionRequest, RegionSelector, RegionView,
 };
 
-use crate::backend::{BackendTable, ChosenServer};
+use crate::backend::{BackendTable, ChosenServer, ServerChoice};
 use crate::catalog::ServingCatalog;
 use crate::clock::NodeClock;
 use crate::cluster::{CentreLoad, NodeList};
@@ -40,6 +40,15 @@
     Peer(Box<PeerSettings>),
 }
 
+/// Why a request has no target.
+#[derive(Debug)]
+pub enum RouteFault {
+    /// A target is free after other requests have ended.
+    Busy,
+    /// No target can run the request.
+    Refused(Refusal),
+}
+
 /// Servers and nodes that already failed a request.
 #[derive(Debug, Default)]
 pub struct TriedTargets {
@@ -95,26 +104,24 @@
         work: &PendingWork,
         tried: &TriedTargets,
         alone: bool,
-    ) -> Result<RouteTarget, Refusal> {
-        work.check_residency(&context.centre.region)?;
+    ) -> Result<RouteTarget, RouteFault> {
+        work.check_residency(&context.centre.region)
+            .map_err(RouteFault::Refused)?;
         let peers = self.usable_peers(context, work, tried);
         let can_run = context.backends.can_run(context.catalog, work);
         let choice = self.choose_place(context, work, &peers, can_run);
         if let RegionChoice::Remote(index) = choice {
             return Ok(RouteTarget::Peer(Box::new(peers[index].0.clone())));
         }
-        let chosen = context
+        let choice = context
             .backends
             .choose(context.catalog, work, &tried.servers, alone);
-        if let Some(chosen) = chosen {
-            return Ok(RouteTarget::Server(Box::new(chosen)));
-        }
-        // Every server here was tried: another data centre is the last resort.
-        match peers.first() {
-            Some((peer, _)) if work.forwarded.is_none() && !alone => {
-                Ok(RouteTarget::Peer(Box::new(peer.clone())))
-            }
-            _ => Err(no_backend()),
+        match (choice, peers.first()) {
+            (ServerChoice::Chosen(chosen), _) => Ok(RouteTarget::Server(Box::new(chosen))),
+            (ServerChoice::Busy, _) => Err(RouteFault::Busy),
+            // Every server here was tried: another data centre is the last resort.
+            (ServerChoice::None, Some((peer, _))) => Ok(RouteTarget::Peer(Box::new(peer.clone()))),
+            (ServerChoice::None, None) => Err(RouteFault::Refused(no_backend())),
         }
     }
 
--- a/crates/verbenaring-testbed/tests/operator.rs
+++ b/crates/verbenaring-testbed/tests/operator.rs
@@ -97,6 +97,7 @@
     let free = std::net::SocketAddr::from(([127, 0, 0, 1], 0));
     settings.caller_address = free;
     settings.peer_address = free;
+    settings.control_address = free;
     settings.operator_address = free;
     settings.operator_key = None;
     let closed = verbenaring_gateway::node::BoundNode::bind(settings)
