Show in the membership example how many nodes know each other

Cause: a node that has never heard of another was counted as having removed it, which shortened the crash time of flat gossip.

Change: a column gives the share of the pairs of nodes in one data centre that know each other a minute after all started.

--- a/crates/verbenaring-testbed/examples/membership.rs
+++ b/crates/verbenaring-testbed/examples/membership.rs
@@ -52,8 +52,17 @@
     let seed = seed_argument();
     println!("seed {seed}; messages, bytes and cpu per node and second; memory per node");
     println!(
-        "{:<10}{:>6}{:>10}{:>10}{:>10}{:>9}{:>9}{:>10}{:>8}",
-        "way", "nodes", "messages", "bytes", "max bytes", "cpu %", "mem KB", "revision", "crash"
+        "{:<10}{:>6}{:>10}{:>10}{:>10}{:>9}{:>9}{:>9}{:>10}{:>8}",
+        "way",
+        "nodes",
+        "messages",
+        "bytes",
+        "max bytes",
+        "cpu %",
+        "mem KB",
+        "known %",
+        "revision",
+        "crash"
     );
     for nodes in SIZES {
         measure_cost::<Mesh>("mesh", nodes, seed, Mesh::new);
@@ -61,6 +70,9 @@
         measure_cost::<Product>("delegates", nodes, seed, Product::delegated);
         measure_cost::<Ring>("ring", nodes, seed, Ring::new);
     }
+    println!(
+        "known: pairs of nodes of one data centre that know each other a minute after all started"
+    );
     println!("revision, crash: seconds until all know, - if not within 120 s");
     println!("healthy nodes removed under faults, as pairs of observer and subject");
     println!(
@@ -88,17 +100,19 @@
     let before = resident_kb();
     let mut simulation = warmed(nodes, seed, build);
     let cost = steady_cost(&mut simulation, before);
+    let known = known_percent(&simulation);
     let revision = revision_time(&mut simulation);
     let crash = crash_time(&mut simulation);
     // Kept, because a later run would reuse freed pages and seem to need none.
     std::mem::forget(simulation);
     println!(
-        "{way:<10}{nodes:>6}{:>10.1}{:>10.0}{:>10.0}{:>9.3}{:>9.0}{:>10}{:>8}",
+        "{way:<10}{nodes:>6}{:>10.1}{:>10.0}{:>10.0}{:>9.3}{:>9.0}{:>9.1}{:>10}{:>8}",
         cost.messages,
         cost.bytes,
         cost.most_bytes,
         cost.cpu_percent,
         cost.memory_kb,
+        known,
         seconds(revision),
         seconds(crash),
     );
@@ -153,6 +167,21 @@
     }
 }
 
+/// Share of the pairs of nodes in one data centre in which the first knows the
+/// second. A node that does not know another cannot notice its crash.
+fn known_percent<N: Node>(simulation: &Simulation<N>) -> f64 {
+    let layout = &simulation.layout;
+    let (mut pairs, mut known) = (0_u32, 0_u32);
+    for (index, node) in simulation.nodes.iter().enumerate() {
+        let is_peer = |peer: &usize| *peer != index && layout.centre(*peer) == layout.centre(index);
+        for peer in (0..layout.nodes).filter(is_peer) {
+            pairs += 1;
+            known += u32::from(node.as_ref().is_some_and(|node| !node.has_removed(peer)));
+        }
+    }
+    100.0 * f64::from(known) / f64::from(pairs)
+}
+
 /// Time until every node of every data centre has a revision that one node received.
 fn revision_time<N: Node>(simulation: &mut Simulation<N>) -> Option<Duration> {
     const NEXT: u64 = 2;
