Add the experiment tool with virtual time

Cause: the decisions had unit tests and benchmarks but no comparison with baselines from the users' point of view.

Change: verbenaring_testbed::experiment drives the policy modules over fakes of engines in one thread; ten experiments, ten policies, targets, JSON and SVG.

--- /dev/null
+++ b/crates/verbenaring-testbed/src/experiment/report.rs
@@ -0,0 +1,280 @@
+//! Comparison of the policies and check of the targets.
+
+use std::fmt::Write;
+use std::path::Path;
+
+use plotters::prelude::*;
+use serde::Serialize;
+
+use super::measure::Measures;
+use super::scenario::Experiment;
+use super::variant::{PolicyVariant, VARIANTS};
+use crate::error::{Error, Result};
+
+/// Measures of one policy in one deployment.
+#[derive(Debug, Clone, Serialize)]
+pub struct PolicyResult {
+    /// Deployment.
+    pub deployment: &'static str,
+    /// Policy.
+    pub policy: &'static str,
+    /// Named figures.
+    pub measures: Measures,
+    /// Latency of short work by the number of nines.
+    pub short_latency: Vec<(f64, f64)>,
+}
+
+impl PolicyResult {
+    /// Figure by name; infinite if absent.
+    pub fn figure(&self, name: &str) -> f64 {
+        let found = self.measures.iter().find(|(own, _)| own == name);
+        found.map_or(f64::INFINITY, |(_, value)| *value)
+    }
+}
+
+/// Target and what was measured.
+#[derive(Debug, Clone, Serialize)]
+pub struct TargetResult {
+    /// Target.
+    pub target: String,
+    /// Figure.
+    pub figure: f64,
+    /// Whether the target is met.
+    pub met: bool,
+}
+
+/// Results of an experiment with one seed.
+#[derive(Debug, Clone, Serialize)]
+pub struct ExperimentReport {
+    /// Experiment.
+    pub experiment: &'static str,
+    /// Seed.
+    pub seed: u64,
+    /// Results.
+    pub results: Vec<PolicyResult>,
+    /// Targets.
+    pub targets: Vec<TargetResult>,
+}
+
+impl ExperimentReport {
+    /// Report with the targets that apply.
+    pub fn new(experiment: &Experiment, seed: u64, results: Vec<PolicyResult>) -> Self {
+        let targets = check_targets(experiment.name, &results);
+        Self {
+            experiment: experiment.name,
+            seed,
+            results,
+            targets,
+        }
+    }
+
+    /// Violations over all policies.
+    pub fn violations(&self) -> f64 {
+        self.results
+            .iter()
+            .map(|result| result.figure("violations"))
+            .sum()
+    }
+
+    /// Text with the policies side by side.
+    pub fn text(&self) -> String {
+        let mut text = format!("experiment {}, seed {}\n", self.experiment, self.seed);
+        let mut deployments: Vec<&str> = self.results.iter().map(|own| own.deployment).collect();
+        deployments.dedup();
+        for deployment in deployments {
+            let own = self
+                .results
+                .iter()
+                .filter(|own| own.deployment == deployment);
+            let own: Vec<&PolicyResult> = own.collect();
+            let _ = write!(text, "\n{deployment:<26}");
+            for result in &own {
+                let _ = write!(text, "{:>23}", result.policy);
+            }
+            text.push('\n');
+            for (name, _) in &own[0].measures {
+                let _ = write!(text, "{name:<26}");
+                for result in &own {
+                    let _ = write!(text, "{:>23}", number(result.figure(name)));
+                }
+                text.push('\n');
+            }
+        }
+        text.push('\n');
+        for target in &self.targets {
+            let verdict = if target.met { "met" } else { "missed" };
+            let _ = writeln!(text, "{verdict:<7} {}: {:.4}", target.target, target.figure);
+        }
+        text
+    }
+
+    /// Writes the report as JSON.
+    pub fn write_json(&self, path: &Path) -> Result<()> {
+        let content = serde_json::to_vec_pretty(self).map_err(std::io::Error::from);
+        content
+            .and_then(|content| std::fs::write(path, content))
+            .map_err(Error::Write)
+    }
+
+    /// Draws the latency of short work per policy.
+    pub fn write_plot(&self, path: &Path) -> Result<()> {
+        self.draw(path)
+            .map_err(|error| Error::Plot(error.to_string()))
+    }
+
+    fn draw(&self, path: &Path) -> std::result::Result<(), Box<dyn std::error::Error>> {
+        let first = self.results.first().ok_or("no results")?.deployment;
+        let own = self.results.iter().filter(|own| own.deployment == first);
+        let own: Vec<&PolicyResult> = own.collect();
+        let values = own
+            .iter()
+            .flat_map(|own| own.short_latency.iter().map(|point| point.1));
+        let top = values.fold(10.0, f64::max) * 1.2;
+        let area = SVGBackend::new(path, (900, 600)).into_drawing_area();
+        area.fill(&WHITE)?;
+        let mut chart = ChartBuilder::on(&area)
+            .caption(
+                format!("{} / {first}: short work", self.experiment),
+                ("sans-serif", 20),
+            )
+            .margin(12)
+            .x_label_area_size(40)
+            .y_label_area_size(70)
+            .build_cartesian_2d(0.0..3.0, (10.0..top).log_scale())?;
+        chart
+            .configure_mesh()
+            .x_desc("nines of the quantile (1 = p90, 2 = p99)")
+            .y_desc("latency in ms")
+            .draw()?;
+        for (index, result) in own.iter().enumerate() {
+            let color = Palette99::pick(index).to_rgba();
+            chart
+                .draw_series(LineSeries::new(
+                    result.short_latency.iter().copied(),
+                    &color,
+                ))?
+                .label(result.policy)
+                .legend(move |(x, y)| PathElement::new([(x, y), (x + 18, y)], color));
+        }
+        chart.configure_series_labels().border_style(BLACK).draw()?;
+        area.present()?;
+        Ok(())
+    }
+}
+
+fn number(value: f64) -> String {
+    if value.abs() >= 100.0 || value == value.trunc() {
+        format!("{value:.0}")
+    } else {
+        format!("{value:.4}")
+    }
+}
+
+fn is_baseline(name: &str) -> bool {
+    let variant: Option<&PolicyVariant> = VARIANTS.iter().find(|own| own.name == name);
+    variant.is_some_and(|own| own.is_baseline)
+}
+
+fn check_targets(experiment: &str, results: &[PolicyResult]) -> Vec<TargetResult> {
+    let find = |deployment: &str, policy: &str| {
+        let mut own = results.iter();
+        own.find(|own| own.deployment == deployment && own.policy == policy)
+    };
+    let Some(product) = find("awning", "product") else {
+        return Vec::new();
+    };
+    // Best baseline, least by default.
+    let least = |name: &str| {
+        let own = results.iter().filter(|own| own.deployment == "awning");
+        let own = own.filter(|own| is_baseline(own.policy));
+        own.map(|own| own.figure(name))
+            .fold(f64::INFINITY, f64::min)
+    };
+    let most = |name: &str| {
+        let own = results.iter().filter(|own| own.deployment == "awning");
+        let own = own.filter(|own| is_baseline(own.policy));
+        own.map(|own| own.figure(name))
+            .fold(f64::MIN_POSITIVE, f64::max)
+    };
+    let at_most = |target: &str, figure: f64, bound: f64| TargetResult {
+        target: format!("{target} at most {bound}"),
+        figure,
+        met: figure <= bound,
+    };
+    let at_least = |target: &str, figure: f64, bound: f64| TargetResult {
+        target: format!("{target} at least {bound}"),
+        figure,
+        met: figure >= bound,
+    };
+    let p99 = "short_latency_p99_ms";
+    let mut targets = match experiment {
+        "stragglers" => {
+            let ratio = product.figure(p99) / least(p99);
+            vec![at_most(
+                "p99 of short work against the best baseline",
+                ratio,
+                0.35,
+            )]
+        }
+        "long-behind-short" => {
+            let ratio = product.figure(p99) / least(p99);
+            let long = "long_tokens_per_s";
+            let throughput = product.figure(long) / most(long);
+            vec![
+                at_most("p99 of short work against the best baseline", ratio, 0.25),
+                at_least(
+                    "long throughput against the best baseline",
+                    throughput,
+                    0.95,
+                ),
+            ]
+        }
+        "greedy-member" => {
+            let received =
+                (0..3).map(|member| product.figure(&format!("member_{member}_received")));
+            let worst = received.fold(f64::INFINITY, f64::min);
+            vec![at_least(
+                "contracted share of every other member",
+                worst,
+                0.98,
+            )]
+        }
+        "region-loss" => {
+            let recovery = product.figure("recovery_s");
+            vec![at_most(
+                "seconds from return to 95% goodput",
+                recovery,
+                30.0,
+            )]
+        }
+        "crashing-request" => {
+            let lost = product.figure("crashed_servers");
+            vec![at_most("servers lost to one fingerprint", lost, 3.0)]
+        }
+        "steady" => {
+            let ejected = product.figure("false_ejection_share");
+            vec![TargetResult {
+                target: "falsely ejected server time below 0.01".to_owned(),
+                figure: ejected,
+                met: ejected < 0.01,
+            }]
+        }
+        _ => Vec::new(),
+    };
+    // Elsewhere under 1% is sent away by either policy, so the ratio means nothing.
+    if experiment == "peak-shift"
+        && let (Some(own), Some(other)) = (find("huon", "product"), find("huon", "latency-first"))
+    {
+        let away = "sent_away_share";
+        let cost = "cost_per_1000_calls";
+        let away = own.figure(away) / other.figure(away).max(f64::MIN_POSITIVE);
+        targets.push(at_most(
+            "Huon share sent away against latency-first",
+            away,
+            0.5,
+        ));
+        let cost = own.figure(cost) / other.figure(cost);
+        targets.push(at_most("Huon cost against latency-first", cost, 1.0));
+    }
+    targets
+}
--- a/crates/verbenaring-testbed/src/lib.rs
+++ b/crates/verbenaring-testbed/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod deployment;
 pub mod engine;
 pub mod error;
+pub mod experiment;
 mod generation;
 mod http;
 mod keyspace;
