--- a/crates/verbenaring-cli/src/change.rs
+++ b/crates/verbenaring-cli/src/change.rs
@@ -8,7 +8,9 @@
 use uuid::Uuid;
 use verbenaring_policy::contract::Revision;
 use verbenaring_policy::id::ChangeId;
-use verbenaring_protocol::operator::{AmendAnswer, AmendConflict, AmendRequest, DocumentView};
+use verbenaring_protocol::operator::{
+    AmendAnswer, AmendConflict, AmendRequest, DocumentView, StatusList,
+};
 use verbenaring_protocol::rules::{DocumentKind, normal_form};
 
 use crate::client::{AmendResult, NodeClient};
@@ -157,20 +159,13 @@
 ) -> Result<usize> {
     let deadline = Instant::now() + limit;
     loop {
-        let statuses = client.statuses().await?;
-        let behind = statuses.nodes.iter().filter_map(|node| {
-            if node.revision < answer.revision {
-                return Some(format!("{} is at revision {}", node.vm, node.revision));
-            }
-            let mut faults = node.faults.iter();
-            let fault = faults.find(|fault| fault.key == answer.key)?;
-            Some(format!("{} cannot read it: {}", node.vm, fault.reason))
-        });
-        let missing = statuses.missing.iter();
-        let missing = missing.map(|vm| format!("{vm} could not be asked"));
-        let missing: Vec<String> = behind.chain(missing).collect();
+        // The change is written, so a failed status is not a failed command.
+        let (nodes, missing) = match client.statuses().await {
+            Ok(statuses) => (statuses.nodes.len(), nodes_behind(&statuses, answer)),
+            Err(error) => (0, vec![error.to_string()]),
+        };
         if missing.is_empty() {
-            return Ok(statuses.nodes.len());
+            return Ok(nodes);
         }
         if Instant::now() >= deadline {
             return Err(Error::NotAccepted {
@@ -182,6 +177,21 @@
     }
 }
 
+/// Nodes that do not have the change in force, with the reason.
+fn nodes_behind(statuses: &StatusList, answer: &AmendAnswer) -> Vec<String> {
+    let behind = statuses.nodes.iter().filter_map(|node| {
+        if node.revision < answer.revision {
+            return Some(format!("{} is at revision {}", node.vm, node.revision));
+        }
+        let mut faults = node.faults.iter();
+        let fault = faults.find(|fault| fault.key == answer.key)?;
+        Some(format!("{} cannot read it: {}", node.vm, fault.reason))
+    });
+    let missing = statuses.missing.iter();
+    let missing = missing.map(|vm| format!("{vm} could not be asked"));
+    behind.chain(missing).collect()
+}
+
 /// Content with defaults filled in, as written if it cannot be read.
 fn content(kind: DocumentKind, document: Option<&RawValue>) -> Value {
     let Some(text) = document.map(RawValue::get) else {
--- a/crates/verbenaring-cli/src/difference.rs
+++ b/crates/verbenaring-cli/src/difference.rs
@@ -45,16 +45,13 @@
             if let (Some(before), Some(after)) = (by_service(before), by_service(after)) {
                 return compare(path, &before, &after, lines);
             }
-            let known = lines.len();
+            // Lists are sets: their order has no meaning in any document.
             for value in before.iter().filter(|value| !after.contains(value)) {
                 lines.push(format!("- {path}: {value}"));
             }
             for value in after.iter().filter(|value| !before.contains(value)) {
                 lines.push(format!("+ {path}: {value}"));
             }
-            if lines.len() == known {
-                lines.push(format!("~ {path}: order or repetition of the values"));
-            }
         }
         _ => {
             if !old.is_null() {
--- a/crates/verbenaring-gateway/src/operator.rs
+++ b/crates/verbenaring-gateway/src/operator.rs
@@ -2,6 +2,12 @@
 //!
 //! Reads answer what this node has in force and, for documents, what the
 //! platform store has. Writes are amendments by compare-and-swap.
+//!
+//! - `GET contracts`, `servers`, `stops`: all documents of a kind.
+//! - `GET` and `PUT contracts/{customer}`, `servers/{data centre}/{server}`,
+//!   `stops/{stop}`: one document.
+//! - `GET status`, `timeline?since=&request=`, `report`, `entry`,
+//!   `operations/{customer}/{key}`.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
--- a/crates/verbenaring-testbed/tests/operator.rs
+++ b/crates/verbenaring-testbed/tests/operator.rs
@@ -255,6 +255,28 @@
     deployment.stop().await;
 }
 
+/// A change that is written but not in force must not be reported as done.
+#[tokio::test]
+async fn change_that_is_not_accepted_in_time_is_named() {
+    let (deployment, client) = one_node().await;
+    let first = ProposedChange::write(&client, council(10), None)
+        .await
+        .unwrap();
+    let mut written = first.submit(&client).await.unwrap();
+    // Later than any revision that the node can have in force.
+    written.revision += 1_000;
+    let error = wait_accepted(&client, &written, Duration::ZERO)
+        .await
+        .unwrap_err();
+    assert_eq!(error.exit_code(), 5);
+    assert!(error.to_string().contains("dublin-a-vm-0 is at revision"));
+    deployment.stop().await;
+    let error = wait_accepted(&client, &written, Duration::ZERO)
+        .await
+        .unwrap_err();
+    assert_eq!(error.exit_code(), 5, "{error}");
+}
+
 /// A client that lost the node's answer repeats its request; the change must
 /// be written once and be reported as written both times.
 #[tokio::test]
