--- a/crates/verbenaring-testbed/src/engine.rs
+++ b/crates/verbenaring-testbed/src/engine.rs
@@ -38,6 +38,8 @@
     pub resume: bool,
     /// Whether an order with an outdated fencing token is refused.
     pub check_fencing: bool,
+    /// Whether the prompt of every started attempt is kept for checks.
+    pub keep_prompts: bool,
 }
 
 impl Default for EngineSettings {
@@ -54,6 +56,7 @@
             restart_time: Duration::from_millis(500),
             resume: true,
             check_fencing: true,
+            keep_prompts: false,
         }
     }
 }
@@ -137,6 +140,7 @@
     pub(crate) models: Vec<String>,
     pub(crate) orders: Vec<EngineOrder>,
     pub(crate) executions: BTreeMap<String, u64>,
+    pub(crate) prompts: Vec<String>,
     pub(crate) cache: PrefixCache,
     pub(crate) active: BTreeMap<u64, (String, Arc<Notify>)>,
     pub(crate) arrivals: u64,
@@ -152,6 +156,7 @@
             models: settings.model_names.clone(),
             orders: Vec::new(),
             executions: BTreeMap::new(),
+            prompts: Vec::new(),
             cache: PrefixCache::new(settings.cache_tokens),
             active: BTreeMap::new(),
             arrivals: 0,
@@ -219,6 +224,11 @@
         self.core.state.lock().unwrap().executions.clone()
     }
 
+    /// Prompts of the attempts whose execution started, if they are kept.
+    pub fn prompts(&self) -> Vec<String> {
+        self.core.state.lock().unwrap().prompts.clone()
+    }
+
     /// Orders applied so far.
     pub fn orders(&self) -> Vec<EngineOrder> {
         self.core.state.lock().unwrap().orders.clone()
--- a/crates/verbenaring-testbed/src/generation.rs
+++ b/crates/verbenaring-testbed/src/generation.rs
@@ -274,6 +274,9 @@
         let mut state = self.state.lock().unwrap();
         state.counters.started += 1;
         *state.executions.entry(job.attempt.clone()).or_default() += 1;
+        if self.settings.keep_prompts {
+            state.prompts.push(job.prompt.clone());
+        }
         let cached = state.cache.load(&job.prompt);
         state.counters.cached_tokens += u64::from(cached);
         cached
