Write the error event before a broken stream closes

Cause: a relayed stream that broke returned its error event and at once the failure of the body; the HTTP connection then dropped the event before it was written, so the caller saw a reset without an explicit error. Change: after the error event the relay returns pending once, in which the connection writes the event. Conclusion: a broken stream ends with an error event and then a broken connection.

--- a/crates/verbenaring-gateway/src/relay.rs
+++ b/crates/verbenaring-gateway/src/relay.rs
@@ -39,6 +39,7 @@
     done: bool,
     ended: bool,
     failed: Option<&'static str>,
+    flushed: bool,
     record: AnswerRecord,
 }
 
@@ -60,6 +61,7 @@
             done: false,
             ended: false,
             failed: None,
+            flushed: false,
             record,
         }
     }
@@ -70,6 +72,12 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Bytes, BrokenStream>>> {
         if let Some(reason) = self.failed {
+            if !std::mem::replace(&mut self.flushed, true) {
+                // The connection drops what it has not written when the body
+                // fails, so the error event is written first.
+                context.waker().wake_by_ref();
+                return Poll::Pending;
+            }
             return Poll::Ready(Some(Err(BrokenStream(reason))));
         }
         if self.ended {
