Load a starting node from any peer and refuse until then

It asked only two peers of its own data centre, once, so with the store down and these peers down or absent it never became ready. A peer that was itself still loading passed on a part of its configuration as the whole. The node asked for newer configuration is chosen at random, because the first one may be paused. A change of the members is published at once instead of at the next refresh. Conclusion: a restart during a store outage needs any one live node of the deployment.

--- a/crates/verbenaring-gateway/src/cluster.rs
+++ b/crates/verbenaring-gateway/src/cluster.rs
@@ -13,6 +13,7 @@
 use arc_swap::ArcSwap;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use rand::seq::{IteratorRandom, SliceRandom};
 use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 use verbenaring_policy::config::DigestSummary;
@@ -237,7 +238,6 @@
         let mut refreshes = tokio::time::interval(REFRESH_PERIOD);
         refreshes.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut cards = tokio::time::interval(CARD_PERIOD);
-        self.snapshot_from_peer().await;
         loop {
             tokio::select! {
                 () = shutdown.cancelled() => return,
@@ -249,17 +249,32 @@
         }
     }
 
-    /// Takes the configuration of a peer, so that a restart does not load the store.
-    async fn snapshot_from_peer(&self) {
-        let peers = &self.view.settings.peers;
-        let near = peers
-            .iter()
-            .filter(|peer| peer.data_centre == self.view.settings.data_centre);
-        for peer in near.take(WATCHERS) {
-            if fetch_snapshot(&self.links, peer.control_address, &self.view.replica).await {
-                return;
-            }
+    /// Takes the configuration of a peer, so that a restart does not need the store.
+    ///
+    /// Repeated until the configuration is loaded: the first peers may be down.
+    fn fetch_snapshot(&mut self) {
+        let replica = &self.view.replica;
+        if replica.is_loaded() || self.fetching.swap(true, Ordering::Relaxed) {
+            return;
         }
+        let peers = self.view.settings.peers.iter();
+        let own = &self.view.settings.data_centre;
+        let (mut near, mut far): (Vec<_>, Vec<_>) =
+            peers.partition(|peer| peer.data_centre == *own);
+        near.shuffle(&mut self.rng);
+        far.shuffle(&mut self.rng);
+        let candidates = near.into_iter().chain(far);
+        let addresses: Vec<SocketAddr> = candidates.map(|peer| peer.control_address).collect();
+        let (links, replica) = (self.links.clone(), replica.clone());
+        let fetching = self.fetching.clone();
+        tokio::spawn(async move {
+            for address in addresses {
+                if replica.is_loaded() || fetch_snapshot(&links, address, &replica).await {
+                    break;
+                }
+            }
+            fetching.store(false, Ordering::Relaxed);
+        });
     }
 
     fn receive(&mut self, message: ClusterMessage) {
@@ -289,9 +304,13 @@
         let is_delegate = self.is_delegate();
         let envelope = self.summaries.tick(now, &local, is_delegate, &mut self.rng);
         self.send_summary(envelope);
-        for event in self.members.take_events() {
+        let events = self.members.take_events();
+        for event in &events {
             log::info!("entry VM {} is now {:?}", event.vm, event.to);
         }
+        if !events.is_empty() {
+            self.publish_nodes();
+        }
     }
 
     fn refresh(&mut self) {
@@ -322,6 +341,7 @@
         self.send_suspects();
         self.choose_watchers();
         self.publish_summary(card.facts.config);
+        self.fetch_snapshot();
         self.fetch_newer(card.facts.config);
         self.fetch_cards(false);
         self.publish_nodes();
@@ -399,7 +419,9 @@
     }
 
     /// Asks a node that has newer or other configuration for what is missing.
-    fn fetch_newer(&self, own: DigestSummary) {
+    ///
+    /// The node is chosen at random, because any of them may be paused or gone.
+    fn fetch_newer(&mut self, own: DigestSummary) {
         let near = self
             .members
             .live()
@@ -411,11 +433,11 @@
                 })
             })
             .map(|member| member.address)
-            .next();
+            .choose(&mut self.rng);
         let newest = self.summaries.newest_revision(self.clock.now());
         let far = newest
             .filter(|(revision, _)| *revision > own.highest)
-            .and_then(|(_, summary)| summary.status.nodes.first())
+            .and_then(|(_, summary)| summary.status.nodes.iter().choose(&mut self.rng))
             .map(|node| node.address);
         let Some(address) = near.or(far) else { return };
         if self.fetching.swap(true, Ordering::Relaxed) {
--- a/crates/verbenaring-gateway/src/controller.rs
+++ b/crates/verbenaring-gateway/src/controller.rs
@@ -132,6 +132,8 @@
                     serde_json::to_string(&list).unwrap_or_default(),
                 ))
             }
+            // Until the configuration is loaded, a valid key may be unknown here.
+            _ if !self.replica.is_loaded() => Err(not_loaded().with_retry_after(1)),
             _ => {
                 let catalog = self.catalog.load_full();
                 let entry = authenticate_caller(&catalog, &parts.headers)?;
@@ -585,15 +587,13 @@
         if !stopping && self.replica.is_loaded() {
             return Ok(text_answer("ready\n"));
         }
-        let reason = if stopping {
-            "node is stopping"
-        } else {
-            "configuration is not loaded"
-        };
+        if !stopping {
+            return Err(not_loaded());
+        }
         Err(Refusal::not_run(
             StatusCode::SERVICE_UNAVAILABLE,
             "not_ready",
-            reason,
+            "node is stopping",
         ))
     }
 
@@ -770,6 +770,14 @@
     Ok(body)
 }
 
+fn not_loaded() -> Refusal {
+    Refusal::not_run(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "not_ready",
+        "configuration is not loaded",
+    )
+}
+
 fn quarantined() -> Refusal {
     Refusal::not_run(
         StatusCode::UNPROCESSABLE_ENTITY,
--- a/crates/verbenaring-gateway/src/replica.rs
+++ b/crates/verbenaring-gateway/src/replica.rs
@@ -92,8 +92,13 @@
         self.lock().delta(request, DELTA_BYTES)
     }
 
-    /// Piece of the whole configuration.
+    /// Piece of the whole configuration; empty until it was read once.
+    ///
+    /// The receiver takes a snapshot for whole, so a part of it must not be served.
     pub fn snapshot(&self, after: Option<&str>) -> SnapshotPiece {
+        if !self.is_loaded() {
+            return ConfigBook::default().snapshot(after);
+        }
         self.lock().snapshot(after)
     }
 
