Leave the directory before a planned stop closes the listeners

Cause: a node that was told to stop closed its listeners at once and, without requests in flight, exited before its neighbours heard of it. Change: a leaving node probes all members at once, which carries the news, and serves for another second before it accepts nothing new; a node without neighbours does not wait. Figures: test leaving_node_tells_all_members_first fails without the change in membership.rs and passes with it. Conclusion: readiness falls, the directory stops naming the node, then in-flight work ends.

--- a/crates/verbenaring-gateway/src/node.rs
+++ b/crates/verbenaring-gateway/src/node.rs
@@ -39,6 +39,9 @@
 const INBOX_MESSAGES: usize = 1_024;
 /// Longest wait for operations whose records the platform store does not take.
 const OPERATION_LIMIT: Duration = Duration::from_secs(10);
+/// Time in which neighbours learn of a planned stop, which takes them a few
+/// ticks of the failure detector.
+const LEAVE_TIME: Duration = Duration::from_millis(1_000);
 
 /// Sockets of a node, bound before anything is started.
 pub struct BoundNode {
@@ -189,12 +192,23 @@
         self.core.settings.caller_address
     }
 
-    /// Lets readiness fall, accepts nothing new and waits for open requests.
-    pub async fn stop(mut self) {
+    /// Lets readiness fall, leaves the directory of its neighbours, accepts
+    /// nothing new and waits for open requests.
+    pub async fn stop(self) {
+        let alone = self.core.cluster.nodes.load().near.is_empty();
+        self.stop_after(if alone { Duration::ZERO } else { LEAVE_TIME })
+            .await;
+    }
+
+    /// Stops as [`RunningNode::stop`] does, with a notice of `notice`.
+    ///
+    /// Callers that still find this node in a directory are served meanwhile.
+    pub async fn stop_after(mut self, notice: Duration) {
         self.core.cluster.stopping.store(true, Ordering::Relaxed);
         self.core
             .timeline
             .record(EventKind::ShutdownStarted, "", None);
+        tokio::time::sleep(notice).await;
         self.shutdown.cancel();
         while self.servers.join_next().await.is_some() {}
         self.core.operations.close();
--- a/crates/verbenaring-policy/src/membership.rs
+++ b/crates/verbenaring-policy/src/membership.rs
@@ -258,10 +258,15 @@
         Ok(())
     }
 
-    /// Announces a planned stop.
+    /// Announces a planned stop and probes every member, which tells them at once.
     pub fn leave(&mut self) {
         self.own.state = MemberState::Leaving;
         self.raise_incarnation(self.own.incarnation);
+        let present: Vec<VmId> = self
+            .present()
+            .map(|record| record.update.vm.clone())
+            .collect();
+        self.verify.extend(present);
     }
 
     /// Takes the platform's lagging list as a hint: unknown VMs are contacted,
--- a/crates/verbenaring-policy/tests/membership.rs
+++ b/crates/verbenaring-policy/tests/membership.rs
@@ -254,6 +254,15 @@
     assert_eq!(record.update.state, MemberState::Leaving);
 }
 
+// Guards against a node that stops before its neighbours know, and is called meanwhile.
+#[test]
+fn leaving_node_tells_all_members_first() {
+    let mut network = Network::settled(NODES, 11);
+    network.node(1).leave();
+    network.run(1);
+    assert!(network.all_see(NODES - 1));
+}
+
 // Guards against payloads that do not reach all nodes or break the size bound.
 #[test]
 fn payloads_spread() {
