--- a/crates/verbenaring-gateway/src/node.rs
+++ b/crates/verbenaring-gateway/src/node.rs
@@ -203,7 +203,6 @@
         self.core.settings.operator_address
     }
 
-    /// Lets readiness fall, accepts nothing new and waits for open requests.
     /// Stops gracefully.
     ///
     /// Readiness falls first and the node still serves, so that callers learn
--- a/crates/verbenaring-testbed/examples/capacity.rs
+++ b/crates/verbenaring-testbed/examples/capacity.rs
@@ -59,9 +59,11 @@
 fn measure_replicas() -> Vec<ReplicaSlope> {
     println!("Configuration of one node (replica and catalog)\n");
     println!("contracts  memory KB  change ms  snapshot KB  digest B  delta of one change B");
+    // All replicas stay alive, because freed pages would hide growth.
+    let mut kept = Vec::new();
     let slopes: Vec<ReplicaSlope> = CONTRACTS
         .iter()
-        .map(|count| measure_replica(*count))
+        .map(|count| measure_replica(*count, &mut kept))
         .collect();
     for slope in &slopes {
         println!(
