Add TLS and reload of keys without a restart

Nodes proved the cluster key over plain TCP only, and a change of keys needed a restart of every node.

`node_tls` puts control connections and forwarded requests under mutual TLS 1.3 with the name node.verbenaring; `caller_tls` serves callers over TLS. SIGHUP reads the settings again and replaces keys, certificates, guards and the log level; control connections are opened again with the new credentials, open requests are not cut. Messages of the settings check name the field and the allowed value everywhere, and duplicate entry VMs, duplicate key identifiers and a data centre in two regions are refused. The time to open a control connection rises from 500 ms to 1 s, because TLS brings it to four round trips.

--- a/crates/verbenaring-gateway/src/attempt.rs
+++ b/crates/verbenaring-gateway/src/attempt.rs
@@ -3,7 +3,9 @@
 //! The outcome of a failed try is derived from how far it came. A connection
 //! that could not be opened carried no byte of the request.
 
+use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -22,7 +24,10 @@
 use verbenaring_policy::retry::AttemptFailure as RetryFailure;
 use verbenaring_protocol::header;
 
+use crate::connector::NodeConnector;
+use crate::live::LiveSettings;
 use crate::route::RouteTarget;
+use crate::tls::NodeStream;
 
 /// Idle connections to one server that are kept.
 const MAX_IDLE_CONNECTIONS: usize = 64;
@@ -92,6 +97,17 @@
     ///
     /// Engines and nodes always echo it; a plain service may leave it out.
     pub echo: EchoRule,
+    /// What the address belongs to.
+    pub receiver: ReceiverKind,
+}
+
+/// What a try is sent to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReceiverKind {
+    /// Backend server, always without TLS.
+    Server,
+    /// Another node, with TLS where the settings ask for it.
+    Node,
 }
 
 /// Whether an answer must carry the attempt identifier.
@@ -106,23 +122,28 @@
 /// Sends tries to backend servers and nodes.
 #[derive(Clone)]
 pub struct AttemptClient {
-    pooled: Client<HttpConnector, Full<Bytes>>,
+    servers: Client<HttpConnector, Full<Bytes>>,
+    nodes: Client<NodeConnector, Full<Bytes>>,
+    connector: NodeConnector,
     connect_timeout: Duration,
 }
 
 impl AttemptClient {
     /// Client that gives up connecting after `connect_timeout`.
-    pub fn new(connect_timeout: Duration) -> Self {
+    pub fn new(connect_timeout: Duration, live: &Arc<LiveSettings>) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(connect_timeout));
         connector.set_nodelay(true);
-        let pooled = Client::builder(TokioExecutor::new())
+        let node_connector = NodeConnector::new(live, connect_timeout);
+        let mut builder = Client::builder(TokioExecutor::new());
+        builder
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
-            .pool_max_idle_per_host(MAX_IDLE_CONNECTIONS)
-            .build(connector);
+            .pool_max_idle_per_host(MAX_IDLE_CONNECTIONS);
         Self {
-            pooled,
+            servers: builder.build(connector),
+            nodes: builder.build(node_connector.clone()),
+            connector: node_connector,
             connect_timeout,
         }
     }
@@ -135,7 +156,11 @@
         let uri = format!("http://{}{}", request.address, request.path);
         let mut message = build_message(request, &uri)?;
         let connection = capture_connection(&mut message);
-        Ok((self.pooled.request(message), connection))
+        let answer = match request.receiver {
+            ReceiverKind::Server => self.servers.request(message),
+            ReceiverKind::Node => self.nodes.request(message),
+        };
+        Ok((answer, connection))
     }
 
     /// Sends a try and checks the head of its answer.
@@ -179,6 +204,7 @@
             headers: &headers,
             body: Bytes::new(),
             echo: EchoRule::IfPresent,
+            receiver: ReceiverKind::Server,
         };
         if let Ok((answer, _)) = self.start(&request) {
             tokio::spawn(tokio::time::timeout(Duration::from_secs(2), answer));
@@ -198,11 +224,12 @@
         target: Option<RouteTarget>,
     ) -> Result<AttemptConnection, AttemptFailure> {
         let failed = |text: String| AttemptFailure::not_run("backend_unreachable", text);
-        let socket = tokio::time::timeout(self.connect_timeout, TcpStream::connect(address))
-            .await
-            .map_err(|_| failed(format!("{address} did not accept in time")))?
-            .map_err(|error| failed(format!("{address}: {error}")))?;
-        let (sender, connection) = http1::handshake(TokioIo::new(socket))
+        let stream = match target {
+            Some(RouteTarget::Peer(_)) => self.connector.open(address).await,
+            _ => self.connect_server(address).await,
+        };
+        let stream = stream.map_err(|error| failed(format!("{address}: {error}")))?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|error| failed(format!("{address}: {error}")))?;
         tokio::spawn(connection);
@@ -213,6 +240,12 @@
             sender,
         })
     }
+
+    async fn connect_server(&self, address: SocketAddr) -> io::Result<NodeStream<TcpStream>> {
+        let opened = tokio::time::timeout(self.connect_timeout, TcpStream::connect(address));
+        let socket = opened.await.map_err(|_| io::ErrorKind::TimedOut)?;
+        Ok(NodeStream::Plain(socket?))
+    }
 }
 
 /// Connection that carries one call.
--- a/crates/verbenaring-gateway/src/config.rs
+++ b/crates/verbenaring-gateway/src/config.rs
@@ -13,6 +13,20 @@
 use verbenaring_protocol::generated::settings::{LevelDocument, PeerDocument};
 
 use crate::error::{Error, Result};
+use crate::handshake::MAX_KEY_ID_BYTES;
+use crate::tls::{CallerTls, CallerTlsFiles, NodeTls, NodeTlsFiles};
+
+/// Number fields with their lowest and highest value, as in the schema.
+const RANGES: [(&str, u64, u64); 8] = [
+    ("max_head_bytes", 8_192, 1_048_576),
+    ("max_body_bytes", 1_024, 67_108_864),
+    ("header_timeout_ms", 100, 60_000),
+    ("body_timeout_ms", 100, 600_000),
+    ("stall_timeout_ms", 100, 600_000),
+    ("connect_timeout_ms", 10, 60_000),
+    ("max_connections", 1, 1_000_000),
+    ("store_timeout_ms", 10, 60_000),
+];
 
 /// Another entry VM, as named in the settings.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -104,6 +118,10 @@
     pub cluster_keys: Vec<ClusterKey>,
     /// Limits that protect the node's memory.
     pub guards: GuardSettings,
+    /// Mutual TLS between nodes; plain connections without it.
+    pub node_tls: Option<NodeTls>,
+    /// TLS towards callers; plain connections without it.
+    pub caller_tls: Option<CallerTls>,
     /// Lowest level that is logged.
     pub log_level: log::LevelFilter,
 }
@@ -115,36 +133,34 @@
             file: file.to_owned(),
             source,
         })?;
-        Self::read(&text).map_err(|source| Error::Settings {
+        let directory = file.parent().unwrap_or(Path::new(""));
+        Self::read(&text, directory).map_err(|source| Error::Settings {
             file: file.to_owned(),
             source,
         })
     }
 
-    /// Checks the text of a settings file.
-    pub fn read(text: &[u8]) -> verbenaring_protocol::Result<Self> {
-        let document: SettingsDocument = read_document(text)?;
-        Self::check(&document)
+    /// Checks the text of a settings file; file names in it are relative to `directory`.
+    pub fn read(text: &[u8], directory: &Path) -> verbenaring_protocol::Result<Self> {
+        let document: SettingsDocument = read_document(text).map_err(with_range)?;
+        Self::check(&document, directory)
     }
 
-    fn check(document: &SettingsDocument) -> verbenaring_protocol::Result<Self> {
-        check_range("max_head_bytes", document.max_head_bytes, 8_192, 1_048_576)?;
-        check_range("max_body_bytes", document.max_body_bytes, 1_024, 67_108_864)?;
-        check_range("header_timeout_ms", document.header_timeout_ms, 100, 60_000)?;
-        check_range("body_timeout_ms", document.body_timeout_ms, 100, 600_000)?;
-        check_range("stall_timeout_ms", document.stall_timeout_ms, 100, 600_000)?;
-        check_range(
-            "connect_timeout_ms",
-            document.connect_timeout_ms,
-            10,
-            60_000,
-        )?;
-        check_range("store_timeout_ms", document.store_timeout_ms, 10, 60_000)?;
+    fn check(document: &SettingsDocument, directory: &Path) -> verbenaring_protocol::Result<Self> {
+        check_range("max_head_bytes", document.max_head_bytes)?;
+        check_range("max_body_bytes", document.max_body_bytes)?;
+        check_range("header_timeout_ms", document.header_timeout_ms)?;
+        check_range("body_timeout_ms", document.body_timeout_ms)?;
+        check_range("stall_timeout_ms", document.stall_timeout_ms)?;
+        check_range("connect_timeout_ms", document.connect_timeout_ms)?;
+        check_range("max_connections", document.max_connections.get())?;
+        check_range("store_timeout_ms", document.store_timeout_ms)?;
         let stores = document.store_addresses.iter().enumerate();
         let keys = document.cluster_keys.iter().enumerate();
+        let peers = document.peers.iter().enumerate();
         let settings = Self {
-            vm: VmId::new(&document.vm)?,
-            data_centre: read_centre(&document.region, &document.data_centre)?,
+            vm: named("vm", VmId::new(&document.vm))?,
+            data_centre: read_centre("", &document.region, &document.data_centre)?,
             caller_address: read_address("caller_address", &document.caller_address)?,
             peer_address: read_address("peer_address", &document.peer_address)?,
             control_address: read_address("control_address", &document.control_address)?,
@@ -153,17 +169,15 @@
                 None => SocketAddr::from(([127, 0, 0, 1], 0)),
             },
             operator_key: match &document.operator_key_digest {
-                Some(text) => Some(verbenaring_policy::id::Digest::try_from(text.clone())?),
+                Some(text) => Some(read_digest("operator_key_digest", text)?),
                 None => None,
             },
             store_addresses: stores
                 .map(|(index, text)| read_address(&format!("store_addresses[{index}]"), text))
                 .collect::<verbenaring_protocol::Result<_>>()?,
             store_timeout: millis(document.store_timeout_ms),
-            peers: document
-                .peers
-                .iter()
-                .map(read_peer)
+            peers: peers
+                .map(|(index, peer)| read_peer(index, peer))
                 .collect::<verbenaring_protocol::Result<_>>()?,
             cluster_keys: keys
                 .map(|(index, key)| read_key(index, &key.id, &key.secret))
@@ -177,6 +191,21 @@
                 connect_timeout: millis(document.connect_timeout_ms),
                 max_connections: document.max_connections.get() as usize,
             },
+            node_tls: match &document.node_tls {
+                Some(files) => Some(NodeTls::load(&NodeTlsFiles {
+                    certificate_file: directory.join(&files.certificate_file),
+                    key_file: directory.join(&files.key_file),
+                    authority_file: directory.join(&files.authority_file),
+                })?),
+                None => None,
+            },
+            caller_tls: match &document.caller_tls {
+                Some(files) => Some(CallerTls::load(&CallerTlsFiles {
+                    certificate_file: directory.join(&files.certificate_file),
+                    key_file: directory.join(&files.key_file),
+                })?),
+                None => None,
+            },
             log_level: match document.log_level {
                 LevelDocument::Error => log::LevelFilter::Error,
                 LevelDocument::Warn => log::LevelFilter::Warn,
@@ -198,12 +227,45 @@
         if self.cluster_keys.is_empty() {
             return Err(field_error("cluster_keys", "at least one key is required"));
         }
+        self.check_key_ids()?;
+        self.check_peers()
+    }
+
+    fn check_key_ids(&self) -> verbenaring_protocol::Result<()> {
+        for (index, key) in self.cluster_keys.iter().enumerate() {
+            let field = format!("cluster_keys[{index}].id");
+            // A colon ends the identifier in the header of a forwarded request.
+            let allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
+            if !(1..=MAX_KEY_ID_BYTES).contains(&key.id.len()) || !key.id.bytes().all(allowed) {
+                let reason = format!("use 1 to {MAX_KEY_ID_BYTES} letters, digits, -, _ or .");
+                return Err(field_error(&field, &reason));
+            }
+            if self.cluster_keys[..index]
+                .iter()
+                .any(|other| other.id == key.id)
+            {
+                let reason = format!("{:?} names two keys, use each identifier once", key.id);
+                return Err(field_error(&field, &reason));
+            }
+        }
+        Ok(())
+    }
+
+    fn check_peers(&self) -> verbenaring_protocol::Result<()> {
         for (index, peer) in self.peers.iter().enumerate() {
-            let same_name = peer.data_centre.name == self.data_centre.name;
-            if same_name && peer.data_centre.region != self.data_centre.region {
+            let earlier = &self.peers[..index];
+            if peer.vm == self.vm || earlier.iter().any(|other| other.vm == peer.vm) {
+                let reason = format!("{} names two entry VMs, use each name once", peer.vm);
+                return Err(field_error(&format!("peers[{index}].vm"), &reason));
+            }
+            let mut places = earlier.iter().map(|other| &other.data_centre);
+            let same_name = |place: &&DataCentre| place.name == peer.data_centre.name;
+            let known = Some(&self.data_centre).filter(same_name);
+            let known = known.or_else(|| places.find(same_name));
+            if let Some(known) = known.filter(|known| known.region != peer.data_centre.region) {
                 let reason = format!(
-                    "data centre {} belongs to region {}, not {}",
-                    self.data_centre.name, self.data_centre.region, peer.data_centre.region
+                    "data centre {} is unknown in region {}, use region {}",
+                    known.name, peer.data_centre.region, known.region
                 );
                 return Err(field_error(&format!("peers[{index}].region"), &reason));
             }
@@ -219,20 +281,44 @@
     }
 }
 
-fn check_range(
-    field: &str,
-    value: impl Into<u64>,
-    low: u64,
-    high: u64,
-) -> verbenaring_protocol::Result<()> {
+fn check_range(field: &str, value: impl Into<u64>) -> verbenaring_protocol::Result<()> {
     let value = value.into();
-    if (low..=high).contains(&value) {
-        Ok(())
-    } else {
-        Err(field_error(
+    match range_of(field) {
+        Some((low, high)) if !(low..=high).contains(&value) => Err(field_error(
             field,
             &format!("{value} is outside {low} to {high}"),
-        ))
+        )),
+        _ => Ok(()),
+    }
+}
+
+fn range_of(field: &str) -> Option<(u64, u64)> {
+    let found = RANGES.iter().find(|(name, _, _)| *name == field);
+    found.map(|(_, low, high)| (*low, *high))
+}
+
+/// Adds the allowed range to the error of a number that its type excludes.
+fn with_range(error: verbenaring_protocol::Error) -> verbenaring_protocol::Error {
+    use verbenaring_protocol::Error::Document;
+    match error {
+        Document {
+            line,
+            column,
+            field,
+            reason,
+        } => {
+            let reason = match range_of(&field) {
+                Some((low, high)) => format!("{reason}, use {low} to {high}"),
+                None => reason,
+            };
+            Document {
+                line,
+                column,
+                field,
+                reason,
+            }
+        }
+        other => other,
     }
 }
 
@@ -240,30 +326,39 @@
     Duration::from_millis(value.into())
 }
 
-fn read_centre(region: &str, name: &str) -> verbenaring_protocol::Result<DataCentre> {
+fn named<T>(field: &str, name: verbenaring_policy::Result<T>) -> verbenaring_protocol::Result<T> {
+    name.map_err(|error| field_error(field, &error.to_string()))
+}
+
+fn read_centre(prefix: &str, region: &str, name: &str) -> verbenaring_protocol::Result<DataCentre> {
     Ok(DataCentre {
-        region: RegionName::new(region)?,
-        name: CentreName::new(name)?,
+        region: named(&format!("{prefix}region"), RegionName::new(region))?,
+        name: named(&format!("{prefix}data_centre"), CentreName::new(name))?,
     })
 }
 
-fn read_peer(peer: &PeerDocument) -> verbenaring_protocol::Result<PeerSettings> {
+fn read_peer(index: usize, peer: &PeerDocument) -> verbenaring_protocol::Result<PeerSettings> {
+    let prefix = format!("peers[{index}].");
+    let address = |field: &str, text: &str| read_address(&format!("{prefix}{field}"), text);
     Ok(PeerSettings {
-        vm: VmId::new(&peer.vm)?,
-        data_centre: read_centre(&peer.region, &peer.data_centre)?,
-        caller_address: read_address("peers.caller_address", &peer.caller_address)?,
-        peer_address: read_address("peers.peer_address", &peer.peer_address)?,
-        control_address: read_address("peers.control_address", &peer.control_address)?,
+        vm: named(&format!("{prefix}vm"), VmId::new(&peer.vm))?,
+        data_centre: read_centre(&prefix, &peer.region, &peer.data_centre)?,
+        caller_address: address("caller_address", &peer.caller_address)?,
+        peer_address: address("peer_address", &peer.peer_address)?,
+        control_address: address("control_address", &peer.control_address)?,
     })
 }
 
+fn read_digest(
+    field: &str,
+    text: &str,
+) -> verbenaring_protocol::Result<verbenaring_policy::id::Digest> {
+    let digest = verbenaring_policy::id::Digest::try_from(text.to_owned());
+    digest.map_err(|_| field_error(field, "use 64 hexadecimal digits"))
+}
+
 fn read_key(index: usize, id: &str, secret: &str) -> verbenaring_protocol::Result<ClusterKey> {
-    let digest = verbenaring_policy::id::Digest::try_from(secret.to_owned()).map_err(|_| {
-        field_error(
-            &format!("cluster_keys[{index}].secret"),
-            "use 64 hexadecimal digits",
-        )
-    })?;
+    let digest = read_digest(&format!("cluster_keys[{index}].secret"), secret)?;
     Ok(ClusterKey {
         id: id.to_owned(),
         secret: digest.0,
--- a/crates/verbenaring-gateway/src/control.rs
+++ b/crates/verbenaring-gateway/src/control.rs
@@ -17,13 +17,14 @@
 use verbenaring_protocol::control::{NodeCard, NodeControl, TimelinePage};
 
 use crate::cluster::{ClusterMessage, ClusterView};
-use crate::config::ClusterKey;
-use crate::handshake;
+use crate::handshake::{self, HandshakeFault};
 use crate::links::frame_codec;
+use crate::live::LiveSettings;
 use crate::replica::ConfigReplica;
 use crate::timeline::TimelineRing;
+use crate::tls::NodeStream;
 
-/// Longest time for the proof of a cluster key.
+/// Longest time for the TLS handshake and the proof of a cluster key.
 const PROOF_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Answers control calls of other nodes.
@@ -37,8 +38,8 @@
     pub timeline: Arc<TimelineRing>,
     /// View of the other nodes and facts of this one.
     pub view: Arc<ClusterView>,
-    /// Accepted cluster keys.
-    pub keys: Arc<[ClusterKey]>,
+    /// Credentials in force.
+    pub live: Arc<LiveSettings>,
 }
 
 impl NodeControl for ControlServer {
@@ -78,6 +79,9 @@
 
 impl ControlServer {
     /// Serves control connections until `shutdown`.
+    ///
+    /// New credentials close all connections, so that none outlives the key or
+    /// the authority that it was accepted with. The other nodes connect again.
     pub async fn listen(self, listener: TcpListener, shutdown: CancellationToken) {
         loop {
             let accepted = tokio::select! {
@@ -86,10 +90,15 @@
             };
             match accepted {
                 Ok((socket, _)) => {
+                    let mut generation = self.live.generation();
                     let connection = self.clone().serve_connection(socket);
                     let shutdown = shutdown.clone();
                     tokio::spawn(async move {
-                        tokio::select! { () = shutdown.cancelled() => {}, () = connection => {} }
+                        tokio::select! {
+                            () = shutdown.cancelled() => {}
+                            _ = generation.changed() => {}
+                            () = connection => {}
+                        }
                     });
                 }
                 Err(error) => {
@@ -100,19 +109,26 @@
         }
     }
 
-    async fn serve_connection(self, mut socket: TcpStream) {
-        let proof = handshake::accept(&mut socket, &self.keys);
-        match tokio::time::timeout(PROOF_TIMEOUT, proof).await {
-            Ok(Ok(())) => {}
-            Ok(Err(fault)) => return log::warn!("control connection refused: {fault}"),
-            Err(_) => return log::warn!("control connection refused: no proof in time"),
-        }
+    async fn serve_connection(self, socket: TcpStream) {
         if socket.set_nodelay(true).is_err() {
             return;
         }
+        let stream = match tokio::time::timeout(PROOF_TIMEOUT, self.prove(socket)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(fault)) => return log::warn!("control connection refused: {fault}"),
+            Err(_) => return log::warn!("control connection refused: no proof in time"),
+        };
         let transport =
-            tarpc::serde_transport::new(frame_codec().new_framed(socket), Bincode::default());
+            tarpc::serde_transport::new(frame_codec().new_framed(stream), Bincode::default());
         let requests = BaseChannel::with_defaults(transport).execute(NodeControl::serve(self));
         requests.for_each_concurrent(None, |answer| answer).await;
     }
+
+    /// Checks certificate and cluster key of the connecting node.
+    async fn prove(&self, socket: TcpStream) -> Result<NodeStream<TcpStream>, HandshakeFault> {
+        let credentials = self.live.credentials();
+        let mut stream = NodeStream::accept_node(credentials.node_tls.as_ref(), socket).await?;
+        handshake::accept(&mut stream, &credentials.cluster_keys).await?;
+        Ok(stream)
+    }
 }
--- a/crates/verbenaring-gateway/src/controller.rs
+++ b/crates/verbenaring-gateway/src/controller.rs
@@ -26,7 +26,7 @@
 use crate::account::{AnswerObservers, AnswerRecord, WorkTickets};
 use crate::admit::AdmissionDesk;
 use crate::attempt::{
-    AttemptClient, AttemptFailure, AttemptRequest, EchoRule, is_refusal, json_headers,
+    AttemptClient, AttemptFailure, AttemptRequest, EchoRule, ReceiverKind, is_refusal, json_headers,
 };
 use crate::authenticate::authenticate_caller;
 use crate::backend::{BackendTable, ChosenServer, PrintDecision, WorkGuard};
@@ -38,6 +38,7 @@
 use crate::entry::entry_list;
 use crate::identify::{identify_inference, identify_service};
 use crate::listener::RequestHandler;
+use crate::live::LiveSettings;
 use crate::metrics::NodeMetrics;
 use crate::operation::{read_operation, run_operation};
 use crate::peer::{ForwardHead, PeerGate, SignedMessage};
@@ -73,8 +74,10 @@
 
 /// Shared state of one node.
 pub struct NodeCore<S> {
-    /// Settings of the node.
+    /// Settings of the node at its start.
     pub settings: NodeSettings,
+    /// Settings that a reload replaces.
+    pub live: Arc<LiveSettings>,
     /// Clock of the node.
     pub clock: NodeClock,
     /// Configuration in force.
@@ -446,6 +449,7 @@
                 WorkTarget::Model(_) => EchoRule::Required,
                 WorkTarget::Service(_) => EchoRule::IfPresent,
             },
+            receiver: ReceiverKind::Server,
         };
         let place = format!("{}/{}", self.settings.vm, terms.server);
         let result = self.exchange(work, &request, Some(place)).await;
@@ -488,6 +492,7 @@
             headers: &work.headers,
             body: work.body.clone(),
             echo: EchoRule::Required,
+            receiver: ReceiverKind::Node,
         };
         self.exchange(&work, &request, None).await
     }
@@ -549,14 +554,14 @@
         };
         head.write(
             &mut work.headers,
-            self.gate.signing_key(),
+            &self.gate.signing_key(),
             &peer.vm,
             &message,
         )
     }
 
     async fn read_body(&self, body: Incoming) -> Result<Bytes, Refusal> {
-        let guards = &self.settings.guards;
+        let guards = self.live.guards();
         let limited = Limited::new(body, guards.max_body_bytes);
         match tokio::time::timeout(guards.body_timeout, limited.collect()).await {
             Ok(Ok(body)) => Ok(body.to_bytes()),
--- a/crates/verbenaring-gateway/src/handshake.rs
+++ b/crates/verbenaring-gateway/src/handshake.rs
@@ -10,7 +10,8 @@
 
 const NONCE_BYTES: usize = 32;
 const TAG_BYTES: usize = 32;
-const MAX_KEY_ID_BYTES: usize = 64;
+/// Longest identifier of a cluster key.
+pub const MAX_KEY_ID_BYTES: usize = 64;
 const CLIENT_LABEL: &[u8] = b"verbenaring control client 1";
 const SERVER_LABEL: &[u8] = b"verbenaring control server 1";
 
--- a/crates/verbenaring-gateway/src/links.rs
+++ b/crates/verbenaring-gateway/src/links.rs
@@ -9,33 +9,43 @@
 
 use tarpc::tokio_serde::formats::Bincode;
 use tarpc::{client, context};
-use tokio::net::TcpStream;
 use tokio_util::codec::LengthDelimitedCodec;
 use verbenaring_protocol::control::NodeControlClient;
 
-use crate::config::ClusterKey;
+use crate::connector::NodeConnector;
 use crate::handshake;
+use crate::live::LiveSettings;
 
-/// Longest time to open a control connection, proof included.
-const OPEN_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest time to open a control connection, TLS and proof included.
+///
+/// They take four round trips, which is 440 ms between regions.
+const OPEN_TIMEOUT: Duration = Duration::from_secs(1);
 /// Longest time for one control call.
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
 /// Largest control message: a snapshot piece of less than 1 MB and its frame.
 pub const MAX_FRAME_BYTES: usize = 2 * 1024 * 1024;
 
-type SharedClient = Arc<tokio::sync::Mutex<Option<NodeControlClient>>>;
+type SharedClient = Arc<tokio::sync::Mutex<Option<OpenLink>>>;
+
+/// Open connection and the credentials that it was opened with.
+struct OpenLink {
+    generation: u64,
+    client: NodeControlClient,
+}
 
 /// Control connections of a node.
 pub struct ControlLinks {
-    key: ClusterKey,
+    live: Arc<LiveSettings>,
+    connector: NodeConnector,
     links: Mutex<HashMap<SocketAddr, SharedClient>>,
 }
 
 impl ControlLinks {
-    /// Links that prove `key`.
-    pub fn new(key: &ClusterKey) -> Self {
+    /// Links that prove the credentials in force.
+    pub fn new(live: &Arc<LiveSettings>) -> Self {
         Self {
-            key: key.clone(),
+            live: live.clone(),
+            connector: NodeConnector::new(live, OPEN_TIMEOUT),
             links: Mutex::default(),
         }
     }
@@ -75,24 +85,32 @@
 
     async fn client(&self, address: SocketAddr, link: &SharedClient) -> Option<NodeControlClient> {
         let mut slot = link.lock().await;
-        if let Some(client) = slot.as_ref() {
-            return Some(client.clone());
+        let generation = *self.live.generation().borrow();
+        if let Some(open) = slot.as_ref().filter(|open| open.generation == generation) {
+            return Some(open.client.clone());
         }
-        let opened = tokio::time::timeout(OPEN_TIMEOUT, self.open(address))
+        *slot = None;
+        let client = tokio::time::timeout(OPEN_TIMEOUT, self.open(address))
             .await
             .ok()??;
-        *slot = Some(opened.clone());
-        Some(opened)
+        *slot = Some(OpenLink {
+            generation,
+            client: client.clone(),
+        });
+        Some(client)
     }
 
     async fn open(&self, address: SocketAddr) -> Option<NodeControlClient> {
-        let mut socket = TcpStream::connect(address).await.ok()?;
-        socket.set_nodelay(true).ok()?;
-        if let Err(fault) = handshake::initiate(&mut socket, &self.key).await {
+        let opened = self.connector.open(address).await;
+        let mut stream = opened
+            .inspect_err(|error| log::debug!("control connection to {address} failed: {error}"))
+            .ok()?;
+        let credentials = self.live.credentials();
+        if let Err(fault) = handshake::initiate(&mut stream, credentials.signing_key()).await {
             log::debug!("control connection to {address} refused: {fault}");
             return None;
         }
-        let framed = frame_codec().new_framed(socket);
+        let framed = frame_codec().new_framed(stream);
         let transport = tarpc::serde_transport::new(framed, Bincode::default());
         Some(NodeControlClient::new(client::Config::default(), transport).spawn())
     }
--- a/crates/verbenaring-gateway/src/listener.rs
+++ b/crates/verbenaring-gateway/src/listener.rs
@@ -17,7 +17,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use hyper_util::server::graceful::GracefulShutdown;
+use hyper_util::server::graceful::{GracefulShutdown, Watcher};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
@@ -27,6 +27,8 @@
 use crate::body::AnswerBody;
 use crate::config::GuardSettings;
 use crate::error::{Error, Result};
+use crate::live::LiveSettings;
+use crate::tls::NodeStream;
 
 /// Answers requests of one listening socket.
 pub trait RequestHandler: Clone + Send + Sync + 'static {
@@ -40,7 +42,47 @@
 /// Listening socket.
 pub struct NodeListener {
     listener: TcpListener,
-    guards: GuardSettings,
+    rules: ConnectionRules,
+}
+
+/// Limits and TLS of the connections of a listening socket.
+#[derive(Clone)]
+enum ConnectionRules {
+    /// Fixed limits, no TLS.
+    Fixed(GuardSettings),
+    /// Limits and TLS in force, read for each connection.
+    Live(Arc<LiveSettings>, PeerRole),
+}
+
+/// Who connects to a listening socket.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PeerRole {
+    /// Callers, with `caller_tls`.
+    Caller,
+    /// Other nodes, with `node_tls`.
+    Node,
+}
+
+impl ConnectionRules {
+    fn guards(&self) -> GuardSettings {
+        match self {
+            Self::Fixed(guards) => *guards,
+            Self::Live(live, _) => live.guards(),
+        }
+    }
+
+    async fn secure(&self, stream: StallGuard) -> io::Result<NodeStream<StallGuard>> {
+        let Self::Live(live, role) = self else {
+            return Ok(NodeStream::Plain(stream));
+        };
+        let credentials = live.credentials();
+        match role {
+            PeerRole::Caller => {
+                NodeStream::accept_caller(credentials.caller_tls.as_ref(), stream).await
+            }
+            PeerRole::Node => NodeStream::accept_node(credentials.node_tls.as_ref(), stream).await,
+        }
+    }
 }
 
 impl NodeListener {
@@ -57,7 +99,14 @@
                 address,
                 source,
             })?;
-        Ok(Self { listener, guards })
+        let rules = ConnectionRules::Fixed(guards);
+        Ok(Self { listener, rules })
+    }
+
+    /// Takes limits and TLS from `live` for each connection.
+    pub fn with_live(self, live: &Arc<LiveSettings>, role: PeerRole) -> Self {
+        let rules = ConnectionRules::Live(live.clone(), role);
+        Self { rules, ..self }
     }
 
     /// Address that was bound.
@@ -69,7 +118,7 @@
 
     /// Serves until `shutdown`, then waits for open requests.
     pub async fn serve<H: RequestHandler>(self, handler: H, shutdown: CancellationToken) {
-        let permits = Arc::new(Semaphore::new(self.guards.max_connections));
+        let permits = Arc::new(Semaphore::new(self.rules.guards().max_connections));
         let graceful = GracefulShutdown::new();
         loop {
             let accepted = tokio::select! {
@@ -85,13 +134,12 @@
                     continue;
                 }
             };
-            let connection = self.connection(socket, handler.clone());
-            let watched = graceful.watch(connection);
+            let rules = self.rules.clone();
+            let handler = handler.clone();
+            let watcher = graceful.watcher();
             tokio::spawn(async move {
                 let _permit = permit;
-                if let Err(error) = watched.await {
-                    log::debug!("connection ended: {error}");
-                }
+                serve_connection(socket, rules, handler, watcher).await;
             });
         }
         drop(self.listener);
@@ -111,23 +159,34 @@
         socket.set_nodelay(true)?;
         Ok((socket, permit))
     }
+}
 
-    fn connection<H: RequestHandler>(
-        &self,
-        socket: TcpStream,
-        handler: H,
-    ) -> impl hyper_util::server::graceful::GracefulConnection<Error = hyper::Error> + use<H> {
-        let stream = StallGuard::new(socket, self.guards.stall_timeout);
-        let service = service_fn(move |request| {
-            let handler = handler.clone();
-            async move { Ok::<_, Infallible>(handler.handle(request).await) }
-        });
-        http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(self.guards.header_timeout)
-            .max_buf_size(self.guards.max_head_bytes)
-            .half_close(false)
-            .serve_connection(TokioIo::new(stream), service)
+/// Serves one connection to its end.
+async fn serve_connection<H: RequestHandler>(
+    socket: TcpStream,
+    rules: ConnectionRules,
+    handler: H,
+    watcher: Watcher,
+) {
+    let guards = rules.guards();
+    let stream = StallGuard::new(socket, guards.stall_timeout);
+    let stream = match tokio::time::timeout(guards.header_timeout, rules.secure(stream)).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(error)) => return log::info!("connection refused: {error}"),
+        Err(_) => return log::info!("connection refused: no TLS handshake in time"),
+    };
+    let service = service_fn(move |request| {
+        let handler = handler.clone();
+        async move { Ok::<_, Infallible>(handler.handle(request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(guards.header_timeout)
+        .max_buf_size(guards.max_head_bytes)
+        .half_close(false)
+        .serve_connection(TokioIo::new(stream), service);
+    if let Err(error) = watcher.watch(connection).await {
+        log::debug!("connection ended: {error}");
     }
 }
 
--- a/crates/verbenaring-gateway/src/logger.rs
+++ b/crates/verbenaring-gateway/src/logger.rs
@@ -8,23 +8,19 @@
 
 /// Writes one JSON object per record.
 pub struct JsonLogger {
-    level: LevelFilter,
     vm: String,
 }
 
 impl JsonLogger {
-    /// Logger of the entry VM `vm`.
-    pub fn new(level: LevelFilter, vm: &str) -> Box<Self> {
-        Box::new(Self {
-            level,
-            vm: vm.to_owned(),
-        })
+    /// Logger of the entry VM `vm`; `log::set_max_level` sets its level.
+    pub fn new(vm: &str) -> Box<Self> {
+        Box::new(Self { vm: vm.to_owned() })
     }
 }
 
 impl Log for JsonLogger {
     fn enabled(&self, metadata: &Metadata<'_>) -> bool {
-        metadata.level() <= self.level && metadata.target().starts_with("verbenaring")
+        metadata.level() <= log::max_level() && metadata.target().starts_with("verbenaring")
     }
 
     fn log(&self, record: &Record<'_>) {
@@ -50,7 +46,8 @@
 
 impl SharedLogger for JsonLogger {
     fn level(&self) -> LevelFilter {
-        self.level
+        // Upper bound only; a reload may lower or raise the level in force.
+        LevelFilter::Debug
     }
 
     fn config(&self) -> Option<&Config> {
--- a/crates/verbenaring-gateway/src/main.rs
+++ b/crates/verbenaring-gateway/src/main.rs
@@ -4,13 +4,14 @@
 //! second signal ended it at once, 2 when the command line or the settings are
 //! wrong and nothing was started.
 
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use tokio::signal::unix::{SignalKind, signal};
 use verbenaring_gateway::app::AppRequest;
 use verbenaring_gateway::config::NodeSettings;
 use verbenaring_gateway::logger::JsonLogger;
-use verbenaring_gateway::node::BoundNode;
+use verbenaring_gateway::node::{BoundNode, RunningNode};
 use verbenaring_gateway::{Error, Result};
 
 const EXIT_FAILED: u8 = 1;
@@ -40,30 +41,40 @@
         }
         AppRequest::Run(file) => {
             let settings = NodeSettings::load(&file)?;
-            let runtime =
-                tokio::runtime::Runtime::new().map_err(|source| Error::File { file, source })?;
-            runtime.block_on(run(settings))
+            let runtime = tokio::runtime::Runtime::new().map_err(|source| Error::File {
+                file: file.clone(),
+                source,
+            })?;
+            runtime.block_on(run(settings, file))
         }
     }
 }
 
-async fn run(settings: NodeSettings) -> Result<ExitCode> {
+async fn run(settings: NodeSettings, file: PathBuf) -> Result<ExitCode> {
     let level = settings.log_level;
-    let logger = JsonLogger::new(level, settings.vm.as_str());
+    let logger = JsonLogger::new(settings.vm.as_str());
     let bound = BoundNode::bind(settings).await?;
     if simplelog::CombinedLogger::init(vec![logger]).is_err() {
         eprintln!("verbenaringd: a logger is already set");
     }
+    log::set_max_level(level);
     let node = bound.start();
-    log::info!("serving callers on {}", node.caller_address());
-    let (Ok(mut terminate), Ok(mut interrupt)) = (
+    let (Ok(mut terminate), Ok(mut interrupt), Ok(mut hangup)) = (
         signal(SignalKind::terminate()),
         signal(SignalKind::interrupt()),
+        signal(SignalKind::hangup()),
     ) else {
         eprintln!("verbenaringd: signals cannot be received");
         return Ok(ExitCode::from(EXIT_FAILED));
     };
-    tokio::select! { _ = terminate.recv() => {}, _ = interrupt.recv() => {} }
+    log::info!("serving callers on {}", node.caller_address());
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => reload(&node, &file),
+        }
+    }
     log::info!("shutdown started");
     tokio::select! {
         () = node.stop() => {
@@ -74,3 +85,15 @@
         _ = interrupt.recv() => Ok(ExitCode::from(EXIT_FAILED)),
     }
 }
+
+/// Takes over what may change without a restart and writes one log line.
+fn reload(node: &RunningNode, file: &Path) {
+    match node.reload_file(file) {
+        Ok(report) if report.restart_fields.is_empty() => log::info!("settings reloaded"),
+        Ok(report) => log::warn!(
+            "settings reloaded; a restart is needed for {}",
+            report.restart_fields.join(", ")
+        ),
+        Err(error) => log::error!("settings not reloaded: {error}"),
+    }
+}
--- a/crates/verbenaring-gateway/src/node.rs
+++ b/crates/verbenaring-gateway/src/node.rs
@@ -24,7 +24,8 @@
 use crate::error::{Error, Result};
 use crate::etcd::EtcdStore;
 use crate::links::ControlLinks;
-use crate::listener::NodeListener;
+use crate::listener::{NodeListener, PeerRole};
+use crate::live::LiveSettings;
 use crate::metrics::NodeMetrics;
 use crate::peer::PeerGate;
 use crate::poller::poll_loads;
@@ -96,6 +97,7 @@
             timeline: timeline.clone(),
             backends: backends.clone(),
         };
+        let live = Arc::new(LiveSettings::new(&settings));
         let core = Arc::new(NodeCore {
             clock,
             catalog,
@@ -106,22 +108,25 @@
             queues: Arc::new(RequestQueues::new(&settings, clock)),
             regions: RegionRouter::new(clock),
             observers,
-            client: AttemptClient::new(settings.guards.connect_timeout),
-            gate: PeerGate::new(&settings.vm, &settings.cluster_keys, clock.unix_ms()),
+            client: AttemptClient::new(settings.guards.connect_timeout, &live),
+            gate: PeerGate::new(&settings.vm, &live, clock.unix_ms()),
             records: RecordStore::start(store.clone()),
             operations: TaskTracker::new(),
             metrics,
             timeline,
             settings,
+            live: live.clone(),
         });
         let shutdown = CancellationToken::new();
         let mut servers = JoinSet::new();
         servers.spawn(
             self.callers
+                .with_live(&live, PeerRole::Caller)
                 .serve(CallerHandler(core.clone()), shutdown.clone()),
         );
         servers.spawn(
             self.peers
+                .with_live(&live, PeerRole::Node)
                 .serve(PeerHandler(core.clone()), shutdown.clone()),
         );
         let background = CancellationToken::new();
@@ -155,14 +160,14 @@
 ) {
     let (inbox, messages) = mpsc::channel(INBOX_MESSAGES);
     let (watcher, enabled) = watch::channel(false);
-    let links = Arc::new(ControlLinks::new(core.gate.signing_key()));
+    let links = Arc::new(ControlLinks::new(&core.live));
     let task = ClusterTask::new(&core.cluster, &links, core.clock, watcher);
     let server = ControlServer {
         inbox,
         replica: core.replica.clone(),
         timeline: core.timeline.clone(),
         view: core.cluster.clone(),
-        keys: core.settings.cluster_keys.clone().into(),
+        live: core.live.clone(),
     };
     tokio::spawn(server.listen(control, background.clone()));
     tokio::spawn(ConfigWatcher::new(store, &core.replica).run(enabled));
--- a/crates/verbenaring-gateway/src/operation.rs
+++ b/crates/verbenaring-gateway/src/operation.rs
@@ -22,7 +22,7 @@
 use verbenaring_protocol::header;
 use verbenaring_protocol::node::OperationStatus;
 
-use crate::attempt::{AttemptConnection, AttemptRequest, EchoRule};
+use crate::attempt::{AttemptConnection, AttemptRequest, EchoRule, ReceiverKind};
 use crate::body::AnswerBody;
 use crate::controller::{NodeCore, Outcome, caller_answer, header_text};
 use crate::records::operation_key;
@@ -230,6 +230,11 @@
             } else {
                 EchoRule::IfPresent
             },
+            receiver: if forwarded {
+                ReceiverKind::Node
+            } else {
+                ReceiverKind::Server
+            },
         };
         let place = connection.place.clone();
         let answer = match connection.send(&request, self.work.deadline).await {
--- a/crates/verbenaring-gateway/src/peer.rs
+++ b/crates/verbenaring-gateway/src/peer.rs
@@ -6,13 +6,14 @@
 //! be replayed.
 
 use std::collections::{HashSet, VecDeque};
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 
 use hyper::header::{HeaderMap, HeaderValue};
 use verbenaring_policy::id::{AttemptId, Digest, VmId};
 use verbenaring_protocol::header;
 
 use crate::config::ClusterKey;
+use crate::live::LiveSettings;
 
 /// Age at which a signature is refused, clock differences included.
 pub const MAX_SIGNATURE_AGE_MS: u64 = 60_000;
@@ -171,25 +172,25 @@
 /// Checks requests that claim to come from other nodes.
 pub struct PeerGate {
     vm: VmId,
-    keys: Vec<ClusterKey>,
+    live: Arc<LiveSettings>,
     start_ms: u64,
     seen: Mutex<SeenAttempts>,
 }
 
 impl PeerGate {
     /// Gate of the entry VM `vm`, started at `start_ms`.
-    pub fn new(vm: &VmId, keys: &[ClusterKey], start_ms: u64) -> Self {
+    pub fn new(vm: &VmId, live: &Arc<LiveSettings>, start_ms: u64) -> Self {
         Self {
             vm: vm.clone(),
-            keys: keys.to_vec(),
+            live: live.clone(),
             start_ms,
             seen: Mutex::default(),
         }
     }
 
     /// Key that signs.
-    pub fn signing_key(&self) -> &ClusterKey {
-        self.keys.last().expect("settings hold a key")
+    pub fn signing_key(&self) -> ClusterKey {
+        self.live.credentials().signing_key().clone()
     }
 
     /// Checks a forwarded request and returns its head.
@@ -206,8 +207,9 @@
         let (Some(id), Some(time), Some(tag)) = (parts.next(), parts.next(), parts.next()) else {
             return Err(PeerFault::Header(header::AUTH));
         };
-        let key = self
-            .keys
+        let credentials = self.live.credentials();
+        let key = credentials
+            .cluster_keys
             .iter()
             .find(|key| key.id == id)
             .ok_or(PeerFault::UnknownKey)?;
--- a/crates/verbenaring-gateway/src/poller.rs
+++ b/crates/verbenaring-gateway/src/poller.rs
@@ -17,7 +17,7 @@
 use verbenaring_protocol::control::LoadFact;
 use verbenaring_protocol::document::{KindDocument, ServerTerms};
 
-use crate::attempt::{AttemptClient, AttemptRequest, EchoRule};
+use crate::attempt::{AttemptClient, AttemptRequest, EchoRule, ReceiverKind};
 use crate::backend::{EVALUATE_PERIOD, short_hash};
 use crate::controller::NodeCore;
 use crate::store::PlatformStore;
@@ -89,6 +89,7 @@
         headers: &headers,
         body: Bytes::new(),
         echo: EchoRule::IfPresent,
+        receiver: ReceiverKind::Server,
     };
     let answer = client.send(&request, POLL_TIMEOUT).await.ok()?;
     let body = Limited::new(answer.into_body(), MAX_REPORT_BYTES).collect();
--- a/crates/verbenaring-testbed/src/deployment.rs
+++ b/crates/verbenaring-testbed/src/deployment.rs
@@ -248,6 +248,8 @@
                 secret: [7; 32],
             }],
             guards,
+            node_tls: None,
+            caller_tls: None,
             log_level: log::LevelFilter::Info,
         };
         nodes.push(
