--- a/crates/verbenaring-gateway/src/controller.rs
+++ b/crates/verbenaring-gateway/src/controller.rs
@@ -26,7 +26,7 @@
 use crate::account::{AnswerObservers, AnswerRecord, WorkTickets};
 use crate::admit::AdmissionDesk;
 use crate::attempt::{
-    AttemptClient, AttemptFailure, AttemptRequest, EchoRule, is_refusal, json_headers,
+    AttemptClient, AttemptFailure, AttemptRequest, EchoRule, ReceiverKind, is_refusal, json_headers,
 };
 use crate::authenticate::authenticate_caller;
 use crate::backend::{BackendTable, ChosenServer, PrintDecision, WorkGuard};
@@ -40,6 +40,7 @@
 use crate::identify::{identify_inference, identify_service};
 use crate::links::ControlLinks;
 use crate::listener::RequestHandler;
+use crate::live::LiveSettings;
 use crate::metrics::NodeMetrics;
 use crate::operation::{read_operation, run_operation};
 use crate::peer::{ForwardHead, PeerGate, SignedMessage};
@@ -77,8 +78,10 @@
 
 /// Shared state of one node.
 pub struct NodeCore<S> {
-    /// Settings of the node.
+    /// Settings of the node at its start.
     pub settings: NodeSettings,
+    /// Settings that a reload replaces.
+    pub live: Arc<LiveSettings>,
     /// Clock of the node.
     pub clock: NodeClock,
     /// Configuration in force.
@@ -471,6 +474,7 @@
                 WorkTarget::Model(_) => EchoRule::Required,
                 WorkTarget::Service(_) => EchoRule::IfPresent,
             },
+            receiver: ReceiverKind::Server,
         };
         let place = format!("{}/{}", self.settings.vm, terms.server);
         let resume =
@@ -516,6 +520,7 @@
             headers: &work.headers,
             body: work.body.clone(),
             echo: EchoRule::Required,
+            receiver: ReceiverKind::Node,
         };
         self.exchange(&work, &request, None).await
     }
@@ -579,14 +584,14 @@
         };
         head.write(
             &mut work.headers,
-            self.gate.signing_key(),
+            &self.gate.signing_key(),
             &peer.vm,
             &message,
         )
     }
 
     pub(crate) async fn read_body(&self, body: Incoming) -> Result<Bytes, Refusal> {
-        let guards = &self.settings.guards;
+        let guards = self.live.guards();
         let limited = Limited::new(body, guards.max_body_bytes);
         match tokio::time::timeout(guards.body_timeout, limited.collect()).await {
             Ok(Ok(body)) => Ok(body.to_bytes()),
--- a/crates/verbenaring-gateway/src/node.rs
+++ b/crates/verbenaring-gateway/src/node.rs
@@ -24,7 +24,8 @@
 use crate::error::{Error, Result};
 use crate::etcd::EtcdStore;
 use crate::links::ControlLinks;
-use crate::listener::NodeListener;
+use crate::listener::{NodeListener, PeerRole};
+use crate::live::LiveSettings;
 use crate::metrics::NodeMetrics;
 use crate::operator::OperatorHandler;
 use crate::peer::PeerGate;
@@ -102,10 +103,9 @@
             timeline: timeline.clone(),
             backends: backends.clone(),
         };
-        let gate = PeerGate::new(&settings.vm, &settings.cluster_keys, clock.unix_ms());
+        let live = Arc::new(LiveSettings::new(&settings));
         let core = Arc::new(NodeCore {
-            links: Arc::new(ControlLinks::new(gate.signing_key())),
-            gate,
+            links: Arc::new(ControlLinks::new(&live)),
             clock,
             catalog,
             replica: replica.clone(),
@@ -115,21 +115,25 @@
             queues: Arc::new(RequestQueues::new(&settings, clock)),
             regions: RegionRouter::new(clock),
             observers,
-            client: AttemptClient::new(settings.guards.connect_timeout),
+            client: AttemptClient::new(settings.guards.connect_timeout, &live),
+            gate: PeerGate::new(&settings.vm, &live, clock.unix_ms()),
             records: RecordStore::start(store.clone()),
             operations: TaskTracker::new(),
             metrics,
             timeline,
             settings,
+            live: live.clone(),
         });
         let shutdown = CancellationToken::new();
         let mut servers = JoinSet::new();
         servers.spawn(
             self.callers
+                .with_live(&live, PeerRole::Caller)
                 .serve(CallerHandler(core.clone()), shutdown.clone()),
         );
         servers.spawn(
             self.peers
+                .with_live(&live, PeerRole::Node)
                 .serve(PeerHandler(core.clone()), shutdown.clone()),
         );
         let background = CancellationToken::new();
--- a/crates/verbenaring-gateway/src/resume.rs
+++ b/crates/verbenaring-gateway/src/resume.rs
@@ -15,7 +15,7 @@
 use verbenaring_policy::id::AttemptId;
 use verbenaring_protocol::header;
 
-use crate::attempt::{AttemptClient, AttemptRequest, EchoRule};
+use crate::attempt::{AttemptClient, AttemptRequest, EchoRule, ReceiverKind};
 
 /// Delays before the resumes of one answer; there are no further ones.
 ///
@@ -80,6 +80,7 @@
             headers: &headers,
             body: self.body.clone(),
             echo: EchoRule::Required,
+            receiver: ReceiverKind::Server,
         };
         self.client.start(&request).ok().map(|(answer, _)| answer)
     }
--- a/crates/verbenaring-testbed/src/deployment.rs
+++ b/crates/verbenaring-testbed/src/deployment.rs
@@ -12,6 +12,7 @@
 use verbenaring_gateway::etcd::EtcdStore;
 use verbenaring_gateway::node::{BoundNode, RunningNode};
 use verbenaring_gateway::store::{PlatformStore, SwapCondition, SwapOutcome, SwapRequest};
+use verbenaring_gateway::tls::{CallerTls, NodeTls};
 use verbenaring_policy::id::{CentreName, ChangeId, DataCentre, Digest, RegionName, VmId};
 
 use verbenaring_protocol::stored::StoredEntry;
@@ -64,6 +65,10 @@
     pub guards: GuardSettings,
     /// Time on a stop during which nodes report not ready and still serve.
     pub drain: Duration,
+    /// Mutual TLS between the nodes, one certificate for all.
+    pub node_tls: Option<NodeTls>,
+    /// TLS towards callers.
+    pub caller_tls: Option<CallerTls>,
 }
 
 /// Running data centre.
@@ -251,6 +256,8 @@
             }],
             guards: spec.guards,
             drain: spec.drain,
+            node_tls: spec.node_tls.clone(),
+            caller_tls: spec.caller_tls.clone(),
             log_level: log::LevelFilter::Info,
         };
         nodes.push(
