End undecided amendments in time and refuse shared bearer keys

Cause: when every store call failed at once, the time limit of an amendment was never checked and the request retried for ever. A bearer key in two contracts left open which contract served its holder. The log of a lost race held the other operator's document.

Change: the limit is checked after each lost call. A key of another customer in force is refused. The log names the result only.

Two nodes that accept contracts with the same key within one watch delay are not detected.

--- a/crates/verbenaring-gateway/src/amend.rs
+++ b/crates/verbenaring-gateway/src/amend.rs
@@ -72,9 +72,18 @@
                 AmendmentEvent::GaveUp
             }
         };
-        if event == AmendmentEvent::Lost {
+        let event = if event == AmendmentEvent::Lost {
             tokio::time::sleep(RETRY_DELAY).await;
-        }
+            // Calls that fail at once do not run into their own time limit.
+            let expired = Instant::now() >= deadline;
+            if expired {
+                AmendmentEvent::GaveUp
+            } else {
+                event
+            }
+        } else {
+            event
+        };
         match amendment.on(event) {
             Some(next) => action = next,
             None => return AmendOutcome::Undecided,
--- a/crates/verbenaring-gateway/src/main.rs
+++ b/crates/verbenaring-gateway/src/main.rs
@@ -56,6 +56,7 @@
     }
     let node = bound.start();
     log::info!("serving callers on {}", node.caller_address());
+    log::info!("serving operators on {}", node.operator_address());
     let (Ok(mut terminate), Ok(mut interrupt)) = (
         signal(SignalKind::terminate()),
         signal(SignalKind::interrupt()),
--- a/crates/verbenaring-gateway/src/operator.rs
+++ b/crates/verbenaring-gateway/src/operator.rs
@@ -141,9 +141,13 @@
         }
         let catalog = self.core.catalog.load_full();
         let matches = |found: &str| found == key || (name.is_empty() && found.starts_with(&key));
-        for (found, document) in documents_in_force(&catalog, kind) {
+        for (found, mut document) in documents_in_force(&catalog, kind) {
             if matches(&found) {
-                view_of(&mut views, &found).in_force = Some(document);
+                let view = view_of(&mut views, &found);
+                let stored = view.stored.as_ref();
+                let same = stored.filter(|stored| stored.revision == document.revision);
+                document.change = document.change.or(same.map(|stored| stored.change));
+                view.in_force = Some(document);
             }
         }
         for fault in catalog.faults() {
@@ -178,7 +182,10 @@
             read_document(&body).map_err(|error| invalid_document(error.to_string()))?;
         let key = format!("{}{name}", kind.prefix());
         match &request.document {
-            Some(document) => check_proposal(kind, name, document)?,
+            Some(document) => {
+                check_proposal(kind, name, document)?;
+                self.check_keys(kind, document)?;
+            }
             None if request.expected == 0 => {
                 return Err(invalid_document(
                     "a deletion needs the revision to delete".into(),
@@ -187,7 +194,13 @@
             None => {}
         }
         let outcome = amend_document(&*self.store, &key, &request).await;
-        log::info!("amendment {} of {key}: {outcome:?}", request.change);
+        let result = match &outcome {
+            AmendOutcome::Written(_) => "written",
+            AmendOutcome::Conflict(_) => "lost a race",
+            AmendOutcome::NotWritten(_) => "not written",
+            AmendOutcome::Undecided => "undecided",
+        };
+        log::info!("amendment {} of {key}: {result}", request.change);
         match outcome {
             AmendOutcome::Written(revision) => Ok(answer_json(&AmendAnswer {
                 key,
@@ -219,6 +232,28 @@
         }
     }
 
+    /// Refuses a bearer key of another customer: its holder would be served
+    /// under either contract.
+    fn check_keys(&self, kind: DocumentKind, document: &RawValue) -> Result<(), Refusal> {
+        if kind != DocumentKind::Contract {
+            return Ok(());
+        }
+        let document: ContractDocument = read_document(document.get().as_bytes())
+            .map_err(|error| invalid_document(error.to_string()))?;
+        let catalog = self.core.catalog.load_full();
+        let used = catalog.contracts().find(|entry| {
+            let terms = &entry.terms;
+            terms.customer.as_str() != document.customer
+                && (terms.keys.iter()).any(|key| document.keys.contains(&key.to_string()))
+        });
+        used.map_or(Ok(()), |entry| {
+            Err(invalid_document(format!(
+                "field keys: a key is already used by customer {}",
+                entry.terms.customer
+            )))
+        })
+    }
+
     async fn answer_timeline(&self, parts: &Parts) -> Answer {
         let mut since = 0;
         let mut request = None;
--- a/crates/verbenaring-testbed/tests/operator.rs
+++ b/crates/verbenaring-testbed/tests/operator.rs
@@ -140,6 +140,26 @@
     deployment.stop().await;
 }
 
+/// A bearer key in two contracts would leave open which one serves its holder.
+#[tokio::test]
+async fn key_of_another_customer_is_refused() {
+    let (deployment, client) = one_node().await;
+    let first = ProposedChange::write(&client, council(10), None)
+        .await
+        .unwrap();
+    let written = first.submit(&client).await.unwrap();
+    wait_accepted(&client, &written, Duration::from_secs(10))
+        .await
+        .unwrap();
+    let twin = contract_document("bakery", CUSTOMER_KEY, "dublin", &["dublin"]);
+    let twin = CheckedDocument::read(KIND, &twin.to_string()).unwrap();
+    let twin = ProposedChange::write(&client, twin, None).await.unwrap();
+    let error = twin.submit(&client).await.unwrap_err();
+    assert_eq!(error.exit_code(), 2);
+    assert!(error.to_string().contains("customer council"), "{error}");
+    deployment.stop().await;
+}
+
 /// From a contract file to served traffic, its report and its time line.
 #[tokio::test]
 async fn applied_contract_serves_and_is_reported() {
