--- a/crates/verbenaring-gateway/src/main.rs
+++ b/crates/verbenaring-gateway/src/main.rs
@@ -59,6 +59,8 @@
     }
     log::set_max_level(level);
     let node = bound.start();
+    log::info!("serving callers on {}", node.caller_address());
+    log::info!("serving operators on {}", node.operator_address());
     let (Ok(mut terminate), Ok(mut interrupt), Ok(mut hangup)) = (
         signal(SignalKind::terminate()),
         signal(SignalKind::interrupt()),
@@ -67,7 +69,6 @@
         eprintln!("verbenaringd: signals cannot be received");
         return Ok(ExitCode::from(EXIT_FAILED));
     };
-    log::info!("serving callers on {}", node.caller_address());
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
