Keep far nodes usable while their addresses are fetched

Between the first summary of another data centre and the card of one of its nodes, no node of it was listed, and requests that only it could serve were refused with 503.

A control call on a kept connection that the other node has closed is repeated once on a new one, so that a reload there costs no message.

--- a/crates/verbenaring-gateway/src/cluster.rs
+++ b/crates/verbenaring-gateway/src/cluster.rs
@@ -488,12 +488,14 @@
             far: far.collect(),
             centres: centres.collect(),
         };
-        self.add_configured(&mut list);
+        self.add_configured(&mut list, &cards);
+        drop(cards);
         self.view.nodes.store(Arc::new(list));
     }
 
-    /// Adds configured nodes elsewhere until their data centre was heard of.
-    fn add_configured(&self, list: &mut NodeList) {
+    /// Adds configured nodes elsewhere until their data centre was heard of and
+    /// the address of one of its nodes is known.
+    fn add_configured(&self, list: &mut NodeList, cards: &HashMap<SocketAddr, NodeCard>) {
         let now = self.clock.now();
         let heard: Vec<&DataCentre> = self
             .summaries
@@ -501,8 +503,11 @@
             .map(|summary| &summary.centre)
             .collect();
         let settings = &self.view.settings;
+        let is_known = |centre: &DataCentre| {
+            heard.contains(&centre) && cards.values().any(|card| card.data_centre == *centre)
+        };
         let silent = settings.peers.iter().filter(|peer| {
-            peer.data_centre != settings.data_centre && !heard.contains(&&peer.data_centre)
+            peer.data_centre != settings.data_centre && !is_known(&peer.data_centre)
         });
         list.far.extend(silent.cloned());
     }
--- a/crates/verbenaring-gateway/src/links.rs
+++ b/crates/verbenaring-gateway/src/links.rs
@@ -51,21 +51,33 @@
     }
 
     /// Calls the node at `address`; none if it cannot be reached in time.
+    ///
+    /// A kept connection that the other node has closed, for instance because
+    /// it has new credentials, is opened again and the call repeated once. All
+    /// calls of the service tolerate that.
     pub async fn call<T, F>(
         &self,
         address: SocketAddr,
-        call: impl FnOnce(NodeControlClient, context::Context) -> F,
+        call: impl FnOnce(NodeControlClient, context::Context) -> F + Clone,
     ) -> Option<T>
     where
         F: Future<Output = Result<T, client::RpcError>>,
     {
         let link = self.link(address);
-        let client = self.client(address, &link).await?;
-        let mut context = context::current();
-        context.deadline = std::time::Instant::now() + CALL_TIMEOUT;
-        match tokio::time::timeout(CALL_TIMEOUT, call(client, context)).await {
-            Ok(Ok(answer)) => Some(answer),
-            _ => {
+        let (client, kept) = self.client(address, &link).await?;
+        match call_once(client, call.clone()).await {
+            Ok(answer) => return Some(answer),
+            Err(fault) => {
+                *link.lock().await = None;
+                if !kept || fault == CallFault::TimedOut {
+                    return None;
+                }
+            }
+        }
+        let (client, _) = self.client(address, &link).await?;
+        match call_once(client, call).await {
+            Ok(answer) => Some(answer),
+            Err(_) => {
                 *link.lock().await = None;
                 None
             }
@@ -83,11 +95,16 @@
         links.entry(address).or_default().clone()
     }
 
-    async fn client(&self, address: SocketAddr, link: &SharedClient) -> Option<NodeControlClient> {
+    /// Client of the node at `address`, and whether its connection was open before.
+    async fn client(
+        &self,
+        address: SocketAddr,
+        link: &SharedClient,
+    ) -> Option<(NodeControlClient, bool)> {
         let mut slot = link.lock().await;
         let generation = *self.live.generation().borrow();
         if let Some(open) = slot.as_ref().filter(|open| open.generation == generation) {
-            return Some(open.client.clone());
+            return Some((open.client.clone(), true));
         }
         *slot = None;
         let client = tokio::time::timeout(OPEN_TIMEOUT, self.open(address))
@@ -97,7 +114,7 @@
             generation,
             client: client.clone(),
         });
-        Some(client)
+        Some((client, false))
     }
 
     async fn open(&self, address: SocketAddr) -> Option<NodeControlClient> {
@@ -116,6 +133,31 @@
     }
 }
 
+/// Why a control call failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CallFault {
+    /// No answer came in time.
+    TimedOut,
+    /// The connection is closed.
+    Closed,
+}
+
+async fn call_once<T, F>(
+    client: NodeControlClient,
+    call: impl FnOnce(NodeControlClient, context::Context) -> F,
+) -> Result<T, CallFault>
+where
+    F: Future<Output = Result<T, client::RpcError>>,
+{
+    let mut context = context::current();
+    context.deadline = std::time::Instant::now() + CALL_TIMEOUT;
+    match tokio::time::timeout(CALL_TIMEOUT, call(client, context)).await {
+        Ok(Ok(answer)) => Ok(answer),
+        Ok(Err(client::RpcError::DeadlineExceeded)) | Err(_) => Err(CallFault::TimedOut),
+        Ok(Err(_)) => Err(CallFault::Closed),
+    }
+}
+
 /// Framing of control connections.
 pub fn frame_codec() -> tokio_util::codec::length_delimited::Builder {
     let mut builder = LengthDelimitedCodec::builder();
