Test keys, certificates and their rotation between real nodes

Nothing showed that TLS and the cluster key are both required, or that a rotation loses no request.

They cover control calls, forwarded requests and bookings under TLS; plain connections, missing, foreign, expired and wrongly named certificates; wrong cluster keys; processes that pose as a node; both rotations in three steps over four nodes under four callers; bad files on reload; and caller TLS.

--- a/crates/verbenaring-testbed/src/deployment.rs
+++ b/crates/verbenaring-testbed/src/deployment.rs
@@ -12,6 +12,7 @@
 use verbenaring_gateway::etcd::EtcdStore;
 use verbenaring_gateway::node::{BoundNode, RunningNode};
 use verbenaring_gateway::store::{PlatformStore, SwapCondition, SwapOutcome, SwapRequest};
+use verbenaring_gateway::tls::{CallerTls, NodeTls};
 use verbenaring_policy::id::{CentreName, ChangeId, DataCentre, Digest, RegionName, VmId};
 
 use verbenaring_protocol::stored::StoredEntry;
@@ -62,6 +63,10 @@
     pub centres: Vec<CentreSpec>,
     /// Memory limits of the nodes.
     pub guards: GuardSettings,
+    /// Mutual TLS between the nodes, one certificate for all.
+    pub node_tls: Option<NodeTls>,
+    /// TLS towards callers.
+    pub caller_tls: Option<CallerTls>,
 }
 
 /// Running data centre.
@@ -93,7 +98,7 @@
         let writer = EtcdStore::new(&[store.address()], Duration::from_secs(2));
         let mut bound = Vec::new();
         for centre in &spec.centres {
-            bound.push(bind_nodes(centre, spec.guards, store.address()).await);
+            bound.push(bind_nodes(centre, spec, store.address()).await);
         }
         let peers: Vec<PeerSettings> = bound
             .iter()
@@ -227,7 +232,7 @@
 
 async fn bind_nodes(
     centre: &CentreSpec,
-    guards: GuardSettings,
+    spec: &DeploymentSpec,
     store: SocketAddr,
 ) -> Vec<BoundNode> {
     let mut nodes = Vec::new();
@@ -247,9 +252,9 @@
                 id: "k1".into(),
                 secret: [7; 32],
             }],
-            guards,
-            node_tls: None,
-            caller_tls: None,
+            guards: spec.guards,
+            node_tls: spec.node_tls.clone(),
+            caller_tls: spec.caller_tls.clone(),
             log_level: log::LevelFilter::Info,
         };
         nodes.push(
--- /dev/null
+++ b/crates/verbenaring-testbed/tests/keys.rs
@@ -0,0 +1,441 @@
+//! Authentication between nodes, TLS, and their change without a restart.
+
+mod certificates;
+mod neighbour;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
+
+use certificates::{Authority, TestDirectory};
+use hyper::Method;
+use neighbour::{LIMIT, answers_control, chat_over_tls, forward, live_of, raw_answer};
+use rustls::ServerConfig;
+use serde_json::{Value, json};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio_rustls::TlsAcceptor;
+use uuid::{NoContext, Timestamp, Uuid};
+use verbenaring_gateway::config::{ClusterKey, NodeSettings};
+use verbenaring_gateway::connector::NodeConnector;
+use verbenaring_gateway::node::RunningNode;
+use verbenaring_gateway::tls::NodeTls;
+use verbenaring_policy::outcome::RunOutcome;
+use verbenaring_testbed::client::{TestClient, chat_body, read_answer};
+use verbenaring_testbed::deployment::{
+    CUSTOMER_KEY, CentreSpec, DeploymentSpec, TestDeployment, contract_document,
+};
+use verbenaring_testbed::expected_answer;
+
+/// Dublin has no server of its own and forwards everything to Cork.
+async fn forwarding(node_tls: Option<NodeTls>) -> TestDeployment {
+    let dublin = CentreSpec {
+        engines: Vec::new(),
+        ..CentreSpec::default()
+    };
+    // Only two nodes follow the store; the third learns configuration by control calls.
+    let cork = CentreSpec {
+        region: "cork",
+        name: "cork-a",
+        nodes: 3,
+        services: vec!["jobs"],
+        ..CentreSpec::default()
+    };
+    let spec = DeploymentSpec {
+        centres: vec![dublin, cork],
+        node_tls,
+        ..DeploymentSpec::default()
+    };
+    let deployment = TestDeployment::start(&spec).await.unwrap();
+    let contract = contract_document("council", CUSTOMER_KEY, "dublin", &["dublin", "cork"]);
+    deployment.write("config/contract/council", &contract).await;
+    deployment
+}
+
+fn nodes(deployment: &TestDeployment) -> Vec<&RunningNode> {
+    let centres = deployment.centres.iter();
+    centres.flat_map(|centre| &centre.nodes).collect()
+}
+
+fn key(id: &str, byte: u8) -> ClusterKey {
+    ClusterKey {
+        id: id.into(),
+        secret: [byte; 32],
+    }
+}
+
+/// Forwarding, bookings and control calls must work under TLS.
+#[tokio::test]
+async fn nodes_work_under_tls() {
+    let directory = TestDirectory::new("work");
+    let authority = Authority::new("consortium");
+    let tls = authority.node().node_tls(&directory, &authority.pem);
+    let deployment = forwarding(Some(tls)).await;
+    let client = TestClient::new(deployment.node(0).caller_address(), CUSTOMER_KEY);
+    for stream in [false, true] {
+        let answer = client.chat("a bung", 5, stream).await;
+        assert_eq!(answer.chat_text(), expected_answer("a bung", 5));
+        assert!(
+            answer
+                .header("x-verbenaring-served-by")
+                .starts_with("cork-a")
+        );
+    }
+    let key = Uuid::new_v7(Timestamp::now(NoContext)).to_string();
+    let answer = client.book(&key, "fit").await;
+    assert_eq!(
+        answer.status,
+        200,
+        "{}",
+        String::from_utf8_lossy(&answer.body)
+    );
+    let live = &deployment.node(0).core().live;
+    for node in nodes(&deployment) {
+        assert!(answers_control(live, node).await);
+    }
+    deployment.stop().await;
+}
+
+/// A valid certificate does not replace the cluster key, nor the key the certificate.
+#[tokio::test]
+async fn certificate_and_key_are_both_needed() {
+    let directory = TestDirectory::new("both");
+    let authority = Authority::new("consortium");
+    let tls = authority.node().node_tls(&directory, &authority.pem);
+    let deployment = forwarding(Some(tls.clone())).await;
+    let node = deployment.node(1);
+    let settings = |cluster_key, node_tls: Option<&NodeTls>| {
+        live_of(&NodeSettings {
+            cluster_keys: vec![cluster_key],
+            node_tls: node_tls.cloned(),
+            ..node.core().settings.clone()
+        })
+    };
+    let neighbour = settings(key("k1", 7), Some(&tls));
+    assert!(answers_control(&neighbour, node).await);
+    assert_eq!(forward(&neighbour, node).await, Ok(200));
+
+    for wrong in [key("k1", 8), key("k2", 7)] {
+        let intruder = settings(wrong, Some(&tls));
+        assert!(!answers_control(&intruder, node).await);
+        assert_eq!(forward(&intruder, node).await, Ok(403));
+    }
+    let plain = settings(key("k1", 7), None);
+    assert!(!answers_control(&plain, node).await);
+    assert!(forward(&plain, node).await.is_err());
+
+    // Refused certificates leave no doubt whether the request was run.
+    let other = Authority::new("other");
+    let both = [authority.pem.as_str(), &other.pem].concat();
+    for identity in [other.node(), authority.expired()] {
+        let intruder = settings(key("k1", 7), Some(&identity.node_tls(&directory, &both)));
+        assert!(!answers_control(&intruder, node).await);
+        assert_eq!(forward(&intruder, node).await, Err(RunOutcome::NotRun));
+    }
+    deployment.stop().await;
+}
+
+/// Callers, backend servers and strangers must not get past the TLS handshake.
+#[tokio::test]
+async fn certificate_of_a_node_is_required() {
+    let directory = TestDirectory::new("required");
+    let authority = Authority::new("consortium");
+    let tls = authority.node().node_tls(&directory, &authority.pem);
+    let deployment = forwarding(Some(tls)).await;
+    let settings = &deployment.node(1).core().settings;
+    let intruders = [
+        None,
+        Some(Authority::new("other").node()),
+        Some(authority.named("engine-0.verbenaring")),
+        Some(authority.expired()),
+    ];
+    for (index, intruder) in intruders.iter().enumerate() {
+        for address in [settings.peer_address, settings.control_address] {
+            let answer = raw_answer(&authority, intruder.as_ref(), address).await;
+            assert_eq!(answer, b"", "intruder {index}");
+        }
+    }
+    let answer = raw_answer(&authority, Some(&authority.node()), settings.peer_address).await;
+    assert!(answer[1..].starts_with(b"HTTP/1.1 403"));
+    deployment.stop().await;
+}
+
+/// A node must not send a request to a process that only listens on a node's address.
+#[tokio::test]
+async fn impostor_receives_nothing() {
+    let directory = TestDirectory::new("impostor");
+    let authority = Authority::new("consortium");
+    let tls = authority.node().node_tls(&directory, &authority.pem);
+    let deployment = forwarding(Some(tls)).await;
+    let live = &deployment.node(0).core().live;
+    let connector = NodeConnector::new(live, LIMIT);
+    let impostors = [
+        (Authority::new("other").node(), false),
+        (authority.named("engine-0.verbenaring"), false),
+        (authority.expired(), false),
+        (authority.node(), true),
+    ];
+    for (index, (identity, accepted)) in impostors.into_iter().enumerate() {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let provider = Arc::new(rustls::crypto::ring::default_provider());
+        let config = ServerConfig::builder_with_provider(provider)
+            .with_safe_default_protocol_versions()
+            .unwrap()
+            .with_no_client_auth()
+            .with_single_cert(identity.chain(), identity.private_key())
+            .unwrap();
+        let server = tokio::spawn(async move {
+            let (socket, _) = listener.accept().await.unwrap();
+            let mut stream = TlsAcceptor::from(Arc::new(config))
+                .accept(socket)
+                .await
+                .ok()?;
+            stream.write_u8(1).await.ok()?;
+            stream.flush().await.ok()
+        });
+        let opened = connector.open(address).await;
+        assert_eq!(opened.is_ok(), accepted, "impostor {index}");
+        drop(opened);
+        server.await.unwrap();
+    }
+    deployment.stop().await;
+}
+
+/// Callers that send requests without a pause until they are stopped.
+struct SteadyLoad {
+    answered: Arc<AtomicUsize>,
+    stopped: Arc<AtomicBool>,
+    callers: Vec<tokio::task::JoinHandle<()>>,
+}
+
+impl SteadyLoad {
+    fn start(address: SocketAddr) -> Self {
+        let answered = Arc::new(AtomicUsize::new(0));
+        let stopped = Arc::new(AtomicBool::new(false));
+        let callers = (0..4).map(|_| {
+            let (answered, stopped) = (answered.clone(), stopped.clone());
+            tokio::spawn(async move {
+                let client = TestClient::new(address, CUSTOMER_KEY);
+                while !stopped.load(Ordering::Relaxed) {
+                    let answer = client.chat("a bung", 3, true).await;
+                    let text = String::from_utf8_lossy(&answer.body);
+                    assert_eq!(answer.status, 200, "{text}");
+                    assert_eq!(answer.chat_text(), expected_answer("a bung", 3), "{text}");
+                    answered.fetch_add(1, Ordering::Relaxed);
+                }
+            })
+        });
+        Self {
+            callers: callers.collect(),
+            answered,
+            stopped,
+        }
+    }
+
+    /// Waits until requests that were sent after this call were answered.
+    async fn progress(&self) {
+        let target = self.answered.load(Ordering::Relaxed) + 2 * self.callers.len();
+        while self.answered.load(Ordering::Relaxed) < target {
+            assert!(self.callers.iter().all(|caller| !caller.is_finished()));
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    }
+
+    async fn stop(self) {
+        self.stopped.store(true, Ordering::Relaxed);
+        for caller in self.callers {
+            caller.await.unwrap();
+        }
+    }
+}
+
+/// Gives each node in turn the settings of each step, under requests.
+async fn rotate(deployment: &TestDeployment, steps: &[&(dyn Fn(&mut NodeSettings) + Sync)]) {
+    let client = TestClient::new(deployment.node(0).caller_address(), CUSTOMER_KEY);
+    let load = SteadyLoad::start(deployment.node(0).caller_address());
+    for step in steps {
+        for node in nodes(deployment) {
+            let body = chat_body("long", 60, true);
+            let open = client.open(Method::POST, "/v1/chat/completions", &[], body);
+            let open = open.await.unwrap();
+            let mut settings = node.core().settings.clone();
+            step(&mut settings);
+            assert_eq!(node.reload(&settings).restart_fields, [""; 0]);
+            // Connections that are kept open would hide a refusal.
+            for other in nodes(deployment) {
+                for (from, to) in [(node, other), (other, node)] {
+                    assert!(answers_control(&from.core().live, to).await);
+                    assert_eq!(forward(&from.core().live, to).await, expected_status(to));
+                }
+            }
+            load.progress().await;
+            let answer = read_answer(open).await;
+            assert_eq!(answer.chat_text(), expected_answer("long", 60));
+        }
+    }
+    load.stop().await;
+}
+
+/// Dublin accepts the forwarded request and has no server to run it.
+fn expected_status(node: &RunningNode) -> Result<u16, RunOutcome> {
+    let served = node.core().settings.data_centre.region.as_str() == "cork";
+    Ok(if served { 200 } else { 503 })
+}
+
+/// A fleet in which nodes are at neighbouring steps must keep working, and the
+/// old key must be useless after the last step.
+#[tokio::test]
+async fn cluster_key_rotates_under_requests() {
+    let deployment = forwarding(None).await;
+    let (old, new) = (key("k1", 7), key("k2", 9));
+    rotate(
+        &deployment,
+        &[
+            &|settings| settings.cluster_keys = vec![new.clone(), old.clone()],
+            &|settings| settings.cluster_keys = vec![old.clone(), new.clone()],
+            &|settings| settings.cluster_keys = vec![new.clone()],
+        ],
+    )
+    .await;
+    let node = deployment.node(1);
+    let late = live_of(&node.core().settings);
+    assert!(!answers_control(&late, node).await);
+    assert_eq!(forward(&late, node).await, Ok(403));
+    deployment.stop().await;
+}
+
+/// The same for a new authority and new certificates.
+#[tokio::test]
+async fn certificates_rotate_under_requests() {
+    let directory = TestDirectory::new("rotate");
+    let (old, new) = (Authority::new("old"), Authority::new("new"));
+    let both = [old.pem.as_str(), &new.pem].concat();
+    let first = old.node().node_tls(&directory, &old.pem);
+    let deployment = forwarding(Some(first)).await;
+    let present = |authority: &Authority, accepted: &str| {
+        Some(authority.node().node_tls(&directory, accepted))
+    };
+    rotate(
+        &deployment,
+        &[
+            &|settings| settings.node_tls = present(&old, &both),
+            &|settings| settings.node_tls = present(&new, &both),
+            &|settings| settings.node_tls = present(&new, &new.pem),
+        ],
+    )
+    .await;
+    let node = deployment.node(1);
+    let late = live_of(&node.core().settings);
+    assert!(!answers_control(&late, node).await);
+    assert_eq!(forward(&late, node).await, Err(RunOutcome::NotRun));
+    deployment.stop().await;
+}
+
+/// Settings of a running node as a file has them, without its peers and operators.
+fn document_of(node: &RunningNode, directory: &TestDirectory, authority: &Authority) -> Value {
+    let settings = &node.core().settings;
+    let files = authority.node().node_files(directory, &authority.pem);
+    json!({
+        "vm": settings.vm.as_str(),
+        "region": settings.data_centre.region.as_str(),
+        "data_centre": settings.data_centre.name.as_str(),
+        "caller_address": settings.caller_address,
+        "peer_address": settings.peer_address,
+        "control_address": settings.control_address,
+        "store_addresses": settings.store_addresses,
+        "cluster_keys": [{ "id": "k1", "secret": "07".repeat(32) }],
+        "node_tls": {
+            "certificate_file": files.certificate_file,
+            "key_file": files.key_file,
+            "authority_file": files.authority_file,
+        },
+    })
+}
+
+/// A bad settings file must leave keys, certificates and guards as they are.
+#[tokio::test]
+async fn bad_file_changes_nothing() {
+    let directory = TestDirectory::new("bad");
+    let authority = Authority::new("consortium");
+    let tls = authority.node().node_tls(&directory, &authority.pem);
+    let deployment = forwarding(Some(tls)).await;
+    let node = deployment.node(1);
+    let live = &node.core().live;
+    let good = document_of(node, &directory, &authority);
+    let foreign = Authority::new("other").node();
+    let foreign_key = directory.write("foreign.key", &foreign.key);
+    let foreign_certificate = directory.write("foreign.pem", &foreign.certificate);
+    let engine = authority.named("engine-0.verbenaring");
+    let engine_certificate = directory.write("engine.pem", &engine.certificate);
+    let faults = [
+        ("/max_body_bytes", json!(1)),
+        ("/cluster_keys", json!([])),
+        ("/node_tls/key_file", json!(foreign_key)),
+        ("/node_tls/certificate_file", json!(foreign_certificate)),
+        ("/node_tls/certificate_file", json!(engine_certificate)),
+        ("/node_tls/authority_file", json!("absent.pem")),
+    ];
+    for (place, value) in faults {
+        let mut bad = good.clone();
+        // Taken over if the file were read in part.
+        bad["body_timeout_ms"] = json!(100);
+        match bad.pointer_mut(place) {
+            Some(field) => *field = value,
+            None => bad[place.trim_start_matches('/')] = value,
+        }
+        let file = directory.write("settings.json", &bad.to_string());
+        let text = node.reload_file(&file).unwrap_err().to_string();
+        let field = place.trim_start_matches('/').replace('/', ".");
+        assert!(text.contains(&format!("field {field}: ")), "{text}");
+        assert!(text.starts_with(&format!("{}: ", file.display())), "{text}");
+        assert_eq!(text.lines().count(), 1, "{text}");
+        assert_eq!(*live.generation().borrow(), 0);
+        assert_eq!(live.guards(), node.core().settings.guards);
+    }
+    assert!(answers_control(&deployment.node(0).core().live, node).await);
+
+    let mut changed = good;
+    changed["max_body_bytes"] = json!(1_024);
+    let file = directory.write("settings.json", &changed.to_string());
+    let report = node.reload_file(&file).unwrap();
+    assert_eq!(report.restart_fields, ["operator_key_digest", "peers"]);
+    let client = TestClient::new(node.caller_address(), CUSTOMER_KEY);
+    assert_eq!(client.chat(&"a".repeat(1_024), 1, false).await.status, 413);
+    deployment.stop().await;
+}
+
+/// A client that knows only the authority must be served over TLS, before and
+/// after a change of the certificate, and never without TLS.
+#[tokio::test]
+async fn callers_use_tls() {
+    let directory = TestDirectory::new("callers");
+    let (old, new) = (Authority::new("old"), Authority::new("new"));
+    let spec = DeploymentSpec {
+        centres: vec![CentreSpec::default()],
+        caller_tls: Some(old.named("gateway.example").caller_tls(&directory)),
+        ..DeploymentSpec::default()
+    };
+    let deployment = TestDeployment::start(&spec).await.unwrap();
+    let contract = contract_document("council", CUSTOMER_KEY, "dublin", &["dublin"]);
+    deployment.write("config/contract/council", &contract).await;
+    let node = deployment.node(0);
+    let address = node.caller_address();
+    let expected = Some((200, expected_answer("a bung", 5)));
+    assert_eq!(chat_over_tls(&old, address).await, expected);
+    assert_eq!(chat_over_tls(&new, address).await, None);
+    let plain = TestClient::new(address, CUSTOMER_KEY);
+    let body = chat_body("a bung", 5, false);
+    let answer = plain.open(Method::POST, "/v1/chat/completions", &[], body);
+    assert!(answer.await.is_err());
+
+    let renewed = NodeSettings {
+        caller_tls: Some(new.named("gateway.example").caller_tls(&directory)),
+        ..node.core().settings.clone()
+    };
+    assert_eq!(node.reload(&renewed).restart_fields, [""; 0]);
+    assert_eq!(chat_over_tls(&new, address).await, expected);
+    assert_eq!(chat_over_tls(&old, address).await, None);
+    deployment.stop().await;
+}
--- /dev/null
+++ b/crates/verbenaring-testbed/tests/neighbour/mod.rs
@@ -0,0 +1,133 @@
+//! Processes that connect to a node: neighbours, intruders and callers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1;
+use hyper::{Method, Request};
+use hyper_util::rt::TokioIo;
+use rustls::pki_types::ServerName;
+use serde_json::Value;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio_rustls::TlsConnector;
+use uuid::Uuid;
+use verbenaring_gateway::attempt::{
+    AttemptClient, AttemptRequest, EchoRule, ReceiverKind, json_headers,
+};
+use verbenaring_gateway::config::NodeSettings;
+use verbenaring_gateway::links::ControlLinks;
+use verbenaring_gateway::live::LiveSettings;
+use verbenaring_gateway::node::RunningNode;
+use verbenaring_gateway::peer::{ForwardHead, SignedMessage};
+use verbenaring_gateway::tls::NODE_NAME;
+use verbenaring_policy::id::{AttemptId, VmId};
+use verbenaring_policy::outcome::RunOutcome;
+use verbenaring_testbed::client::chat_body;
+use verbenaring_testbed::deployment::CUSTOMER_KEY;
+
+use crate::certificates::{Authority, Identity};
+
+/// Longest wait for a connection or an answer.
+pub const LIMIT: Duration = Duration::from_secs(10);
+
+pub fn live_of(settings: &NodeSettings) -> Arc<LiveSettings> {
+    Arc::new(LiveSettings::new(settings))
+}
+
+/// Whether the node answers a control call under the credentials of `live`.
+pub async fn answers_control(live: &Arc<LiveSettings>, node: &RunningNode) -> bool {
+    let address = node.core().settings.control_address;
+    let call = ControlLinks::new(live);
+    let card = call.call(address, |client, context| async move {
+        client.status(context).await
+    });
+    card.await.is_some()
+}
+
+/// Status of a request forwarded to the node under the credentials of `live`.
+pub async fn forward(live: &Arc<LiveSettings>, node: &RunningNode) -> Result<u16, RunOutcome> {
+    let core = node.core();
+    let body = chat_body("a bung", 3, false);
+    let head = ForwardHead {
+        visited: vec![VmId::new("dublin-a-vm-9").unwrap()],
+        revision: core.catalog.load().contract_of("council").unwrap().revision,
+        deadline_ms: 10_000,
+        attempt: AttemptId(Uuid::new_v4()),
+        customer: "council".into(),
+    };
+    let message = SignedMessage {
+        method: "POST",
+        path: "/v1/chat/completions",
+        body: &body,
+        unix_ms: core.clock.unix_ms(),
+    };
+    let mut headers = json_headers();
+    let credentials = live.credentials();
+    head.write(
+        &mut headers,
+        credentials.signing_key(),
+        &core.settings.vm,
+        &message,
+    )
+    .unwrap();
+    let request = AttemptRequest {
+        address: core.settings.peer_address,
+        attempt: head.attempt,
+        method: &Method::POST,
+        path: message.path,
+        headers: &headers,
+        body: Bytes::from(body.clone()),
+        echo: EchoRule::IfPresent,
+        receiver: ReceiverKind::Node,
+    };
+    let client = AttemptClient::new(LIMIT, live);
+    let answer = client.send(&request, LIMIT).await;
+    answer
+        .map(|answer| answer.status().as_u16())
+        .map_err(|failure| failure.outcome)
+}
+
+/// What a node sends to a TLS client that presents `identity`.
+pub async fn raw_answer(
+    authority: &Authority,
+    identity: Option<&Identity>,
+    address: SocketAddr,
+) -> Vec<u8> {
+    let socket = TcpStream::connect(address).await.unwrap();
+    let name = ServerName::try_from(NODE_NAME).unwrap();
+    let connector = TlsConnector::from(authority.client(identity));
+    let mut answer = Vec::new();
+    let Ok(mut stream) = connector.connect(name, socket).await else {
+        return answer;
+    };
+    let request = b"GET /v1/models HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
+    // A node that refused the certificate may have closed the connection already.
+    let _ = stream.write_all(request).await;
+    let _ = stream.read_to_end(&mut answer).await;
+    answer
+}
+
+/// Status and text of a chat over TLS.
+pub async fn chat_over_tls(authority: &Authority, address: SocketAddr) -> Option<(u16, String)> {
+    let socket = TcpStream::connect(address).await.ok()?;
+    let name = ServerName::try_from("gateway.example").unwrap();
+    let connector = TlsConnector::from(authority.client(None));
+    let stream = connector.connect(name, socket).await.ok()?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::spawn(connection);
+    let request = Request::post("/v1/chat/completions")
+        .header("host", "gateway.example")
+        .header("authorization", format!("Bearer {CUSTOMER_KEY}"))
+        .body(Full::new(Bytes::from(chat_body("a bung", 5, false))))
+        .unwrap();
+    let answer = sender.send_request(request).await.ok()?;
+    let status = answer.status().as_u16();
+    let body = answer.into_body().collect().await.ok()?.to_bytes();
+    let body: Value = serde_json::from_slice(&body).ok()?;
+    let text = body["choices"][0]["message"]["content"].as_str()?;
+    Some((status, text.to_owned()))
+}
