Check that the accepting side verifies the cluster key

The tests used the product's own client, which gives up by itself when the node's proof does not match, so an accepting side that ignored the key passed all of them.

A hand-written client now skips its own check and is answered with the right key and refused with two wrong ones; another test calls 20 times on kept links across reloads.

--- a/crates/verbenaring-testbed/tests/keys.rs
+++ b/crates/verbenaring-testbed/tests/keys.rs
@@ -10,7 +10,10 @@
 
 use certificates::{Authority, TestDirectory};
 use hyper::Method;
-use neighbour::{LIMIT, answers_control, chat_over_tls, forward, live_of, raw_answer};
+use neighbour::{
+    LIMIT, answers_claim, answers_control, answers_link, chat_over_tls, forward, live_of,
+    raw_answer,
+};
 use rustls::ServerConfig;
 use serde_json::{Value, json};
 use tokio::io::AsyncWriteExt;
@@ -19,6 +22,7 @@
 use uuid::{NoContext, Timestamp, Uuid};
 use verbenaring_gateway::config::{ClusterKey, NodeSettings};
 use verbenaring_gateway::connector::NodeConnector;
+use verbenaring_gateway::links::ControlLinks;
 use verbenaring_gateway::node::RunningNode;
 use verbenaring_gateway::tls::NodeTls;
 use verbenaring_policy::outcome::RunOutcome;
@@ -114,9 +118,11 @@
     };
     let neighbour = settings(key("k1", 7), Some(&tls));
     assert!(answers_control(&neighbour, node).await);
+    assert!(answers_claim(&neighbour, &key("k1", 7), node).await);
     assert_eq!(forward(&neighbour, node).await, Ok(200));
 
     for wrong in [key("k1", 8), key("k2", 7)] {
+        assert!(!answers_claim(&neighbour, &wrong, node).await);
         let intruder = settings(wrong, Some(&tls));
         assert!(!answers_control(&intruder, node).await);
         assert_eq!(forward(&intruder, node).await, Ok(403));
@@ -333,6 +339,19 @@
     deployment.stop().await;
 }
 
+/// A reload closes control connections, which must not cost the callers a message.
+#[tokio::test]
+async fn kept_links_outlive_reload() {
+    let deployment = forwarding(None).await;
+    let links = ControlLinks::new(&deployment.node(0).core().live);
+    let node = deployment.node(1);
+    for _ in 0..20 {
+        assert!(answers_link(&links, node).await);
+        node.reload(&node.core().settings);
+    }
+    deployment.stop().await;
+}
+
 /// Settings of a running node as a file has them, without its peers and operators.
 fn document_of(node: &RunningNode, directory: &TestDirectory, authority: &Authority) -> Value {
     let settings = &node.core().settings;
--- a/crates/verbenaring-testbed/tests/neighbour/mod.rs
+++ b/crates/verbenaring-testbed/tests/neighbour/mod.rs
@@ -11,6 +11,7 @@
 use hyper_util::rt::TokioIo;
 use rustls::pki_types::ServerName;
 use serde_json::Value;
+use tarpc::tokio_serde::formats::Bincode;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio_rustls::TlsConnector;
@@ -18,14 +19,16 @@
 use verbenaring_gateway::attempt::{
     AttemptClient, AttemptRequest, EchoRule, ReceiverKind, json_headers,
 };
-use verbenaring_gateway::config::NodeSettings;
-use verbenaring_gateway::links::ControlLinks;
+use verbenaring_gateway::config::{ClusterKey, NodeSettings};
+use verbenaring_gateway::connector::NodeConnector;
+use verbenaring_gateway::links::{ControlLinks, frame_codec};
 use verbenaring_gateway::live::LiveSettings;
 use verbenaring_gateway::node::RunningNode;
 use verbenaring_gateway::peer::{ForwardHead, SignedMessage};
 use verbenaring_gateway::tls::NODE_NAME;
-use verbenaring_policy::id::{AttemptId, VmId};
+use verbenaring_policy::id::{AttemptId, Digest, VmId};
 use verbenaring_policy::outcome::RunOutcome;
+use verbenaring_protocol::control::NodeControlClient;
 use verbenaring_testbed::client::chat_body;
 use verbenaring_testbed::deployment::CUSTOMER_KEY;
 
@@ -40,14 +43,43 @@
 
 /// Whether the node answers a control call under the credentials of `live`.
 pub async fn answers_control(live: &Arc<LiveSettings>, node: &RunningNode) -> bool {
+    answers_link(&ControlLinks::new(live), node).await
+}
+
+/// Whether the node answers a control call on kept links.
+pub async fn answers_link(links: &ControlLinks, node: &RunningNode) -> bool {
     let address = node.core().settings.control_address;
-    let call = ControlLinks::new(live);
-    let card = call.call(address, |client, context| async move {
+    let card = links.call(address, |client, context| async move {
         client.status(context).await
     });
     card.await.is_some()
 }
 
+/// Whether the node answers a control call of a process that claims `key` and
+/// does not check the proof of the node.
+pub async fn answers_claim(live: &Arc<LiveSettings>, key: &ClusterKey, node: &RunningNode) -> bool {
+    let connector = NodeConnector::new(live, LIMIT);
+    let opened = connector.open(node.core().settings.control_address).await;
+    let mut stream = opened.unwrap();
+    let own = [1; 32];
+    stream.write_u8(key.id.len() as u8).await.unwrap();
+    stream.write_all(key.id.as_bytes()).await.unwrap();
+    stream.write_all(&own).await.unwrap();
+    let mut other = [0; 32];
+    let mut proof = [0; 32];
+    if stream.read_exact(&mut other).await.is_err() || stream.read_exact(&mut proof).await.is_err()
+    {
+        return false;
+    }
+    let content = [&b"verbenaring control client 1"[..], &own, &other].concat();
+    let tag = Digest::keyed(&key.secret, &content);
+    stream.write_all(&tag.0).await.unwrap();
+    let transport =
+        tarpc::serde_transport::new(frame_codec().new_framed(stream), Bincode::default());
+    let client = NodeControlClient::new(tarpc::client::Config::default(), transport).spawn();
+    client.status(tarpc::context::current()).await.is_ok()
+}
+
 /// Status of a request forwarded to the node under the credentials of `live`.
 pub async fn forward(live: &Arc<LiveSettings>, node: &RunningNode) -> Result<u16, RunOutcome> {
     let core = node.core();
