--- a/crates/verbenaring-testbed/tests/keys.rs
+++ b/crates/verbenaring-testbed/tests/keys.rs
@@ -312,7 +312,7 @@
     deployment.stop().await;
 }
 
-/// The same for a new authority and new certificates.
+/// The same for a new authority and new certificates, with the cluster key in the same steps.
 #[tokio::test]
 async fn certificates_rotate_under_requests() {
     let directory = TestDirectory::new("rotate");
@@ -326,9 +326,18 @@
     rotate(
         &deployment,
         &[
-            &|settings| settings.node_tls = present(&old, &both),
-            &|settings| settings.node_tls = present(&new, &both),
-            &|settings| settings.node_tls = present(&new, &new.pem),
+            &|settings| {
+                settings.node_tls = present(&old, &both);
+                settings.cluster_keys = vec![key("k2", 9), key("k1", 7)];
+            },
+            &|settings| {
+                settings.node_tls = present(&new, &both);
+                settings.cluster_keys = vec![key("k1", 7), key("k2", 9)];
+            },
+            &|settings| {
+                settings.node_tls = present(&new, &new.pem);
+                settings.cluster_keys = vec![key("k2", 9)];
+            },
         ],
     )
     .await;
