Free the request future before an answer is relayed

Cause: an idle stream took 35.5 KB of gateway memory. The connection kept the 4.8 KB of the future that handles a request for as long as the answer lasted. Change: the future is boxed and freed when the head of the answer is ready.

--- a/crates/verbenaring-gateway/src/listener.rs
+++ b/crates/verbenaring-gateway/src/listener.rs
@@ -128,7 +128,9 @@
         let service = service_fn(move |request| {
             handled.store(true, Ordering::Relaxed);
             let handler = handler.clone();
-            async move { Ok::<_, Infallible>(handler.handle(request).await) }
+            // The connection keeps the memory of the future while it relays the
+            // answer, so the large part of the future is boxed and freed before.
+            async move { Ok::<_, Infallible>(Box::pin(handler.handle(request)).await) }
         });
         http1::Builder::new()
             .timer(TokioTimer::new())
