--- a/crates/verbenaring-testbed/src/generation.rs
+++ b/crates/verbenaring-testbed/src/generation.rs
@@ -339,15 +339,15 @@
         slot.hold(u64::from(prompt) + u64::from(job.tokens));
         self.check_crash(job, 0).await;
         let prefill = f64::from(prompt - cached) / self.settings.prefill_tokens_per_s;
-        sleep(self.slow(Duration::from_secs_f64(prefill))).await;
+        wait_until(Instant::now() + self.slow(Duration::from_secs_f64(prefill))).await;
         let late = self.state.lock().unwrap().faults.late;
-        sleep(late).await;
+        wait_until(Instant::now() + late).await;
         let step = Duration::from_secs_f64(1.0 / self.settings.tokens_per_s);
         let mut due = Instant::now();
         let words = answer::answer_tokens(text, job.tokens).into_iter();
         for (index, word) in (1..).zip(words).skip(job.resume_from as usize) {
             due += self.slow(step);
-            sleep_until(due).await;
+            wait_until(due).await;
             self.state.lock().unwrap().counters.generated_tokens += 1;
             let _ = steps.send(Step::Token(word));
             self.check_crash(job, index).await;
@@ -365,6 +365,14 @@
     }
 }
 
+/// Waits until `due`, not at all if it has passed; the timer would round up to
+/// a whole millisecond.
+async fn wait_until(due: Instant) {
+    if due > Instant::now() {
+        sleep_until(due).await;
+    }
+}
+
 /// Runs one attempt until it ends, is cancelled or crashes with its engine.
 async fn run(
     mut active: ActiveAttempt,
