Eject only servers that are far slower than their peers

Windows without tokens during a long prefill were discarded, so a slow server looked usual. In a group of three, a second slow server hid behind the first. A slow server without work looked better than busy ones.

Change: ejection needs 4 times the median or a stall; less only marks the server slow. Windows go on during a long prefill, the median of two peers is the lower one, and the router compares a slow server with at least twice the mean load.

--- a/crates/verbenaring-policy/src/load.rs
+++ b/crates/verbenaring-policy/src/load.rs
@@ -17,6 +17,10 @@
 /// 2,800 requests/s at the design load.
 pub const FOREIGN_REQUEST_TOKENS: f64 = 286.0;
 
+/// Least load of a slow server as a multiple of the mean: a server counts as
+/// slow from twice the usual time per token.
+const SLOW_LOAD: f64 = 2.0;
+
 // 1,024 prefixes of 8 bytes: 8 KiB per server, 16 MB at 2,000 servers.
 const PREFIX_SETS: usize = 256;
 const PREFIX_WAYS: usize = 4;
@@ -42,6 +46,17 @@
     tokens * factor / server.tokens_per_s.max(1.0)
 }
 
+/// Load of a server for comparison with others.
+///
+/// A slow server empties because it is avoided. Without a lower bound it would
+/// then look better than busy servers that answer several times sooner.
+pub(crate) fn compared_s<C>(server: &ServerView<'_, C>, load_s: f64, mean_load_s: f64) -> f64 {
+    match server.state {
+        ServerState::Slow { .. } => load_s.max(mean_load_s * SLOW_LOAD),
+        _ => load_s,
+    }
+}
+
 /// Load estimate of one server.
 pub(crate) fn candidate<C>(
     index: usize,
--- a/crates/verbenaring-policy/src/router.rs
+++ b/crates/verbenaring-policy/src/router.rs
@@ -356,6 +356,11 @@
     }
 }
 
+fn mean_load_s(candidates: &[Candidate]) -> f64 {
+    let total: f64 = candidates.iter().map(|candidate| candidate.load_s).sum();
+    total / candidates.len() as f64
+}
+
 /// Lower load of two random candidates.
 #[derive(Debug, Default)]
 pub struct TwoChoices;
@@ -375,9 +380,11 @@
         }
         let second = (first + rng.random_range(1..count)) % count;
         let tokens = f64::from(request.size.total());
+        let mean = mean_load_s(candidates);
         let cost = |position: usize| {
             let candidate = &candidates[position];
-            candidate.load_s + load::service_s(&servers[candidate.index], tokens)
+            let server = &servers[candidate.index];
+            load::compared_s(server, candidate.load_s, mean) + load::service_s(server, tokens)
         };
         let position = if cost(second) < cost(first) {
             second
@@ -403,14 +410,15 @@
         candidates: &[Candidate],
         rng: &mut R,
     ) -> (Candidate, Option<usize>) {
-        let total: f64 = candidates.iter().map(|candidate| candidate.load_s).sum();
-        let bound = AFFINITY_LOAD_BOUND * total / candidates.len() as f64;
+        let mean = mean_load_s(candidates);
+        let bound = AFFINITY_LOAD_BOUND * mean;
         let tokens = f64::from(request.size.total());
         let warm = candidates
             .iter()
             .filter(|candidate| {
                 let server = &servers[candidate.index];
-                candidate.load_s <= bound + load::service_s(server, tokens)
+                load::compared_s(server, candidate.load_s, mean)
+                    <= bound + load::service_s(server, tokens)
                     && server.prefixes.contains(&request.prefix)
             })
             .min_by(|left, right| left.load_s.total_cmp(&right.load_s));
--- a/crates/verbenaring-policy/src/straggler.rs
+++ b/crates/verbenaring-policy/src/straggler.rs
@@ -31,6 +31,9 @@
 pub struct StragglerSettings {
     /// Multiple of the peers' median that counts as slow.
     pub slow_ratio: f64,
+    /// Multiple of the peers' median that ejects. Prefill of a long prompt makes
+    /// all streams of a healthy engine 2 to 3 times slower for seconds.
+    pub eject_ratio: f64,
     /// Multiple of the peers' median below which a server counts as recovered.
     pub good_ratio: f64,
     /// Consecutive samples that change the judgement.
@@ -57,6 +60,7 @@
     fn default() -> Self {
         Self {
             slow_ratio: 2.0,
+            eject_ratio: 4.0,
             good_ratio: 1.5,
             streak: 3,
             ejected_share: 0.2,
@@ -117,6 +121,7 @@
     reported_requests: u32,
     window: Window,
     slow_streak: u32,
+    eject_streak: u32,
     good_streak: u32,
     ejection: Duration,
     last_progress: Moment,
@@ -178,6 +183,7 @@
                 ..Window::default()
             },
             slow_streak: 0,
+            eject_streak: 0,
             good_streak: 0,
             ejection: self.settings.first_ejection,
             last_progress: now,
@@ -306,7 +312,7 @@
             let silent = now.since(silent_since);
             let silence = silences.entry(flight.member).or_default();
             silence.overdue |= silent > allowed;
-            silence.in_prefill |= flight.prompt_tokens > SHORT_TOKENS && silent <= expected;
+            silence.in_prefill |= flight.prompt_tokens > SHORT_TOKENS && silent <= usual;
         }
         silences
     }
@@ -331,16 +337,17 @@
         if !spans_events && !silence.overdue {
             return None;
         }
+        if window.events == 0 && silence.in_prefill {
+            // A long prompt of this node may explain the pause. The window goes
+            // on, because without the pauses a slow server would look usual.
+            return None;
+        }
         member.window = Window {
             start: now,
             ..Window::default()
         };
-        if window.events == 0 && silence.in_prefill {
-            // A long prompt of this node explains the pause.
-            return None;
-        }
         if !spans_events {
-            return Some(settings.slow_ratio);
+            return Some(settings.eject_ratio);
         }
         let own_streams = window.busy_s / now.since(window.start).as_secs_f64();
         let streams = own_streams.max(f64::from(member.reported_requests));
@@ -360,7 +367,14 @@
             Health::Healthy => member.token_s?,
             _ => sample,
         };
-        Some(judged / token_s?)
+        let ratio = judged / token_s?;
+        // Prefill lengthens the gaps between tokens but leaves no window without any.
+        let stalled = window.events == 0;
+        Some(if stalled {
+            ratio.max(settings.eject_ratio)
+        } else {
+            ratio
+        })
     }
 
     fn peer_median(
@@ -380,7 +394,8 @@
         if self.scratch.len() < MIN_PEERS {
             return None;
         }
-        let middle = self.scratch.len() / 2;
+        // The lower median: of two peers, one may be slow at the same time.
+        let middle = (self.scratch.len() - 1) / 2;
         let (_, median, _) = self.scratch.select_nth_unstable_by(middle, f64::total_cmp);
         Some(*median)
     }
@@ -395,12 +410,18 @@
         } else {
             0
         };
+        member.eject_streak = if ratio >= settings.eject_ratio {
+            member.eject_streak + 1
+        } else {
+            0
+        };
         member.good_streak = if ratio < settings.good_ratio {
             member.good_streak + 1
         } else {
             0
         };
         let slow = member.slow_streak >= settings.streak;
+        let eject = member.eject_streak >= settings.streak && may_eject;
         let good = member.good_streak >= settings.streak;
         match member.health {
             Health::Ejected { .. } if good => {
@@ -411,7 +432,7 @@
                 };
             }
             Health::Ejected { .. } => {}
-            _ if slow && may_eject => member.eject(&settings, now),
+            _ if eject => member.eject(&settings, now),
             Health::Healthy | Health::Slow { .. } if slow => {
                 let factor = ratio.clamp(settings.slow_ratio, MAX_FACTOR);
                 member.health = Health::Slow { factor, since: now };
@@ -485,6 +506,7 @@
         };
         self.ejection = (self.ejection * 2).min(settings.longest_ejection);
         self.slow_streak = 0;
+        self.eject_streak = 0;
         self.good_streak = 0;
         self.last_ejected = now;
     }
--- a/crates/verbenaring-policy/tests/router.rs
+++ b/crates/verbenaring-policy/tests/router.rs
@@ -161,6 +161,23 @@
     assert!(counts[2] > 600 && counts[1] == 0, "{counts:?}");
 }
 
+/// An avoided slow server empties; it must not look better than busy servers for it.
+#[test]
+fn empty_slow_server_stays_avoided() {
+    let fixture = Fixture::new(3);
+    let mut warm = PrefixTable::default();
+    warm.insert(&fixture.request().prefix);
+    let mut views = fixture.views();
+    views[0].state = ServerState::Slow { factor: 4.0 };
+    views[0].prefixes = &warm;
+    for view in &mut views[1..] {
+        view.own_tokens = 10_000;
+        view.own_requests = 20;
+    }
+    let counts = counts(PrefixAffinity(TwoChoices), &fixture, &views);
+    assert_eq!(counts[0], 0, "{counts:?}");
+}
+
 /// Affinity without a bound would overload the server that holds a popular prefix.
 #[test]
 fn affinity_ends_at_the_load_bound() {
--- a/crates/verbenaring-policy/tests/straggler.rs
+++ b/crates/verbenaring-policy/tests/straggler.rs
@@ -158,6 +158,31 @@
     assert_eq!(slow.count(), 2, "{states:?}");
 }
 
+/// Prefill of long prompts slows all streams of a healthy engine; it must not be ejected for it.
+#[test]
+fn moderate_slowness_does_not_eject() {
+    let mut servers = Streams::new(10, 4, 8);
+    servers.run(Duration::from_secs(5), |_| 1.0);
+    let slow = |server| if server == 1 { 2.8 } else { 1.0 };
+    let out = servers.run(Duration::from_secs(5), slow);
+    assert_eq!(out[1], Duration::ZERO);
+    let state = servers.state(1);
+    assert!(matches!(state, ServerState::Slow { .. }), "{state:?}");
+}
+
+/// In a small group the second slow server must not hide behind the first.
+#[test]
+fn two_slow_servers_of_three_are_seen() {
+    let mut servers = Streams::new(3, 4, 9);
+    servers.run(Duration::from_secs(5), |_| 1.0);
+    let slow = |server| if server > 0 { 5.0 } else { 1.0 };
+    servers.run(Duration::from_secs(3), slow);
+    for server in [1, 2] {
+        let state = servers.state(server);
+        assert!(matches!(state, ServerState::Slow { .. }), "{state:?}");
+    }
+}
+
 /// A slow server that gets no requests must become active again, or it would stay unused.
 #[test]
 fn slow_servers_without_requests_recover() {
