Resume short streams of very slow servers elsewhere

Cause: half of the slowest short requests were streams in flight when their server became slow; a hedge does not help once a token has arrived.

Change: hedge::is_move_due names the servers whose short repeatable streams are resumed on another server (a feature of the engines), within a budget like that of hedges. The experiment does so; the gateway does not yet. The load factor of a slow server is an average instead of the last sample.

--- a/crates/verbenaring-policy/src/hedge.rs
+++ b/crates/verbenaring-policy/src/hedge.rs
@@ -1,10 +1,15 @@
-//! Delay and budget of hedged requests.
+//! Delay and budget of hedged requests and moved streams.
+//!
+//! A hedge competes with a request that has no token yet. A moved stream is
+//! resumed on another server after its own became slow in mid-stream; the
+//! engine must support it. Both have a budget of their own.
 
 use std::time::Duration;
 
 use hdrhistogram::Histogram;
 
 use crate::request::RequestClass;
+use crate::router::ServerState;
 
 /// Share of requests that may be hedged.
 pub const HEDGE_SHARE: f64 = 0.05;
@@ -12,6 +17,9 @@
 pub const HEDGE_BURST: f64 = 10.0;
 /// Quantile of the first-token latency after which a hedge is sent.
 pub const HEDGE_QUANTILE: f64 = 0.95;
+/// Slowness from which streams are moved. Prefill of long prompts makes a healthy
+/// engine up to 4.8 times slower than an idle one.
+pub const MOVE_FACTOR: f64 = 5.0;
 /// Longer latencies count as this one.
 const LONGEST_LATENCY_US: u64 = 60_000_000;
 /// Samples before a quantile is used.
@@ -67,7 +75,16 @@
     }
 }
 
-/// Budget of hedges as a share of requests.
+/// Whether short streams on a server in this state should be moved.
+pub fn is_move_due(state: ServerState) -> bool {
+    match state {
+        ServerState::Ejected { .. } => true,
+        ServerState::Slow { factor } => factor >= MOVE_FACTOR,
+        ServerState::Active | ServerState::Leaving => false,
+    }
+}
+
+/// Budget of hedges or of moves as a share of requests.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct HedgeBudget {
     credit: f64,
--- a/crates/verbenaring-policy/src/straggler.rs
+++ b/crates/verbenaring-policy/src/straggler.rs
@@ -434,7 +434,10 @@
             Health::Ejected { .. } => {}
             _ if eject => member.eject(&settings, now),
             Health::Healthy | Health::Slow { .. } if slow => {
-                let factor = ratio.clamp(settings.slow_ratio, MAX_FACTOR);
+                // The average, because single samples vary with the prompts in prefill.
+                let average = member.token_s.zip(usual).map(|(own, usual)| own / usual);
+                let factor = average.unwrap_or(ratio);
+                let factor = factor.clamp(settings.slow_ratio, MAX_FACTOR);
                 member.health = Health::Slow { factor, since: now };
             }
             Health::Slow { .. } if good => {
--- a/crates/verbenaring-policy/tests/straggler.rs
+++ b/crates/verbenaring-policy/tests/straggler.rs
@@ -235,3 +235,13 @@
         "old samples must leave: {delay:?}"
     );
 }
+
+/// Moving streams of servers that only prefill would spend the budget that slow servers need.
+#[test]
+fn only_streams_of_very_slow_servers_move() {
+    use verbenaring_policy::hedge::is_move_due;
+    assert!(is_move_due(ServerState::Ejected { probe_due: false }));
+    assert!(is_move_due(ServerState::Slow { factor: 8.0 }));
+    assert!(!is_move_due(ServerState::Slow { factor: 4.8 }));
+    assert!(!is_move_due(ServerState::Active));
+}
--- a/crates/verbenaring-testbed/src/experiment/attempt.rs
+++ b/crates/verbenaring-testbed/src/experiment/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use verbenaring_policy::hedge::is_move_due;
 use verbenaring_policy::request::RequestClass;
 use verbenaring_policy::retry::AttemptFailure;
 use verbenaring_policy::scheduler::engine_priority;
@@ -26,7 +27,8 @@
         let state = &mut self.calls[call];
         own.send(position, &state.spec);
         let server = &own.servers[position];
-        let prompt = state.spec.size.prompt_tokens;
+        let resumed_at = state.record.answer_tokens;
+        let prompt = state.spec.size.prompt_tokens + resumed_at;
         let flight = own.detector.start(server.member, prompt, now);
         if self.variant.quarantine {
             own.quarantine.start(&state.spec.print, &server.id, alone);
@@ -48,9 +50,11 @@
             node,
             server: server.index,
             flight,
-            tokens: 0,
+            tokens: resumed_at,
+            resumed_at,
             is_live: true,
         });
+        self.live.insert(attempt);
         self.agenda.after(LOCAL_DELAY, Event::Start(attempt));
     }
 
@@ -59,7 +63,7 @@
         if !own.is_live {
             return;
         }
-        let server = own.server;
+        let (server, resumed_at) = (own.server, own.resumed_at);
         if !self.engines[server].is_up {
             self.agenda.after(LOCAL_DELAY, Event::Refused(attempt));
             return;
@@ -76,8 +80,8 @@
         self.engines[server].push(EngineJob {
             attempt,
             priority,
-            prompt: spec.size.prompt_tokens,
-            answer: spec.size.answer_tokens,
+            prompt: spec.size.prompt_tokens + resumed_at,
+            answer: spec.size.answer_tokens.saturating_sub(resumed_at),
             prefix: spec.prefix,
             prefix_tokens: spec.prefix_tokens.min(spec.size.prompt_tokens),
             crashes: spec.crashes,
@@ -127,16 +131,17 @@
         }
         own.tokens += 1;
         let (call, node, tokens) = (own.call, own.node, own.tokens);
+        let is_first = tokens == own.resumed_at + 1;
         if let Some(flight) = own.flight {
             self.nodes[node].detector.progress(flight, 1, now);
         }
-        if tokens == 1 {
+        if is_first {
             self.cancel_others(call, output.attempt);
             let arrival = self.arrival_at_caller(call, now);
-            self.calls[call].record.first_token = Some(arrival);
+            self.calls[call].record.first_token.get_or_insert(arrival);
         }
         let state = &mut self.calls[call];
-        state.record.answer_tokens = tokens;
+        state.record.answer_tokens = state.record.answer_tokens.max(tokens);
         if tokens.is_multiple_of(PROGRESS_TOKENS)
             && let Some(slot) = state.slot
         {
@@ -164,6 +169,7 @@
         let now = self.agenda.now();
         let call = self.attempts[attempt].call;
         self.end_attempt(attempt, true);
+        self.cancel_others(call, attempt);
         let arrival = self.arrival_at_caller(call, now);
         let state = &mut self.calls[call];
         let holder = state.holder;
@@ -181,6 +187,7 @@
         let now = self.agenda.now();
         let own = &mut self.attempts[attempt];
         own.is_live = false;
+        self.live.remove(&attempt);
         let (call, server) = (own.call, own.server);
         let node = &mut self.nodes[own.node];
         let position = node.position(server);
@@ -236,6 +243,36 @@
         }
     }
 
+    /// Resumes short streams of slow servers on other servers. The old attempt
+    /// goes on until the new one has a token.
+    pub(super) fn move_streams(&mut self) {
+        let now = self.agenda.now();
+        let live: Vec<usize> = self.live.iter().copied().collect();
+        for attempt in live {
+            let own = &self.attempts[attempt];
+            let (call, node) = (own.call, own.node);
+            let server = &self.nodes[node].servers[self.nodes[node].position(own.server)];
+            if !is_move_due(self.nodes[node].detector.state(server.member, now)) {
+                continue;
+            }
+            let state = &self.calls[call];
+            let class = state.spec.class();
+            let is_single = state.live.len() == 1 && state.holder == state.entry;
+            if !is_single || class != RequestClass::Short || !state.plan.may_repeat() {
+                continue;
+            }
+            let (entry, repeatable) = (state.entry, state.spec.repeatable);
+            let budget = self.nodes[entry].moves;
+            if self.nodes[entry].moves.try_hedge(class, repeatable) {
+                if self.choose_server(call, node, true, true) {
+                    self.record.moves += 1;
+                } else {
+                    self.nodes[entry].moves = budget;
+                }
+            }
+        }
+    }
+
     pub(super) fn refuse_connection(&mut self, attempt: usize) {
         if !self.attempts[attempt].is_live {
             return;
--- a/crates/verbenaring-testbed/src/experiment/flow.rs
+++ b/crates/verbenaring-testbed/src/experiment/flow.rs
@@ -42,6 +42,7 @@
         match node.gate.admit(&node.table, customer, &request, now) {
             Ok(permit) => {
                 node.hedges.record_request();
+                node.moves.record_request();
                 self.calls[call].permit = Some(permit);
                 self.handle(call);
             }
--- a/crates/verbenaring-testbed/src/experiment/measure.rs
+++ b/crates/verbenaring-testbed/src/experiment/measure.rs
@@ -154,6 +154,8 @@
     pub retries: u64,
     /// Hedges.
     pub hedges: u64,
+    /// Moved streams.
+    pub moves: u64,
     /// Engines crashed by requests.
     pub crashed_servers: u64,
     /// Samples of node and server.
@@ -242,6 +244,7 @@
             "hedges_share",
             share(self.hedges as usize, self.calls.len()),
         );
+        add("moves_share", share(self.moves as usize, self.calls.len()));
         add("prefilled_mtokens", self.prefilled as f64 / 1e6);
         add("crashed_servers", self.crashed_servers as f64);
         let samples = self.server_samples as usize;
--- a/crates/verbenaring-testbed/src/experiment/node.rs
+++ b/crates/verbenaring-testbed/src/experiment/node.rs
@@ -77,6 +77,8 @@
     pub detector: StragglerDetector,
     /// Hedge budget.
     pub hedges: HedgeBudget,
+    /// Budget of moved streams.
+    pub moves: HedgeBudget,
     /// Retry budgets.
     pub limiter: RetryLimiter,
     /// Crashing requests.
@@ -145,6 +147,7 @@
             planner: AnyPlanner::new(variant.router, own, keys),
             detector,
             hedges: HedgeBudget::default(),
+            moves: HedgeBudget::default(),
             limiter: RetryLimiter::default(),
             quarantine: QuarantineList::default(),
             selector,
--- a/crates/verbenaring-testbed/src/experiment/world.rs
+++ b/crates/verbenaring-testbed/src/experiment/world.rs
@@ -1,6 +1,6 @@
 //! State of one run and its event loop.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::time::Duration;
 
 use rand::SeedableRng;
@@ -125,8 +125,10 @@
     pub server: usize,
     /// Flight in the detector.
     pub flight: Option<FlightKey>,
-    /// Tokens received.
+    /// Tokens of the answer so far, those before a move included.
     pub tokens: u32,
+    /// Tokens received before this attempt resumed the answer.
+    pub resumed_at: u32,
     /// Whether it is in flight.
     pub is_live: bool,
 }
@@ -138,6 +140,8 @@
     pub(super) agenda: EventAgenda<Event>,
     pub(super) calls: Vec<CallState>,
     pub(super) attempts: Vec<AttemptState>,
+    /// Attempts in flight.
+    pub(super) live: BTreeSet<usize>,
     pub(super) engines: Vec<FakeEngine>,
     pub(super) engine_region: Vec<usize>,
     pub(super) nodes: Vec<EntryNode>,
@@ -195,6 +199,7 @@
             agenda: EventAgenda::default(),
             calls: Vec::new(),
             attempts: Vec::new(),
+            live: BTreeSet::new(),
             engines: (0..count)
                 .map(|_| FakeEngine::new(deployment.engine))
                 .collect(),
@@ -315,6 +320,9 @@
             }
             self.pump(node);
         }
+        if self.variant.stragglers {
+            self.move_streams();
+        }
         if !self.is_over() {
             self.agenda.after(TICK, Event::Tick);
         }
