--- a/crates/verbenaring-testbed/src/deployment.rs
+++ b/crates/verbenaring-testbed/src/deployment.rs
@@ -154,7 +154,8 @@
     pub async fn wait_in_force(&self, revision: u64) {
         let wait = async {
             for node in self.centres.iter().flat_map(|centre| &centre.nodes) {
-                while node.core().catalog.load().revision() < revision {
+                let core = node.core();
+                while core.catalog.load().revision() < revision || !core.replica.is_loaded() {
                     tokio::time::sleep(Duration::from_millis(5)).await;
                 }
             }
@@ -195,9 +196,8 @@
 
     /// Stops every node gracefully.
     pub async fn stop(self) {
-        for node in self.centres.into_iter().flat_map(|centre| centre.nodes) {
-            node.stop().await;
-        }
+        let nodes = self.centres.into_iter().flat_map(|centre| centre.nodes);
+        futures::future::join_all(nodes.map(RunningNode::stop)).await;
     }
 }
 
