Read the configuration again after a pause before serving

Cause: a node whose process was paused served the requests that waited under the contracts of before the pause. Its neighbours had removed it meanwhile, so a narrower contract could be accepted without it. Change: a gap of 2 s or more between two ticks of the cluster task counts as a pause. Conclusion: a woken node serves under the newest revision that a reachable neighbour has.

--- a/crates/verbenaring-gateway/src/cluster.rs
+++ b/crates/verbenaring-gateway/src/cluster.rs
@@ -6,11 +6,12 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use futures::future::join_all;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use rand::seq::{IteratorRandom, SliceRandom};
@@ -26,6 +27,7 @@
     CentreStatus, CentreSummary, NodeAddress, SummaryEnvelope, SummaryMessage, SummarySettings,
     SummaryTable, delegates,
 };
+use verbenaring_policy::time::Moment;
 use verbenaring_protocol::control::{LoadFact, NodeCard, NodeFacts};
 
 use crate::admit::AdmissionDesk;
@@ -44,6 +46,16 @@
 /// Nodes of another data centre that are kept as forwarding targets.
 const MAX_FAR_NODES: usize = 3;
 
+/// Gap between two ticks that means that the process was paused, as in the
+/// failure detector.
+const PAUSE: Duration = Duration::from_secs(2);
+/// Longest wait for a peer's configuration after a pause.
+const REREAD_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest delay of a request after a pause: peers near, then far, and a margin.
+const SETTLE_LIMIT: Duration = Duration::from_millis(1_500);
+/// Time between two looks at whether the configuration was read again.
+const SETTLE_POLL: Duration = Duration::from_millis(10);
+
 /// Age assumed of load reports that came by gossip.
 const GOSSIPED_LOAD_AGE: Duration = Duration::from_secs(2);
 
@@ -110,6 +122,11 @@
 /// View of the other nodes, shared with the request path.
 pub struct ClusterView {
     settings: NodeSettings,
+    clock: NodeClock,
+    /// Moment of the last tick, in microseconds.
+    last_tick: AtomicU64,
+    /// Whether the configuration is being read again after a pause.
+    rereading: AtomicBool,
     replica: Arc<ConfigReplica>,
     /// Other nodes that may be used now.
     pub nodes: ArcSwap<NodeList>,
@@ -127,6 +144,7 @@
     /// View that starts with the peers of the settings.
     pub fn new(
         settings: &NodeSettings,
+        clock: NodeClock,
         replica: &Arc<ConfigReplica>,
         backends: &Arc<BackendTable>,
         desk: &Arc<AdmissionDesk>,
@@ -138,6 +156,9 @@
             .partition(|peer| peer.data_centre == settings.data_centre);
         Self {
             settings: settings.clone(),
+            clock,
+            last_tick: AtomicU64::new(clock.now().0),
+            rereading: AtomicBool::new(false),
             replica: replica.clone(),
             nodes: ArcSwap::from_pointee(NodeList {
                 near,
@@ -151,6 +172,27 @@
         }
     }
 
+    /// Waits until a node that was paused has read its configuration again.
+    ///
+    /// Its peers may have removed it meanwhile, and a narrower contract may be
+    /// accepted without it. A node that reaches no peer goes on under its last
+    /// revision, as a data centre that is cut off does.
+    pub async fn settle(&self) {
+        let settled = async {
+            while !self.is_settled() {
+                tokio::time::sleep(SETTLE_POLL).await;
+            }
+        };
+        if !self.is_settled() && tokio::time::timeout(SETTLE_LIMIT, settled).await.is_err() {
+            log::warn!("no peer confirmed the configuration after a pause");
+        }
+    }
+
+    fn is_settled(&self) -> bool {
+        let last = Moment(self.last_tick.load(Ordering::Acquire));
+        self.clock.now().since(last) < PAUSE && !self.rereading.load(Ordering::Acquire)
+    }
+
     /// Addresses and facts of this node.
     pub fn card(&self) -> NodeCard {
         let loads = self.loads.lock().unwrap_or_else(|error| error.into_inner());
@@ -293,6 +335,7 @@
 
     fn tick(&mut self) {
         let now = self.clock.now();
+        self.observe_pause(now);
         if self.view.stopping.load(Ordering::Relaxed)
             && self.members.own().state != MemberState::Leaving
         {
@@ -313,6 +356,18 @@
         }
     }
 
+    /// Reads the configuration of the peers again after a pause of the process.
+    fn observe_pause(&self, now: Moment) {
+        let last = Moment(self.view.last_tick.load(Ordering::Acquire));
+        if now.since(last) >= PAUSE {
+            log::warn!("process was paused, configuration is read again");
+            self.view.rereading.store(true, Ordering::Release);
+            let (links, view) = (self.links.clone(), self.view.clone());
+            tokio::spawn(async move { reread(&links, &view).await });
+        }
+        self.view.last_tick.store(now.0, Ordering::Release);
+    }
+
     fn refresh(&mut self) {
         let card = self.view.card();
         match postcard::to_allocvec(&card.facts) {
@@ -594,26 +649,46 @@
     };
 }
 
-/// Merges entries of the node at `address` until nothing is missing.
-async fn fetch_delta(links: &ControlLinks, address: SocketAddr, replica: &ConfigReplica) {
+/// Merges what the near nodes have, or the far ones if none of these answers.
+///
+/// All of them are asked, because some may have been paused as well.
+async fn reread(links: &ControlLinks, view: &ClusterView) {
+    let nodes = view.nodes.load_full();
+    for group in [&nodes.near, &nodes.far] {
+        let reads = group.iter().map(|node| {
+            let fetch = fetch_delta(links, node.control_address, &view.replica);
+            tokio::time::timeout(REREAD_TIMEOUT, fetch)
+        });
+        let answers = join_all(reads).await;
+        if answers.into_iter().any(|answer| answer == Ok(true)) {
+            break;
+        }
+    }
+    view.rereading.store(false, Ordering::Release);
+}
+
+/// Merges entries of the node at `address` until nothing is missing; false if
+/// it does not answer.
+async fn fetch_delta(links: &ControlLinks, address: SocketAddr, replica: &ConfigReplica) -> bool {
     loop {
         let digest = links
             .call(address, |client, context| async move {
                 client.config_digest(context).await
             })
             .await;
-        let Some(request) = digest.and_then(|digest| replica.request(&digest)) else {
-            return;
+        let Some(digest) = digest else { return false };
+        let Some(request) = replica.request(&digest) else {
+            return true;
         };
         let delta = links
             .call(address, |client, context| async move {
                 client.config_delta(context, request).await
             })
             .await;
-        let Some(delta) = delta else { return };
+        let Some(delta) = delta else { return false };
         let changed = replica.merge(delta.entries);
         if delta.complete || !changed {
-            return;
+            return true;
         }
     }
 }
--- a/crates/verbenaring-gateway/src/control.rs
+++ b/crates/verbenaring-gateway/src/control.rs
@@ -60,6 +60,7 @@
     }
 
     async fn config_snapshot(self, _: context::Context, after: Option<String>) -> SnapshotPiece {
+        self.view.settle().await;
         self.replica.snapshot(after.as_deref())
     }
 
--- a/crates/verbenaring-gateway/src/controller.rs
+++ b/crates/verbenaring-gateway/src/controller.rs
@@ -135,6 +135,7 @@
             // Until the configuration is loaded, a valid key may be unknown here.
             _ if !self.replica.is_loaded() => Err(not_loaded().with_retry_after(1)),
             _ => {
+                self.cluster.settle().await;
                 let catalog = self.catalog.load_full();
                 let entry = authenticate_caller(&catalog, &parts.headers)?;
                 self.answer_customer(entry, parts, body, request).await
@@ -213,6 +214,7 @@
         let head = self.gate.check(&parts.headers, &message).map_err(|fault| {
             Refusal::not_run(StatusCode::FORBIDDEN, "forward_refused", fault.to_string())
         })?;
+        self.cluster.settle().await;
         let catalog = self.catalog.load_full();
         let entry = catalog
             .contract_of(&head.customer)
--- a/crates/verbenaring-gateway/src/node.rs
+++ b/crates/verbenaring-gateway/src/node.rs
@@ -93,7 +93,9 @@
         let replica = Arc::new(ConfigReplica::new(&catalog, &metrics, &timeline));
         let backends = Arc::new(BackendTable::new(&settings.data_centre, clock));
         let desk = Arc::new(AdmissionDesk::new(&settings, clock));
-        let view = Arc::new(ClusterView::new(&settings, &replica, &backends, &desk));
+        let view = Arc::new(ClusterView::new(
+            &settings, clock, &replica, &backends, &desk,
+        ));
         let observers = AnswerObservers {
             metrics: metrics.clone(),
             timeline: timeline.clone(),
