Call nodes of an excluded region in the soak

Cause: few requests reached nodes in the region that the amended contract excludes for a time, so the residency check had little to see. Change: one more caller uses only these nodes. Requests that end with a residency refusal there are counted on their own and left out of the share of successes. Conclusion: a node that serves under the wider contract is seen by the check.

--- a/crates/verbenaring-testbed/examples/soak.rs
+++ b/crates/verbenaring-testbed/examples/soak.rs
@@ -99,7 +99,7 @@
 /// Data centres with a booking service; the third forwards its bookings.
 const SERVICE_CENTRES: [&str; 2] = ["dublin-a", "cork-a"];
 
-const CALLERS: [Caller; 8] = [
+const CALLERS: [Caller; 9] = [
     Caller {
         customer: "council",
         region: None,
@@ -132,6 +132,10 @@
         customer: "roaming",
         region: None,
     },
+    Caller {
+        customer: "roaming",
+        region: Some("cork"),
+    },
 ];
 
 fn main() -> ExitCode {
@@ -388,8 +392,10 @@
     let count = |counter: &std::sync::atomic::AtomicU64| counter.load(Ordering::Relaxed);
     let requests = count(&report.requests);
     let succeeded = count(&report.succeeded);
-    let share = 100.0 * succeeded as f64 / requests.max(1) as f64;
+    let excluded = count(&report.excluded);
+    let share = 100.0 * succeeded as f64 / (requests - excluded).max(1) as f64;
     println!("  requests: {requests}, tries: {}", count(&report.tries));
+    println!("  refused by residency: {excluded}");
     println!("  succeeded: {succeeded} ({share:.2}%)");
     println!("  refusals: {:?}", report.refusals.lock().unwrap());
     let (changes, _, longest) = monitor.result();
--- a/crates/verbenaring-testbed/examples/soak/load.rs
+++ b/crates/verbenaring-testbed/examples/soak/load.rs
@@ -33,6 +33,13 @@
     pub region: Option<&'static str>,
 }
 
+impl Caller {
+    /// Whether only nodes of a region are used that the contract may exclude.
+    fn is_bound(&self) -> bool {
+        self.region.is_some_and(|region| region != "dublin")
+    }
+}
+
 /// What one booking was told.
 pub struct Booking {
     /// Business key.
@@ -50,6 +57,8 @@
     pub requests: AtomicU64,
     /// Requests that succeeded after any number of tries.
     pub succeeded: AtomicU64,
+    /// Requests refused because the contract excludes the region of all usable nodes.
+    pub excluded: AtomicU64,
     /// Tries of all requests.
     pub tries: AtomicU64,
     /// Violations, as found.
@@ -93,6 +102,15 @@
     pub end: CancellationToken,
 }
 
+/// How a request ended after its last try.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum RequestEnd {
+    Succeeded,
+    Failed,
+    /// The contract does not allow the region of the caller's nodes.
+    Excluded,
+}
+
 /// Result of one try as the caller sees it.
 enum TryResult {
     Answer(TestAnswer),
@@ -109,20 +127,22 @@
             number += 1;
             self.report.requests.fetch_add(1, Ordering::Relaxed);
             let name = format!("{}-{seed}-{number}", caller.customer);
-            let succeeded = if rng.random_bool(0.4) {
+            let end = if rng.random_bool(0.4) {
                 self.book(caller, &name, &mut rng).await
             } else {
                 self.chat(caller, &name, &mut rng).await
             };
-            if succeeded {
-                self.report.succeeded.fetch_add(1, Ordering::Relaxed);
-            }
+            match end {
+                RequestEnd::Succeeded => self.report.succeeded.fetch_add(1, Ordering::Relaxed),
+                RequestEnd::Excluded => self.report.excluded.fetch_add(1, Ordering::Relaxed),
+                RequestEnd::Failed => 0,
+            };
             let pause = rng.random_range(20..120);
             tokio::time::sleep(Duration::from_millis(pause)).await;
         }
     }
 
-    async fn chat(&self, caller: Caller, name: &str, rng: &mut ChaCha8Rng) -> bool {
+    async fn chat(&self, caller: Caller, name: &str, rng: &mut ChaCha8Rng) -> RequestEnd {
         let tokens = rng.random_range(4..200);
         let stream = rng.random_bool(0.5);
         let prompt = format!("{name} {} please", self.start.elapsed().as_millis());
@@ -135,15 +155,15 @@
             if let TryResult::Answer(answer) = result {
                 if answer.status.is_success() {
                     if self.check_chat(&answer, &expected, name) {
-                        return true;
+                        return RequestEnd::Succeeded;
                     }
-                } else {
-                    self.report.note_refusal(&answer);
+                } else if self.report.note_refusal(&answer) == "residency" && caller.is_bound() {
+                    return RequestEnd::Excluded;
                 }
             }
             tokio::time::sleep(Duration::from_millis(200)).await;
         }
-        false
+        RequestEnd::Failed
     }
 
     /// Whether an answer is whole; wrong ones are violations.
@@ -168,7 +188,7 @@
         complete && text == expected
     }
 
-    async fn book(&self, caller: Caller, name: &str, rng: &mut ChaCha8Rng) -> bool {
+    async fn book(&self, caller: Caller, name: &str, rng: &mut ChaCha8Rng) -> RequestEnd {
         let key = Uuid::now_v7().to_string();
         let body = json!({ "operation": name }).to_string().into_bytes();
         let mut booking = Booking {
@@ -176,6 +196,7 @@
             confirmed: false,
             all_not_run: true,
         };
+        let mut excluded = false;
         for _ in 0..MAX_TRIES {
             let node = self.choose(caller, rng);
             let headers = [("idempotency-key", key.as_str())];
@@ -196,18 +217,23 @@
                 TryResult::Answer(answer) => {
                     let code = self.report.note_refusal(&answer);
                     booking.confirmed = code == "operation_done";
+                    excluded = code == "residency" && caller.is_bound();
                     booking.all_not_run &= answer.header("x-verbenaring-outcome") == "not_run";
                 }
                 TryResult::NoAnswer => booking.all_not_run = false,
             }
-            if booking.confirmed {
+            if booking.confirmed || excluded {
                 break;
             }
             tokio::time::sleep(Duration::from_millis(300)).await;
         }
-        let confirmed = booking.confirmed;
+        let end = match booking.confirmed {
+            true => RequestEnd::Succeeded,
+            false if excluded => RequestEnd::Excluded,
+            false => RequestEnd::Failed,
+        };
         self.report.bookings.lock().unwrap().push(booking);
-        confirmed
+        end
     }
 
     fn choose(&self, caller: Caller, rng: &mut ChaCha8Rng) -> &FleetNode {
