--- a/crates/verbenaring-gateway/src/control.rs
+++ b/crates/verbenaring-gateway/src/control.rs
@@ -64,6 +64,7 @@
     }
 
     async fn config_snapshot(self, _: context::Context, after: Option<String>) -> SnapshotPiece {
+        self.core.cluster.settle().await;
         self.core.replica.snapshot(after.as_deref())
     }
 
--- a/crates/verbenaring-gateway/src/node.rs
+++ b/crates/verbenaring-gateway/src/node.rs
@@ -97,7 +97,9 @@
         let replica = Arc::new(ConfigReplica::new(&catalog, &metrics, &timeline));
         let backends = Arc::new(BackendTable::new(&settings.data_centre, clock));
         let desk = Arc::new(AdmissionDesk::new(&settings, clock));
-        let view = Arc::new(ClusterView::new(&settings, &replica, &backends, &desk));
+        let view = Arc::new(ClusterView::new(
+            &settings, clock, &replica, &backends, &desk,
+        ));
         let observers = AnswerObservers {
             metrics: metrics.clone(),
             timeline: timeline.clone(),
@@ -211,12 +213,18 @@
     ///
     /// Readiness falls first and the node still serves, so that callers learn
     /// of it and leave. Then it accepts nothing new and waits for open requests.
-    pub async fn stop(mut self) {
+    pub async fn stop(self) {
+        let drain = self.core.settings.drain;
+        self.stop_after(drain).await;
+    }
+
+    /// Stops as [`RunningNode::stop`] does, but serves for `drain` first.
+    pub async fn stop_after(mut self, drain: Duration) {
         self.core.cluster.stopping.store(true, Ordering::Relaxed);
         self.core
             .timeline
             .record(EventKind::ShutdownStarted, "", None);
-        tokio::time::sleep(self.core.settings.drain).await;
+        tokio::time::sleep(drain).await;
         self.shutdown.cancel();
         while self.servers.join_next().await.is_some() {}
         self.core.operations.close();
--- a/crates/verbenaring-testbed/examples/overhead.rs
+++ b/crates/verbenaring-testbed/examples/overhead.rs
@@ -126,6 +126,8 @@
         }],
         guards: GuardSettings::default(),
         drain: Duration::ZERO,
+        node_tls: None,
+        caller_tls: None,
         log_level: log::LevelFilter::Off,
     };
     let node = runtime.block_on(async {
