Run the broken-stream test on an engine without resume

Cause: broken_stream_ends_with_an_error_event was written before streams were resumed; with a resuming engine the answer is whole, as intended, and nothing breaks. Change: the engine of the test cannot resume; the checks are unchanged. Conclusion: the error event is still guarded.

--- a/crates/verbenaring-testbed/tests/cluster.rs
+++ b/crates/verbenaring-testbed/tests/cluster.rs
@@ -455,7 +455,15 @@
 /// right after it.
 #[tokio::test]
 async fn broken_stream_ends_with_an_error_event() {
-    let deployment = start(vec![centre(1)]).await;
+    let engine = EngineSettings {
+        resume: false,
+        ..EngineSettings::default()
+    };
+    let spec = CentreSpec {
+        engines: vec![engine],
+        ..centre(1)
+    };
+    let deployment = start(vec![spec]).await;
     for round in 0..5 {
         deployment.centres[0].engines[0].set_faults(EngineFaults {
             crash: Some(verbenaring_testbed::CrashPoint::AfterTokens(3)),
