Order engines to the models of their documents

Operators' server documents were not carried to the engines, and a model was used at a server as soon as its document named it.

One node per data centre now holds the lease order/{data centre} and orders every engine to its document, once per fencing token and change, repeated with backoff until confirmed; at most two loads run at once. Every node asks the engines for their models, so a loaded model is known without the store and without the holder; a model that an engine does not list gets no request there. The deployment of the tests states whether its engines check tokens and waits for the model lists.

--- a/crates/verbenaring-gateway/src/backend.rs
+++ b/crates/verbenaring-gateway/src/backend.rs
@@ -32,7 +32,7 @@
 use verbenaring_policy::summary::ModelSpare;
 use verbenaring_policy::time::Moment;
 use verbenaring_protocol::control::LoadFact;
-use verbenaring_protocol::document::{ScopeDocument, ServerTerms};
+use verbenaring_protocol::document::{KindDocument, ScopeDocument, ServerTerms};
 
 use crate::attempt::AttemptClient;
 use crate::catalog::ServingCatalog;
@@ -41,12 +41,19 @@
 
 /// Time between judgements of stragglers.
 pub const EVALUATE_PERIOD: Duration = Duration::from_millis(100);
+/// Time between two listings of the models of an engine that lacks one.
+const MISSING_MODEL_PERIOD: Duration = Duration::from_secs(1);
+/// Time between two listings of the models of an engine that lacks none.
+const LISTING_PERIOD: Duration = Duration::from_secs(10);
 /// Longest request that a planned stop waits for.
 const LONGEST_REQUEST: Duration = Duration::from_secs(30);
 
 struct ServerRecord {
     terms: Arc<ServerTerms>,
+    /// Models of the document that the engine is known to have loaded.
     models: Vec<ServedModel>,
+    /// Last time the engine was asked for its models.
+    listed: Option<Moment>,
     members: HashMap<String, MemberKey>,
     prefixes: PrefixTable,
     requests: u32,
@@ -332,6 +339,48 @@
             .collect()
     }
 
+    /// Engines that are to be asked for their models now.
+    pub fn due_listings(&self, catalog: &ServingCatalog) -> Vec<Arc<ServerTerms>> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.apply(catalog, &self.centre, &self.clock);
+        let due = state
+            .servers
+            .iter_mut()
+            .filter(|record| record.is_listing_due(now));
+        due.map(|record| {
+            record.listed = Some(now);
+            record.terms.clone()
+        })
+        .collect()
+    }
+
+    /// Takes over the models that an engine has loaded.
+    ///
+    /// Ignored if the document names other models than when the engine was
+    /// asked: an order may have changed the engine since.
+    pub fn record_models(&self, asked: &ServerTerms, loaded: &[ModelName]) {
+        let mut state = self.lock();
+        let current = |record: &&mut ServerRecord| {
+            record.terms.server == asked.server
+                && record.terms.address == asked.address
+                && record.terms.models == asked.models
+        };
+        if let Some(record) = state.servers.iter_mut().find(current) {
+            let models = asked.models.iter().filter(|model| loaded.contains(model));
+            record.models = models.map(served_model).collect();
+        }
+    }
+
+    /// Whether an engine is not known to have every model of its document.
+    pub fn lacks_model(&self, terms: &ServerTerms) -> bool {
+        let state = self.lock();
+        let mut servers = state.servers.iter();
+        let record = servers.find(|record| record.terms.server == terms.server);
+        let has = |model| record.is_some_and(|record| record.has_model(model));
+        !terms.models.iter().all(has)
+    }
+
     fn lock(&self) -> MutexGuard<'_, BackendState> {
         self.state.lock().unwrap_or_else(|error| error.into_inner())
     }
@@ -393,6 +442,7 @@
             self.servers.push(ServerRecord {
                 terms: terms.clone(),
                 models: Vec::new(),
+                listed: None,
                 members: HashMap::new(),
                 prefixes: PrefixTable::default(),
                 requests: 0,
@@ -403,8 +453,16 @@
             self.servers.len() - 1
         });
         let record = &mut self.servers[position];
+        if record.terms.models != terms.models {
+            record.listed = None;
+        }
         record.terms = terms.clone();
-        record.models = terms.models.iter().map(served_model).collect();
+        // An added model is used once the engine is known to have it; one that
+        // was removed may be unloaded at any time.
+        let models = &terms.models;
+        record
+            .models
+            .retain(|served| models.contains(&served.model));
         for model in &terms.models {
             if !record.members.contains_key(model.as_str()) {
                 let member = self.detector.add_member(model, now);
@@ -433,8 +491,7 @@
         let mut capacity = 0.0;
         let mut idle = 0.0;
         let mut waiting = queued as f64;
-        let serving =
-            |record: &&ServerRecord| !record.leaving && record.terms.models.contains(model);
+        let serving = |record: &&ServerRecord| !record.leaving && record.has_model(model);
         for record in self.servers.iter().filter(serving) {
             let slots = f64::from(record.terms.slots);
             capacity += record.terms.tokens_per_s * slots;
@@ -457,7 +514,7 @@
     fn offers(&self, work: &PendingWork, excluded: &[ServerId]) -> bool {
         self.servers.iter().any(|record| {
             !record.leaving
-                && work.target.is_offered_by(&record.terms)
+                && record.offers(&work.target)
                 && !excluded.contains(&record.terms.server)
         })
     }
@@ -589,6 +646,31 @@
 }
 
 impl ServerRecord {
+    fn has_model(&self, model: &ModelName) -> bool {
+        self.models.iter().any(|served| served.model == *model)
+    }
+
+    fn lacks_model(&self) -> bool {
+        !self.terms.models.iter().all(|model| self.has_model(model))
+    }
+
+    fn offers(&self, target: &WorkTarget) -> bool {
+        let loaded = match target {
+            WorkTarget::Model(model) => self.has_model(model),
+            WorkTarget::Service(_) => true,
+        };
+        loaded && target.is_offered_by(&self.terms)
+    }
+
+    fn is_listing_due(&self, now: Moment) -> bool {
+        let period = match self.lacks_model() {
+            true => MISSING_MODEL_PERIOD,
+            false => LISTING_PERIOD,
+        };
+        let due = |listed| now >= listed + period;
+        self.terms.kind == KindDocument::Engine && self.listed.is_none_or(due)
+    }
+
     fn state(&self, target: &WorkTarget, detector: &StragglerDetector, now: Moment) -> ServerState {
         if self.leaving {
             return ServerState::Leaving;
--- a/crates/verbenaring-gateway/src/node.rs
+++ b/crates/verbenaring-gateway/src/node.rs
@@ -25,8 +25,10 @@
 use crate::etcd::EtcdStore;
 use crate::links::ControlLinks;
 use crate::listener::NodeListener;
+use crate::listing::list_models;
 use crate::metrics::NodeMetrics;
 use crate::operator::OperatorHandler;
+use crate::order::OrderDriver;
 use crate::peer::PeerGate;
 use crate::poller::poll_loads;
 use crate::records::RecordStore;
@@ -177,6 +179,8 @@
     tokio::spawn(ConfigWatcher::new(store, &core.replica).run(enabled));
     tokio::spawn(task.run(messages, background.clone()));
     tokio::spawn(poll_loads(core.clone(), background.clone()));
+    tokio::spawn(list_models(core.clone(), background.clone()));
+    tokio::spawn(OrderDriver::new(core, store).run(background.clone()));
 }
 
 /// Node that serves requests; dropping it ends its background tasks.
--- a/crates/verbenaring-testbed/src/deployment.rs
+++ b/crates/verbenaring-testbed/src/deployment.rs
@@ -27,6 +27,8 @@
 pub const OPERATOR_KEY: &str = "vb-operator-key";
 /// Longest wait for a configuration to come into force.
 const IN_FORCE_LIMIT: Duration = Duration::from_secs(10);
+/// Longest wait for the model lists of engines.
+const LISTED_LIMIT: Duration = Duration::from_secs(2);
 
 /// One data centre of a deployment.
 #[derive(Debug, Clone)]
@@ -164,6 +166,21 @@
         tokio::time::timeout(IN_FORCE_LIMIT, wait)
             .await
             .expect("configuration is in force");
+        // An engine that is down is never listed, so this wait is bounded only.
+        let _ = tokio::time::timeout(LISTED_LIMIT, self.wait_listed()).await;
+    }
+
+    /// Waits until every node knows which models the engines have loaded.
+    async fn wait_listed(&self) {
+        for node in self.centres.iter().flat_map(|centre| &centre.nodes) {
+            let catalog = node.core().catalog.load_full();
+            for terms in catalog.servers() {
+                let local = terms.data_centre == node.core().settings.data_centre;
+                while local && node.core().backends.lacks_model(terms) {
+                    tokio::time::sleep(Duration::from_millis(5)).await;
+                }
+            }
+        }
     }
 
     async fn register_servers(&self, centre: &RunningCentre, spec: &DeploymentSpec) {
@@ -180,6 +197,7 @@
                 "address": engine.address().to_string(), "kind": "engine",
                 "models": settings.model_names, "slots": settings.slots,
                 "tokens_per_s": settings.tokens_per_s, "resumes": settings.resume,
+                "checks_fencing": settings.check_fencing,
             });
             self.write(&format!("config/server/{}/{server}", place.name), &document)
                 .await;
