Change a server document while two nodes believe to hold the lease

The fault test wrote documents after an old holder had learned of its lapse. It now writes six changes in the renewal period after a lapse.

--- a/crates/verbenaring-testbed/tests/orders.rs
+++ b/crates/verbenaring-testbed/tests/orders.rs
@@ -136,13 +136,15 @@
             };
             deployment.store.set_faults(faults);
             sleep(Duration::from_millis(rng.random_range(0..30_000))).await;
-            if rng.random_bool(0.5) {
-                deployment.store.lapse_leases();
-            }
             deployment.store.set_faults(StoreFaults::default());
             let models = [["standin", "large"], ["standin", "small"]];
-            for index in 0..2 {
-                write_engine(&deployment, index, &models[step % 2]).await;
+            write_engine(&deployment, 0, &models[step % 2]).await;
+            // The old holder learns of the lapse up to one renewal period late;
+            // changes in this time are what both holders would order.
+            deployment.store.lapse_leases();
+            for change in 0..6 {
+                sleep(Duration::from_millis(rng.random_range(200..700))).await;
+                write_engine(&deployment, 1, &models[change % 2]).await;
             }
             sleep(Duration::from_millis(rng.random_range(0..50_000))).await;
         }
