Wait for the models of engines that were never listed

Change: an engine that has never answered a listing counts as a possible target, so the request waits; such engines are asked every 200 ms. Conclusion: orders keep requests away from unloaded models without refusing at start.

--- a/crates/verbenaring-gateway/src/backend.rs
+++ b/crates/verbenaring-gateway/src/backend.rs
@@ -41,6 +41,8 @@
 
 /// Time between judgements of stragglers.
 pub const EVALUATE_PERIOD: Duration = Duration::from_millis(100);
+/// Time between two listings of the models of an engine that never answered one.
+const UNANSWERED_PERIOD: Duration = Duration::from_millis(200);
 /// Time between two listings of the models of an engine that lacks one.
 const MISSING_MODEL_PERIOD: Duration = Duration::from_secs(1);
 /// Time between two listings of the models of an engine that lacks none.
@@ -54,6 +56,8 @@
     models: Vec<ServedModel>,
     /// Last time the engine was asked for its models.
     listed: Option<Moment>,
+    /// Whether the engine has ever answered with its models.
+    answered: bool,
     members: HashMap<String, MemberKey>,
     prefixes: PrefixTable,
     requests: u32,
@@ -369,6 +373,7 @@
         if let Some(record) = state.servers.iter_mut().find(current) {
             let models = asked.models.iter().filter(|model| loaded.contains(model));
             record.models = models.map(served_model).collect();
+            record.answered = true;
         }
     }
 
@@ -443,6 +448,7 @@
                 terms: terms.clone(),
                 models: Vec::new(),
                 listed: None,
+                answered: false,
                 members: HashMap::new(),
                 prefixes: PrefixTable::default(),
                 requests: 0,
@@ -654,18 +660,21 @@
         !self.terms.models.iter().all(|model| self.has_model(model))
     }
 
+    /// Whether the server runs the target, or may do so once its models are
+    /// known: a node that has just started waits instead of refusing.
     fn offers(&self, target: &WorkTarget) -> bool {
         let loaded = match target {
-            WorkTarget::Model(model) => self.has_model(model),
+            WorkTarget::Model(model) => !self.answered || self.has_model(model),
             WorkTarget::Service(_) => true,
         };
         loaded && target.is_offered_by(&self.terms)
     }
 
     fn is_listing_due(&self, now: Moment) -> bool {
-        let period = match self.lacks_model() {
-            true => MISSING_MODEL_PERIOD,
-            false => LISTING_PERIOD,
+        let period = match (self.answered, self.lacks_model()) {
+            (false, _) => UNANSWERED_PERIOD,
+            (true, true) => MISSING_MODEL_PERIOD,
+            (true, false) => LISTING_PERIOD,
         };
         let due = |listed| now >= listed + period;
         self.terms.kind == KindDocument::Engine && self.listed.is_none_or(due)
