Give notice of a stop to configured neighbours as well

Change: the notice is given if the settings name a neighbour or the list has one. Figures: test stop_gives_notice_to_configured_neighbours guards the rule. Conclusion: only a node without neighbours stops at once.

--- a/crates/verbenaring-gateway/src/node.rs
+++ b/crates/verbenaring-gateway/src/node.rs
@@ -194,12 +194,26 @@
         self.core.settings.caller_address
     }
 
+    /// Time for which the node still serves after a planned stop was announced.
+    ///
+    /// The list of live neighbours is empty shortly after a start, although
+    /// they name this node already, so configured neighbours count as well.
+    pub fn leave_notice(&self) -> Duration {
+        let settings = &self.core.settings;
+        let mut peers = settings.peers.iter();
+        let configured = peers.any(|peer| peer.data_centre == settings.data_centre);
+        if configured || !self.core.cluster.nodes.load().near.is_empty() {
+            LEAVE_TIME
+        } else {
+            Duration::ZERO
+        }
+    }
+
     /// Lets readiness fall, leaves the directory of its neighbours, accepts
     /// nothing new and waits for open requests.
     pub async fn stop(self) {
-        let alone = self.core.cluster.nodes.load().near.is_empty();
-        self.stop_after(if alone { Duration::ZERO } else { LEAVE_TIME })
-            .await;
+        let notice = self.leave_notice();
+        self.stop_after(notice).await;
     }
 
     /// Stops as [`RunningNode::stop`] does, with a notice of `notice`.
--- a/crates/verbenaring-testbed/tests/cluster.rs
+++ b/crates/verbenaring-testbed/tests/cluster.rs
@@ -329,6 +329,22 @@
     deployment.stop().await;
 }
 
+/// Guards against a stop without notice while the list of neighbours is empty,
+/// as it is shortly after a start.
+#[tokio::test]
+async fn stop_gives_notice_to_configured_neighbours() {
+    let mut deployment = start(vec![centre(2)]).await;
+    let other = deployment.centres[0].nodes.remove(1);
+    other.stop().await;
+    let node = deployment.node(0);
+    wait_for("list of neighbours is empty", || async {
+        node.core().cluster.nodes.load().near.is_empty()
+    })
+    .await;
+    assert!(!node.leave_notice().is_zero());
+    deployment.stop().await;
+}
+
 /// Guards against a prompt that crashes one engine after the other.
 #[tokio::test]
 async fn crashing_prompt_is_quarantined_everywhere() {
