Print why requests of the soak did not succeed

Cause: the share of successes alone does not say whether a fault of the product lies behind it. Change: requests that failed are counted by what their last try was told.

--- a/crates/verbenaring-testbed/examples/soak.rs
+++ b/crates/verbenaring-testbed/examples/soak.rs
@@ -397,6 +397,10 @@
     println!("  requests: {requests}, tries: {}", count(&report.tries));
     println!("  refused by residency: {excluded}");
     println!("  succeeded: {succeeded} ({share:.2}%)");
+    println!(
+        "  failed, by the last answer: {:?}",
+        report.failures.lock().unwrap()
+    );
     println!("  refusals: {:?}", report.refusals.lock().unwrap());
     let (changes, _, longest) = monitor.result();
     println!("  changes: {changes}, longest until in force on all live nodes: {longest:.2?}");
--- a/crates/verbenaring-testbed/examples/soak/load.rs
+++ b/crates/verbenaring-testbed/examples/soak/load.rs
@@ -1,5 +1,6 @@
 //! Callers of the run. Each retries at other nodes and notes what it was told.
 
+use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -66,7 +67,9 @@
     /// Bookings.
     pub bookings: Mutex<Vec<Booking>>,
     /// Refusals by code.
-    pub refusals: Mutex<std::collections::BTreeMap<String, u64>>,
+    pub refusals: Mutex<BTreeMap<String, u64>>,
+    /// Requests that did not succeed, by what their last try was told.
+    pub failures: Mutex<BTreeMap<String, u64>>,
 }
 
 impl LoadReport {
@@ -76,6 +79,11 @@
         self.findings.lock().unwrap().push((kind, detail));
     }
 
+    fn note_failure(&self, last: &str) {
+        let mut failures = self.failures.lock().unwrap();
+        *failures.entry(last.to_owned()).or_default() += 1;
+    }
+
     fn note_refusal(&self, answer: &TestAnswer) -> String {
         let code = answer.json()["error"]["code"]
             .as_str()
@@ -147,7 +155,9 @@
         let stream = rng.random_bool(0.5);
         let prompt = format!("{name} {} please", self.start.elapsed().as_millis());
         let expected = expected_answer(&prompt, tokens);
+        let mut last = String::new();
         for _ in 0..MAX_TRIES {
+            last = "no whole answer".to_owned();
             let node = self.choose(caller, rng);
             let body = chat_body(&prompt, tokens, stream);
             let path = "/v1/chat/completions";
@@ -157,12 +167,16 @@
                     if self.check_chat(&answer, &expected, name) {
                         return RequestEnd::Succeeded;
                     }
-                } else if self.report.note_refusal(&answer) == "residency" && caller.is_bound() {
-                    return RequestEnd::Excluded;
+                } else {
+                    last = self.report.note_refusal(&answer);
+                    if last == "residency" && caller.is_bound() {
+                        return RequestEnd::Excluded;
+                    }
                 }
             }
             tokio::time::sleep(Duration::from_millis(200)).await;
         }
+        self.report.note_failure(&last);
         RequestEnd::Failed
     }
 
@@ -197,6 +211,7 @@
             all_not_run: true,
         };
         let mut excluded = false;
+        let mut last = String::new();
         for _ in 0..MAX_TRIES {
             let node = self.choose(caller, rng);
             let headers = [("idempotency-key", key.as_str())];
@@ -218,9 +233,13 @@
                     let code = self.report.note_refusal(&answer);
                     booking.confirmed = code == "operation_done";
                     excluded = code == "residency" && caller.is_bound();
+                    last = code;
                     booking.all_not_run &= answer.header("x-verbenaring-outcome") == "not_run";
                 }
-                TryResult::NoAnswer => booking.all_not_run = false,
+                TryResult::NoAnswer => {
+                    booking.all_not_run = false;
+                    last = "no whole answer".to_owned();
+                }
             }
             if booking.confirmed || excluded {
                 break;
@@ -232,6 +251,9 @@
             false if excluded => RequestEnd::Excluded,
             false => RequestEnd::Failed,
         };
+        if end == RequestEnd::Failed {
+            self.report.note_failure(&last);
+        }
         self.report.bookings.lock().unwrap().push(booking);
         end
     }
