--- a/crates/verbenaring-testbed/tests/cluster.rs
+++ b/crates/verbenaring-testbed/tests/cluster.rs
@@ -329,6 +329,21 @@
     deployment.stop().await;
 }
 
+/// Guards against a stop without notice: the drain time must not depend on the
+/// list of neighbours, which is empty shortly after a start.
+#[test]
+fn stop_gives_notice_by_default() {
+    let document = json!({
+        "vm": "a", "region": "dublin", "data_centre": "dublin-a",
+        "caller_address": "127.0.0.1:1", "peer_address": "127.0.0.1:2",
+        "control_address": "127.0.0.1:3", "store_addresses": ["127.0.0.1:4"],
+        "cluster_keys": [{ "id": "k1", "secret": "07".repeat(32) }],
+    });
+    let directory = std::path::Path::new(".");
+    let settings = NodeSettings::read(document.to_string().as_bytes(), directory).unwrap();
+    assert!(!settings.drain.is_zero());
+}
+
 /// Guards against a prompt that crashes one engine after the other.
 #[tokio::test]
 async fn crashing_prompt_is_quarantined_everywhere() {
