Account usage and state it in a chain that members can check

Consumption of members could not be read or checked.

Every node counts the work of its data centre's engines by customer and sends changes to its peers once a second. One statement per data centre and epoch of 60 s with the totals of all members and salted digests is created in the platform store if absent; lines of customers stay in the data centre. Every epoch has a statement, so two writers cannot fork the chain or count twice; a writer that adopts another's statement states nothing of that epoch any more. The operators' interface gets GET usage, and the command report shows share and consumption per member and checks the chain.

--- a/crates/verbenaring-cli/src/app.rs
+++ b/crates/verbenaring-cli/src/app.rs
@@ -144,7 +144,10 @@
             /// Shows the counters of each contract since the start of the node.
             ///
             /// Example: verbenaring --node 127.0.0.1:7003 report
-            cmd report {}
+            cmd report {
+                /// Fail unless the usage statements contain the one with this digest.
+                optional --head digest: String
+            }
             /// Shows the events of a request, or of the node from a sequence number on.
             ///
             /// Example: verbenaring --node 127.0.0.1:7003 timeline --request 3f2a77c0
--- a/crates/verbenaring-cli/src/command.rs
+++ b/crates/verbenaring-cli/src/command.rs
@@ -67,7 +67,9 @@
             },
         },
         VerbenaringCmd::Status(_) => read::show_status(client, console).await,
-        VerbenaringCmd::Report(_) => read::show_report(client, console).await,
+        VerbenaringCmd::Report(report) => {
+            read::show_report(client, report.head.as_deref(), console).await
+        }
         VerbenaringCmd::Entry(_) => read::show_entry(client, console).await,
         VerbenaringCmd::Timeline(timeline) => {
             let request = timeline.request.as_deref();
--- a/crates/verbenaring-cli/src/lib.rs
+++ b/crates/verbenaring-cli/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod error;
 pub mod read;
 pub mod table;
+pub mod usage;
 
 use std::ffi::OsString;
 
--- a/crates/verbenaring-cli/src/read.rs
+++ b/crates/verbenaring-cli/src/read.rs
@@ -5,13 +5,16 @@
 use serde_json::value::RawValue;
 use verbenaring_protocol::document::{ScopeDocument, ServerDocument, StopDocument};
 use verbenaring_protocol::node::{EntryList, OperationStatus};
-use verbenaring_protocol::operator::{ContractReport, DocumentList, DocumentView, EventList};
+use verbenaring_protocol::operator::{
+    ContractReport, DocumentList, DocumentView, EventList, UsageReport,
+};
 use verbenaring_protocol::rules::DocumentKind;
 
 use crate::client::NodeClient;
 use crate::console::OutputConsole;
 use crate::error::{Error, Result};
 use crate::table::{or_dash, text_table};
+use crate::usage::{WholeReport, check_statements, show_usage};
 
 /// Lists contracts with their revisions.
 pub async fn list_contracts<W: Write>(
@@ -211,9 +214,12 @@
     console.finish(&list)
 }
 
-/// Shows the counters of the contracts.
+/// Shows the counters of the contracts and the usage of the members.
+///
+/// Fails if the statements were changed or lack the one with the digest `head`.
 pub async fn show_report<W: Write>(
     client: &NodeClient,
+    head: Option<&str>,
     console: &mut OutputConsole<W>,
 ) -> Result<()> {
     let report: ContractReport = client.get("report").await?;
@@ -239,7 +245,13 @@
     ];
     console.say(format!("Node {} since its start", report.vm))?;
     console.say(text_table(titles, rows))?;
-    console.finish(&report)
+    let usage: UsageReport = client.get("usage").await?;
+    show_usage(&usage, console)?;
+    console.finish(&WholeReport {
+        report: &report,
+        usage: &usage,
+    })?;
+    check_statements(&usage, head)
 }
 
 /// Shows events of the time line.
--- a/crates/verbenaring-gateway/src/account.rs
+++ b/crates/verbenaring-gateway/src/account.rs
@@ -7,14 +7,16 @@
 use std::sync::Arc;
 
 use tokio::time::Instant;
-use verbenaring_policy::id::{AttemptId, CustomerId};
+use verbenaring_policy::id::{AttemptId, CustomerId, MemberId};
 use verbenaring_policy::outcome::RunOutcome;
+use verbenaring_policy::usage::UsageCounters;
 
 use crate::admit::AdmissionTicket;
 use crate::backend::{BackendTable, WorkGuard};
 use crate::metrics::NodeMetrics;
 use crate::schedule::RunTicket;
 use crate::timeline::{EventKind, TimelineRing};
+use crate::usage::UsageLedger;
 use crate::work::PendingWork;
 
 /// How an answer ended.
@@ -43,6 +45,8 @@
     pub timeline: Arc<TimelineRing>,
     /// Backend servers of the data centre.
     pub backends: Arc<BackendTable>,
+    /// Usage of customers.
+    pub usage: Arc<UsageLedger>,
 }
 
 /// What an answer holds and reports until it ends.
@@ -50,6 +54,7 @@
     request: Arc<str>,
     attempt: AttemptId,
     customer: CustomerId,
+    member: MemberId,
     accepted: Instant,
     observers: AnswerObservers,
     guard: Option<WorkGuard>,
@@ -72,6 +77,7 @@
             request: work.request.clone(),
             attempt,
             customer: work.entry.terms.customer.clone(),
+            member: work.entry.terms.member.clone(),
             accepted: work.accepted,
             observers: observers.clone(),
             guard,
@@ -158,6 +164,17 @@
         metrics
             .contracts
             .count_answer(&self.customer, label, self.tokens);
+        // A forwarded request counts where its server stands.
+        if self.guard.is_some() {
+            let amount = UsageCounters {
+                requests: 1,
+                prompt_tokens: u64::from(self.prompt_tokens),
+                answer_tokens: u64::from(self.tokens),
+                ..UsageCounters::default()
+            };
+            let usage = &self.observers.usage;
+            usage.record(&self.member, &self.customer, &amount);
+        }
         metrics
             .request_seconds
             .observe(self.accepted.elapsed().as_secs_f64());
--- a/crates/verbenaring-gateway/src/control.rs
+++ b/crates/verbenaring-gateway/src/control.rs
@@ -14,7 +14,7 @@
 use verbenaring_policy::gossip::GossipMessage;
 use verbenaring_policy::quarantine::SuspectReport;
 use verbenaring_policy::summary::SummaryMessage;
-use verbenaring_protocol::control::{NodeCard, NodeControl, TimelinePage};
+use verbenaring_protocol::control::{NodeCard, NodeControl, TimelinePage, UsageUpdate};
 use verbenaring_protocol::operator::NodeStatus;
 
 use crate::cluster::ClusterMessage;
@@ -74,6 +74,10 @@
         self.core.backends.merge_suspects(&reports);
     }
 
+    async fn usage(self, _: context::Context, update: UsageUpdate) {
+        self.core.observers.usage.receive(&update);
+    }
+
     async fn node_status(self, _: context::Context) -> NodeStatus {
         own_status(&self.core)
     }
--- a/crates/verbenaring-gateway/src/lib.rs
+++ b/crates/verbenaring-gateway/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod schedule;
 pub mod store;
 pub mod timeline;
+pub mod usage;
 pub mod watcher;
 pub mod work;
 
--- a/crates/verbenaring-gateway/src/node.rs
+++ b/crates/verbenaring-gateway/src/node.rs
@@ -36,6 +36,7 @@
 use crate::route::RegionRouter;
 use crate::schedule::RequestQueues;
 use crate::timeline::{EventKind, TimelineRing};
+use crate::usage::{UsageDriver, UsageLedger};
 use crate::watcher::ConfigWatcher;
 
 /// Control messages that wait for the cluster task.
@@ -103,6 +104,7 @@
             metrics: metrics.clone(),
             timeline: timeline.clone(),
             backends: backends.clone(),
+            usage: Arc::new(UsageLedger::new(&settings, clock)),
         };
         let gate = PeerGate::new(&settings.vm, &settings.cluster_keys, clock.unix_ms());
         let core = Arc::new(NodeCore {
@@ -180,6 +182,7 @@
     tokio::spawn(task.run(messages, background.clone()));
     tokio::spawn(poll_loads(core.clone(), background.clone()));
     tokio::spawn(list_models(core.clone(), background.clone()));
+    tokio::spawn(UsageDriver::new(core, store).run(background.clone()));
     tokio::spawn(OrderDriver::new(core, store).run(background.clone()));
 }
 
--- a/crates/verbenaring-gateway/src/operator.rs
+++ b/crates/verbenaring-gateway/src/operator.rs
@@ -6,7 +6,7 @@
 //! - `GET contracts`, `servers`, `stops`: all documents of a kind.
 //! - `GET` and `PUT contracts/{customer}`, `servers/{data centre}/{server}`,
 //!   `stops/{stop}`: one document.
-//! - `GET status`, `timeline?since=&request=`, `report`, `entry`,
+//! - `GET status`, `timeline?since=&request=`, `report`, `usage`, `entry`,
 //!   `operations/{customer}/{key}`.
 
 use std::collections::BTreeMap;
@@ -42,6 +42,7 @@
 use crate::refusal::Refusal;
 use crate::store::{PlatformStore, StoreResult, StoredValue};
 use crate::timeline::TimelineEvent;
+use crate::usage::usage_report;
 
 /// Answers operators.
 pub struct OperatorHandler<S> {
@@ -99,6 +100,7 @@
             ("status", "") => Ok(answer_json(&collect_statuses(&self.core).await)),
             ("timeline", "") => self.answer_timeline(parts).await,
             ("report", "") => Ok(answer_json(&self.report())),
+            ("usage", "") => Ok(answer_json(&usage_report(&self.core, &*self.store).await)),
             ("entry", "") => {
                 let stopping = self.core.cluster.stopping.load(Ordering::Relaxed);
                 Ok(answer_json(&entry_list(
--- a/crates/verbenaring-policy/src/usage.rs
+++ b/crates/verbenaring-policy/src/usage.rs
@@ -340,6 +340,22 @@
         Ok((statement, lines))
     }
 
+    /// Epoch of the newest statement.
+    pub fn epoch(&self) -> Option<u64> {
+        self.check.epoch
+    }
+
+    /// Takes over a statement of another maker.
+    ///
+    /// Which counters it contains is not known here, so counters through its
+    /// epoch are not stated any more: none is stated twice, and one that came
+    /// late is stated by the other maker or not at all.
+    pub fn adopt(&mut self, statement: &UsageStatement) -> Result<(), ChainFault> {
+        self.check.append(statement)?;
+        self.forget_before(statement.epoch + 1);
+        Ok(())
+    }
+
     /// Removes what was stated of epochs before `epoch`; later counters of
     /// these epochs are not stated any more.
     pub fn forget_before(&mut self, epoch: u64) {
--- a/crates/verbenaring-policy/tests/usage.rs
+++ b/crates/verbenaring-policy/tests/usage.rs
@@ -192,3 +192,26 @@
     };
     assert!(!good[1].covers(&member(2), &resalted));
 }
+
+/// Guards against usage that two makers of a chain state once each: a maker
+/// does not know what the other's statement contains.
+#[test]
+fn adopted_epochs_are_not_stated_again() {
+    let mut account = account(0, 0);
+    let mut first = StatementChain::new(centre("c-1"));
+    let mut second = first.clone();
+    account.record(4, &member(0), &customer(0), &tokens(5));
+    let (statement, _) = first.seal(account.entries(), &members(), 4, &SALT).unwrap();
+    second.adopt(&statement).unwrap();
+    assert!(second.adopt(&statement).is_err());
+    assert_eq!(second.epoch(), Some(4));
+
+    account.record(5, &member(0), &customer(0), &tokens(7));
+    let (next, _) = second
+        .seal(account.entries(), &members(), 5, &SALT)
+        .unwrap();
+    assert_eq!(next.members[&member(0)].total.answer_tokens, 7);
+    first.adopt(&next).unwrap();
+    let (last, _) = first.seal(account.entries(), &members(), 6, &SALT).unwrap();
+    assert_eq!(last.members[&member(0)].total.answer_tokens, 0);
+}
--- a/crates/verbenaring-protocol/src/control.rs
+++ b/crates/verbenaring-protocol/src/control.rs
@@ -8,6 +8,7 @@
 use verbenaring_policy::id::{DataCentre, VmId};
 use verbenaring_policy::quarantine::SuspectReport;
 use verbenaring_policy::summary::SummaryMessage;
+use verbenaring_policy::usage::{UsageEntries, UsageStatement};
 
 use crate::operator::NodeStatus;
 use crate::timeline::TimelineEvent;
@@ -52,6 +53,15 @@
     pub stopping: bool,
 }
 
+/// Usage that one node tells another of its data centre.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UsageUpdate {
+    /// Counters that changed.
+    pub entries: UsageEntries,
+    /// Statement that the sender wrote to the platform store.
+    pub statement: Option<UsageStatement>,
+}
+
 /// Events of one node.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TimelinePage {
@@ -82,6 +92,8 @@
         async fn timeline_since(sequence: u64) -> TimelinePage;
         /// Takes what the caller knows of requests that crash servers.
         async fn suspects(reports: Vec<SuspectReport>);
+        /// Takes usage counters and statements of the own data centre.
+        async fn usage(update: UsageUpdate);
         /// Status of the node for operators.
         async fn node_status() -> NodeStatus;
         /// Addresses and facts of the node.
--- a/crates/verbenaring-protocol/src/operator.rs
+++ b/crates/verbenaring-protocol/src/operator.rs
@@ -3,7 +3,8 @@
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 use verbenaring_policy::contract::Revision;
-use verbenaring_policy::id::{AttemptId, ChangeId};
+use verbenaring_policy::id::{AttemptId, ChangeId, CustomerId, DataCentre, MemberId};
+use verbenaring_policy::usage::{UsageCounters, UsageStatement};
 
 /// Path prefix of the operators' interface.
 pub const OPERATOR_PREFIX: &str = "/operator/v1/";
@@ -205,6 +206,41 @@
     pub contracts: Vec<ContractCounters>,
 }
 
+/// Usage of one customer in the data centre, in the epochs still kept there.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CustomerUsage {
+    /// Member of the customer.
+    pub member: MemberId,
+    /// Customer.
+    pub customer: CustomerId,
+    /// Usage.
+    pub usage: UsageCounters,
+}
+
+/// Share of one member.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberShare {
+    /// Member.
+    pub member: MemberId,
+    /// Share of capacity, relative to the other members.
+    pub share: u32,
+}
+
+/// Answer of `GET usage`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UsageReport {
+    /// Data centre of the customers' lines and of the statements.
+    pub centre: DataCentre,
+    /// Usage by customer.
+    pub customers: Vec<CustomerUsage>,
+    /// Shares of the members.
+    pub shares: Vec<MemberShare>,
+    /// Statements of the data centre, oldest first.
+    pub statements: Vec<UsageStatement>,
+    /// Why the platform store could not be read.
+    pub store_fault: Option<String>,
+}
+
 /// Answer to a request that failed in another way.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OperatorFault {
