--- a/crates/verbenaring-gateway/src/usage.rs
+++ b/crates/verbenaring-gateway/src/usage.rs
@@ -8,7 +8,7 @@
 //! peers answer. A data centre that is lost takes what is not yet stated: the
 //! running epoch and, within the grace, the one before.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -17,7 +17,7 @@
 use verbenaring_policy::id::{CustomerId, DataCentre, MemberId, VmId};
 use verbenaring_policy::rendezvous::rendezvous;
 use verbenaring_policy::usage::{
-    StatementChain, UsageAccount, UsageCounters, UsageEntries, UsageStatement,
+    MemberLines, StatementChain, UsageAccount, UsageCounters, UsageEntries, UsageStatement,
 };
 use verbenaring_protocol::control::UsageUpdate;
 use verbenaring_protocol::operator::{CustomerUsage, MemberShare, UsageReport};
@@ -48,8 +48,17 @@
 struct LedgerState {
     account: UsageAccount,
     chain: StatementChain,
-    /// Statement whose write was not answered, with the chain after it.
-    pending: Option<(UsageStatement, StatementChain)>,
+    /// Statement whose write was not answered yet.
+    pending: Option<PendingStatement>,
+    /// Lines of the own statements that are kept, by epoch.
+    lines: BTreeMap<u64, BTreeMap<MemberId, MemberLines>>,
+}
+
+struct PendingStatement {
+    statement: UsageStatement,
+    lines: BTreeMap<MemberId, MemberLines>,
+    /// Chain after the statement.
+    chain: StatementChain,
 }
 
 /// Usage known to this node.
@@ -68,6 +77,7 @@
                 account,
                 chain: StatementChain::new(settings.data_centre.clone()),
                 pending: None,
+                lines: BTreeMap::new(),
             }),
         }
     }
@@ -107,10 +117,13 @@
         if self.chain.epoch() >= Some(statement.epoch) {
             return;
         }
-        let written = self.pending.take_if(|(own, _)| own == statement);
+        let written = self
+            .pending
+            .take_if(|pending| pending.statement == *statement);
         let adopted = match written {
-            Some((_, chain)) => {
-                self.chain = chain;
+            Some(pending) => {
+                self.chain = pending.chain;
+                self.lines.insert(statement.epoch, pending.lines);
                 Ok(())
             }
             None => self.chain.adopt(statement),
@@ -122,6 +135,7 @@
         let kept = statement.epoch.saturating_sub(KEPT_EPOCHS);
         self.account.forget_before(kept);
         self.chain.forget_before(kept);
+        self.lines.retain(|epoch, _| *epoch >= kept);
     }
 }
 
@@ -268,15 +282,19 @@
     fn seal(&self, epoch: u64) -> Option<UsageStatement> {
         let members = members(&self.core);
         let mut state = self.core.observers.usage.lock();
-        if let Some((statement, _)) = &state.pending
-            && statement.epoch == epoch
+        if let Some(pending) = &state.pending
+            && pending.statement.epoch == epoch
         {
-            return Some(statement.clone());
+            return Some(pending.statement.clone());
         }
         let mut chain = state.chain.clone();
         let entries = state.account.entries();
-        let (statement, _) = chain.seal(entries, &members, epoch, &rand::random()).ok()?;
-        state.pending = Some((statement.clone(), chain));
+        let (statement, lines) = chain.seal(entries, &members, epoch, &rand::random()).ok()?;
+        state.pending = Some(PendingStatement {
+            statement: statement.clone(),
+            lines,
+            chain,
+        });
         Some(statement)
     }
 
@@ -314,6 +332,7 @@
         Ok(statements) => (statements, None),
         Err(error) => (Vec::new(), Some(error.to_string())),
     };
+    let lines = core.observers.usage.lock().lines.clone();
     let customers = core.observers.usage.entries().customers();
     let line = |((member, customer), usage)| CustomerUsage {
         member,
@@ -333,6 +352,7 @@
         customers: customers.into_iter().map(line).collect(),
         shares: shares.collect(),
         statements,
+        lines,
         store_fault,
     }
 }
--- a/crates/verbenaring-testbed/tests/usage.rs
+++ b/crates/verbenaring-testbed/tests/usage.rs
@@ -182,7 +182,7 @@
     deployment.stop().await;
 }
 
-/// A total that is changed in the store, and a chain without the statement
+/// Lines that a statement was not made from, a total that is changed, and a chain without the statement
 /// that a member has kept, must be detected.
 #[tokio::test(start_paused = true)]
 async fn changed_statement_is_detected() {
@@ -190,6 +190,20 @@
     ask(&deployment, 0, CUSTOMER_KEY, false).await;
     sleep(STATED * 2).await;
     let report = usage(&deployment).await;
+    let mut writers = report.clone();
+    for node in &deployment.centres[0].nodes {
+        let client = TestClient::new(node.operator_address(), OPERATOR_KEY);
+        let answer = client.get("/operator/v1/usage").await;
+        let other: UsageReport = serde_json::from_slice(&answer.body).unwrap();
+        writers.lines.extend(other.lines);
+    }
+    check_statements(&writers, None).unwrap();
+    let lines = writers.lines.values_mut().flatten();
+    let line = lines.flat_map(|(_, lines)| lines.customers.values_mut());
+    line.for_each(|counters| counters.prompt_tokens += 1);
+    let fault = check_statements(&writers, None).unwrap_err();
+    assert!(fault.to_string().contains("lines of awning"), "{fault}");
+
     let kept = report.statements[0].digest.to_string();
     check_statements(&report, Some(&kept)).unwrap();
     let other = "00".repeat(32);
