--- a/crates/verbenaring-gateway/src/lib.rs
+++ b/crates/verbenaring-gateway/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod store;
 pub mod timeline;
 pub mod tls;
+pub mod usage;
 pub mod watcher;
 pub mod work;
 
--- a/crates/verbenaring-gateway/src/node.rs
+++ b/crates/verbenaring-gateway/src/node.rs
@@ -37,6 +37,7 @@
 use crate::route::RegionRouter;
 use crate::schedule::RequestQueues;
 use crate::timeline::{EventKind, TimelineRing};
+use crate::usage::{UsageDriver, UsageLedger};
 use crate::watcher::ConfigWatcher;
 
 /// Control messages that wait for the cluster task.
@@ -106,6 +107,7 @@
             metrics: metrics.clone(),
             timeline: timeline.clone(),
             backends: backends.clone(),
+            usage: Arc::new(UsageLedger::new(&settings, clock)),
         };
         let live = Arc::new(LiveSettings::new(&settings));
         let core = Arc::new(NodeCore {
@@ -186,6 +188,7 @@
     tokio::spawn(task.run(messages, background.clone()));
     tokio::spawn(poll_loads(core.clone(), background.clone()));
     tokio::spawn(list_models(core.clone(), background.clone()));
+    tokio::spawn(UsageDriver::new(core, store).run(background.clone()));
     tokio::spawn(OrderDriver::new(core, store).run(background.clone()));
 }
 
