Avoid servers that crashed or refused a connection for a second

Change: a server that crashed or refused a connection is used only if no other can run the request, for 1 s; crash reports of other nodes count as well. Ruled out: a larger retry budget, which would also feed retry storms.

--- a/crates/verbenaring-gateway/src/backend.rs
+++ b/crates/verbenaring-gateway/src/backend.rs
@@ -47,6 +47,11 @@
 const MISSING_MODEL_PERIOD: Duration = Duration::from_secs(1);
 /// Time between two listings of the models of an engine that lacks none.
 const LISTING_PERIOD: Duration = Duration::from_secs(10);
+/// Time for which a server that crashed or refused a connection is avoided.
+///
+/// Without it, requests spend their tries and the retry budget on servers that
+/// are known to be restarting.
+const AVOIDED_TIME: Duration = Duration::from_secs(1);
 /// Longest request that a planned stop waits for.
 const LONGEST_REQUEST: Duration = Duration::from_secs(30);
 
@@ -63,6 +68,8 @@
     requests: u32,
     tokens: u64,
     report: Option<(ServerLoad, u64)>,
+    /// Time until which the server is avoided after it crashed or refused a connection.
+    avoided_until: Moment,
     leaving: bool,
 }
 
@@ -317,6 +324,9 @@
         let mut state = self.lock();
         for report in reports {
             state.quarantine.merge(report, now);
+            for crash in &report.crashes {
+                state.avoid(&crash.server, now - crash.age);
+            }
         }
     }
 
@@ -454,6 +464,7 @@
                 requests: 0,
                 tokens: 0,
                 report: None,
+                avoided_until: Moment::default(),
                 leaving: false,
             });
             self.servers.len() - 1
@@ -516,6 +527,14 @@
         })
     }
 
+    /// Avoids a server that failed at `since` until it may have restarted.
+    fn avoid(&mut self, server: &ServerId, since: Moment) {
+        let named = |record: &&mut ServerRecord| record.terms.server == *server;
+        if let Some(record) = self.servers.iter_mut().find(named) {
+            record.avoided_until = record.avoided_until.max(since + AVOIDED_TIME);
+        }
+    }
+
     /// Whether a server that is not excluded offers the work, busy or not.
     fn offers(&self, work: &PendingWork, excluded: &[ServerId]) -> bool {
         self.servers.iter().any(|record| {
@@ -684,6 +703,9 @@
         if self.leaving {
             return ServerState::Leaving;
         }
+        if now < self.avoided_until {
+            return ServerState::Ejected { probe_due: false };
+        }
         match target {
             WorkTarget::Model(model) => self
                 .members
@@ -771,7 +793,10 @@
         let now = self.table.clock.now();
         if self.print.take().is_some() {
             // Other nodes may have had requests there as well.
-            let prints = self.table.lock().quarantine.crash(&self.server, true, now);
+            let mut state = self.table.lock();
+            state.avoid(&self.server, now);
+            let prints = state.quarantine.crash(&self.server, true, now);
+            drop(state);
             for print in prints {
                 log::warn!("requests with digest {print} are quarantined: they crash servers");
             }
@@ -782,6 +807,12 @@
     pub fn set_refused(&mut self) {
         self.target = None;
     }
+
+    /// The server accepted no connection.
+    pub fn set_unreachable(&mut self) {
+        let now = self.table.clock.now();
+        self.table.lock().avoid(&self.server, now);
+    }
 }
 
 impl Drop for WorkGuard {
--- a/crates/verbenaring-gateway/src/controller.rs
+++ b/crates/verbenaring-gateway/src/controller.rs
@@ -495,6 +495,9 @@
                 if failure.outcome == RunOutcome::NotRun {
                     guard.set_refused();
                 }
+                if failure.code == "backend_unreachable" {
+                    guard.set_unreachable();
+                }
                 Err(failure)
             }
         }
