--- a/crates/verbenaring-policy/src/lib.rs
+++ b/crates/verbenaring-policy/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod scheduler;
 pub mod straggler;
 pub mod summary;
+mod threshold;
 pub mod time;
 pub mod usage;
 
