Forward to any node of a data centre that is known

Cause: forwarded work always went to the first listed node of a data centre, so while that node was dead or paused every try of a booking failed. For up to half a second after a summary of a data centre was first heard, no node of it was listed at all, because its cards were not there yet. Change: the node is drawn at random for each try; configured nodes stay listed until a card of their data centre is there. Conclusion: a retry has a chance at another node, and load is spread over the receiving nodes.

--- a/crates/verbenaring-gateway/src/cluster.rs
+++ b/crates/verbenaring-gateway/src/cluster.rs
@@ -569,17 +569,19 @@
         self.view.nodes.store(Arc::new(list));
     }
 
-    /// Adds configured nodes elsewhere until their data centre was heard of.
+    /// Adds configured nodes of data centres of which no node is known yet.
+    ///
+    /// A summary names addresses only; until the first card is here, nothing
+    /// could be forwarded to a data centre that was just heard of.
     fn add_configured(&self, list: &mut NodeList) {
-        let now = self.clock.now();
-        let heard: Vec<&DataCentre> = self
-            .summaries
-            .fresh(now)
-            .map(|summary| &summary.centre)
-            .collect();
         let settings = &self.view.settings;
+        let known: Vec<DataCentre> = list
+            .far
+            .iter()
+            .map(|peer| peer.data_centre.clone())
+            .collect();
         let silent = settings.peers.iter().filter(|peer| {
-            peer.data_centre != settings.data_centre && !heard.contains(&&peer.data_centre)
+            peer.data_centre != settings.data_centre && !known.contains(&peer.data_centre)
         });
         list.far.extend(silent.cloned());
     }
--- a/crates/verbenaring-gateway/src/route.rs
+++ b/crates/verbenaring-gateway/src/route.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use hyper::StatusCode;
+use rand::seq::SliceRandom;
 use verbenaring_policy::id::{DataCentre, ModelName, ServerId, VmId};
 use verbenaring_policy::region::{
     LinkBudget, ROUND_TRIP, RegionChoice, RegionRequest, RegionSelector, RegionView,
@@ -161,7 +162,7 @@
         selector.0.select(&request, &own, &remotes, now)
     }
 
-    /// One node of every other data centre that may run the work.
+    /// One node, at random, of every other data centre that may run the work.
     fn usable_peers(
         &self,
         context: &RouteContext<'_>,
@@ -172,13 +173,23 @@
         if work.forwarded.is_some() {
             return peers;
         }
-        for peer in &context.nodes.far {
+        let mut candidates: Vec<&PeerSettings> = context
+            .nodes
+            .far
+            .iter()
+            .filter(|peer| {
+                let centre = &peer.data_centre;
+                work.entry.terms.residency.allows(&centre.region)
+                    && !tried.peers.contains(&peer.vm)
+                    && offers(context.catalog, centre, work)
+            })
+            .collect();
+        // A node that has just died stays in the list for some seconds, so
+        // tries of one request must not all go to the same node.
+        candidates.shuffle(&mut rand::rng());
+        for peer in candidates {
             let centre = &peer.data_centre;
-            let usable = work.entry.terms.residency.allows(&centre.region)
-                && !tried.peers.contains(&peer.vm)
-                && peers.iter().all(|(known, _)| known.data_centre != *centre)
-                && offers(context.catalog, centre, work);
-            if usable {
+            if peers.iter().all(|(known, _)| known.data_centre != *centre) {
                 let load = context
                     .nodes
                     .load_of(centre, model_of(work), self.clock.unix_ms());
--- a/crates/verbenaring-testbed/tests/path.rs
+++ b/crates/verbenaring-testbed/tests/path.rs
@@ -94,3 +94,36 @@
     assert_eq!(answer.header("x-verbenaring-outcome"), "not_run");
     deployment.stop().await;
 }
+
+/// Guards against forwarded work that always goes to the same node of a data
+/// centre, which fails every try while that node is dead.
+#[tokio::test]
+async fn forwarded_work_is_spread_over_nodes() {
+    let dublin = CentreSpec {
+        engines: Vec::new(),
+        ..CentreSpec::default()
+    };
+    let cork = CentreSpec {
+        region: "cork",
+        name: "cork-a",
+        nodes: 2,
+        ..CentreSpec::default()
+    };
+    let spec = DeploymentSpec {
+        centres: vec![dublin, cork],
+        ..DeploymentSpec::default()
+    };
+    let deployment = TestDeployment::start(&spec).await.unwrap();
+    let contract = contract_document("council", CUSTOMER_KEY, "dublin", &["dublin", "cork"]);
+    deployment.write("config/contract/council", &contract).await;
+    let client = TestClient::new(deployment.node(0).caller_address(), CUSTOMER_KEY);
+    let mut nodes = std::collections::BTreeSet::new();
+    for _ in 0..40 {
+        let answer = client.chat("a bung", 2, false).await;
+        assert_eq!(answer.chat_text(), expected_answer("a bung", 2));
+        let place = answer.header("x-verbenaring-served-by").to_owned();
+        nodes.insert(place.split('/').next().unwrap_or_default().to_owned());
+    }
+    assert_eq!(nodes.len(), 2, "{nodes:?}");
+    deployment.stop().await;
+}
