Check residency and limits of bookings before the claim

Cause: calls that may not be repeated skipped admission, so no limit of the contract held for them, and their residency was checked only after the claim was written. Change: the residency is checked and the request admitted before the operation starts; the admission is held until the caller is answered. Conclusion: a booking outside its contract costs no write to the store and is told why it was refused.

--- a/crates/verbenaring-gateway/src/controller.rs
+++ b/crates/verbenaring-gateway/src/controller.rs
@@ -167,8 +167,10 @@
         if work.repeatable {
             return self.run(work).await;
         }
+        work.check_residency(&self.settings.data_centre.region)?;
+        let admission = self.desk.admit(&self.catalog.load_full(), &work)?;
         let key = header_text(&parts.headers, header::IDEMPOTENCY_KEY);
-        run_operation(self, work, key.as_deref()).await
+        run_operation(self, work, key.as_deref(), admission).await
     }
 
     fn identify(
--- a/crates/verbenaring-gateway/src/operation.rs
+++ b/crates/verbenaring-gateway/src/operation.rs
@@ -22,6 +22,7 @@
 use verbenaring_protocol::header;
 use verbenaring_protocol::node::OperationStatus;
 
+use crate::admit::AdmissionTicket;
 use crate::attempt::{AttemptConnection, AttemptRequest, EchoRule};
 use crate::body::AnswerBody;
 use crate::controller::{NodeCore, Outcome, caller_answer, header_text};
@@ -49,6 +50,8 @@
     connection: Option<AttemptConnection>,
     answer: Option<HeldAnswer>,
     reply: Option<oneshot::Sender<Outcome>>,
+    /// Held until the caller is answered.
+    admission: Option<AdmissionTicket>,
 }
 
 /// Runs a call that may not be repeated.
@@ -56,6 +59,7 @@
     core: &Arc<NodeCore<S>>,
     work: PendingWork,
     key: Option<&str>,
+    admission: AdmissionTicket,
 ) -> Outcome {
     let text = key.ok_or_else(|| {
         bad_key("this call may not be repeated: send a UUID of version 7 as Idempotency-Key")
@@ -72,6 +76,7 @@
         connection: None,
         answer: None,
         reply: Some(reply),
+        admission: Some(admission),
     };
     core.operations.spawn(driver.drive(OperationAttempt {
         key,
@@ -263,6 +268,7 @@
     }
 
     fn tell(&mut self, verdict: LedgerVerdict) {
+        self.admission = None;
         let outcome = match (verdict.reason, self.answer.take()) {
             (VerdictReason::Finished(_), Some(answer)) => {
                 self.record(EventKind::OperationDone);
--- a/crates/verbenaring-testbed/tests/path.rs
+++ b/crates/verbenaring-testbed/tests/path.rs
@@ -127,3 +127,32 @@
     assert_eq!(nodes.len(), 2, "{nodes:?}");
     deployment.stop().await;
 }
+
+/// Guards against bookings that are claimed, or counted against no limit,
+/// although the contract does not allow the region or the request.
+#[tokio::test]
+async fn bookings_obey_residency_and_limits() {
+    let deployment = two_regions().await;
+    let away = contract_document("away", "away-key", "cork", &["cork"]);
+    deployment.write("config/contract/away", &away).await;
+    let mut rare = contract_document("rare", "rare-key", "dublin", &["dublin"]);
+    rare["limits"]["requests_per_s"] = serde_json::json!(0.001);
+    deployment.write("config/contract/rare", &rare).await;
+    let address = deployment.node(0).caller_address();
+    let book = |key: &'static str| async move {
+        let booking = uuid::Uuid::now_v7().to_string();
+        let client = TestClient::new(address, key);
+        client.book(&booking, "fit an awning").await
+    };
+    let revision = deployment.store.revision();
+    let excluded = book("away-key").await;
+    assert_eq!(excluded.status, 403);
+    assert_eq!(excluded.header("x-verbenaring-outcome"), "not_run");
+    assert_eq!(deployment.store.revision(), revision, "nothing was claimed");
+    assert_eq!(book("rare-key").await.status, 200);
+    let limited = book("rare-key").await;
+    assert_eq!(limited.status, 429);
+    assert_eq!(limited.header("x-verbenaring-outcome"), "not_run");
+    assert_eq!(deployment.centres[0].services[0].calls().len(), 1);
+    deployment.stop().await;
+}
