--- a/crates/verbenaring-gateway/src/cluster.rs
+++ b/crates/verbenaring-gateway/src/cluster.rs
@@ -565,26 +565,24 @@
             far: far.collect(),
             centres: centres.collect(),
         };
-        self.add_configured(&mut list, &cards);
+        self.add_configured(&mut list);
         drop(cards);
         self.view.nodes.store(Arc::new(list));
     }
 
-    /// Adds configured nodes elsewhere until their data centre was heard of and
-    /// the address of one of its nodes is known.
-    fn add_configured(&self, list: &mut NodeList, cards: &HashMap<SocketAddr, NodeCard>) {
-        let now = self.clock.now();
-        let heard: Vec<&DataCentre> = self
-            .summaries
-            .fresh(now)
-            .map(|summary| &summary.centre)
-            .collect();
+    /// Adds configured nodes of data centres of which no node is known yet.
+    ///
+    /// A summary names addresses only; until the first card is here, nothing
+    /// could be forwarded to a data centre that was just heard of.
+    fn add_configured(&self, list: &mut NodeList) {
         let settings = &self.view.settings;
-        let is_known = |centre: &DataCentre| {
-            heard.contains(&centre) && cards.values().any(|card| card.data_centre == *centre)
-        };
+        let known: Vec<DataCentre> = list
+            .far
+            .iter()
+            .map(|peer| peer.data_centre.clone())
+            .collect();
         let silent = settings.peers.iter().filter(|peer| {
-            peer.data_centre != settings.data_centre && !is_known(&peer.data_centre)
+            peer.data_centre != settings.data_centre && !known.contains(&peer.data_centre)
         });
         list.far.extend(silent.cloned());
     }
