Keep the lines of statements and update nodes that appear

The digests of customers' lines could not be checked, as their salts were dropped. A node that was cut off from its data centre or restarted never got the counters of that time, so a statement it wrote could lack them.

The writer of a statement keeps its lines for an hour, GET usage returns them and report checks them. A node that appears gets all kept counters, sent by epoch to stay within the limit of a control message.

--- a/crates/verbenaring-cli/src/usage.rs
+++ b/crates/verbenaring-cli/src/usage.rs
@@ -72,6 +72,15 @@
         check
             .append(statement)
             .map_err(|fault| Error::Failed(fault.to_string()))?;
+        let lines = usage.lines.get(&statement.epoch).into_iter().flatten();
+        for (member, lines) in lines {
+            if !statement.covers(member, lines) {
+                return Err(Error::Failed(format!(
+                    "statement of epoch {} was not made from the lines of {member}",
+                    statement.epoch
+                )));
+            }
+        }
     }
     let digests = usage.statements.iter().map(|statement| statement.digest);
     let mut digests = digests.chain([start]);
--- a/crates/verbenaring-gateway/src/usage.rs
+++ b/crates/verbenaring-gateway/src/usage.rs
@@ -8,7 +8,7 @@
 //! peers answer. A data centre that is lost takes what is not yet stated: the
 //! running epoch and, within the grace, the one before.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -17,7 +17,7 @@
 use verbenaring_policy::id::{CustomerId, DataCentre, MemberId, VmId};
 use verbenaring_policy::rendezvous::rendezvous;
 use verbenaring_policy::usage::{
-    StatementChain, UsageAccount, UsageCounters, UsageEntries, UsageStatement,
+    MemberLines, StatementChain, UsageAccount, UsageCounters, UsageEntries, UsageStatement,
 };
 use verbenaring_protocol::control::UsageUpdate;
 use verbenaring_protocol::operator::{CustomerUsage, MemberShare, UsageReport};
@@ -26,6 +26,7 @@
 use crate::config::NodeSettings;
 use crate::controller::NodeCore;
 use crate::error::StoreError;
+use crate::links::ControlLinks;
 use crate::store::{
     PlatformStore, StoreResult, StoredValue, SwapCondition, SwapOutcome, SwapRequest,
 };
@@ -48,8 +49,17 @@
 struct LedgerState {
     account: UsageAccount,
     chain: StatementChain,
-    /// Statement whose write was not answered, with the chain after it.
-    pending: Option<(UsageStatement, StatementChain)>,
+    /// Statement whose write was not answered yet.
+    pending: Option<PendingStatement>,
+    /// Lines of the own statements that are kept, by epoch.
+    lines: BTreeMap<u64, BTreeMap<MemberId, MemberLines>>,
+}
+
+struct PendingStatement {
+    statement: UsageStatement,
+    lines: BTreeMap<MemberId, MemberLines>,
+    /// Chain after the statement.
+    chain: StatementChain,
 }
 
 /// Usage known to this node.
@@ -68,6 +78,7 @@
                 account,
                 chain: StatementChain::new(settings.data_centre.clone()),
                 pending: None,
+                lines: BTreeMap::new(),
             }),
         }
     }
@@ -107,10 +118,13 @@
         if self.chain.epoch() >= Some(statement.epoch) {
             return;
         }
-        let written = self.pending.take_if(|(own, _)| own == statement);
+        let written = self
+            .pending
+            .take_if(|pending| pending.statement == *statement);
         let adopted = match written {
-            Some((_, chain)) => {
-                self.chain = chain;
+            Some(pending) => {
+                self.chain = pending.chain;
+                self.lines.insert(statement.epoch, pending.lines);
                 Ok(())
             }
             None => self.chain.adopt(statement),
@@ -122,6 +136,7 @@
         let kept = statement.epoch.saturating_sub(KEPT_EPOCHS);
         self.account.forget_before(kept);
         self.chain.forget_before(kept);
+        self.lines.retain(|epoch, _| *epoch >= kept);
     }
 }
 
@@ -129,6 +144,7 @@
 pub struct UsageDriver<S> {
     core: Arc<NodeCore<S>>,
     store: Arc<S>,
+    /// Counters that a node of the data centre has not confirmed.
     unsent: HashMap<SocketAddr, UsageEntries>,
 }
 
@@ -161,34 +177,35 @@
         self.spread(None).await;
     }
 
-    /// Sends changes to every node of the data centre; what a node did not
-    /// confirm is sent again.
+    /// Sends changes to every node of the data centre, and all counters to a
+    /// node that appears; what a node did not confirm is sent again.
     async fn spread(&mut self, statement: Option<UsageStatement>) {
-        let changes = self.core.observers.usage.lock().account.take_changes();
+        let (changes, all) = {
+            let mut state = self.core.observers.usage.lock();
+            (
+                state.account.take_changes(),
+                state.account.entries().clone(),
+            )
+        };
         let nodes = self.core.cluster.nodes.load_full();
         let mut unsent = std::mem::take(&mut self.unsent);
-        let calls = nodes.near.iter().map(|node| {
+        let sends = nodes.near.iter().map(|node| {
             let address = node.control_address;
-            let mut entries = unsent.remove(&address).unwrap_or_default();
-            entries.merge(&changes);
+            let entries = match unsent.remove(&address) {
+                Some(mut entries) => {
+                    entries.merge(&changes);
+                    entries
+                }
+                None => all.clone(),
+            };
             let statement = statement.clone();
             let links = self.core.links.clone();
             async move {
-                if entries.is_empty() && statement.is_none() {
-                    return None;
-                }
-                let update = UsageUpdate {
-                    entries: entries.clone(),
-                    statement,
-                };
-                let answer = links.call(address, |client, context| async move {
-                    client.usage(context, update).await
-                });
-                answer.await.is_none().then_some((address, entries))
+                let left = send_usage(&links, address, &entries, statement).await;
+                (address, left)
             }
         });
-        let failed = futures::future::join_all(calls).await;
-        self.unsent = failed.into_iter().flatten().collect();
+        self.unsent = futures::future::join_all(sends).await.into_iter().collect();
     }
 
     /// Newest epoch that this node is to state now.
@@ -268,15 +285,19 @@
     fn seal(&self, epoch: u64) -> Option<UsageStatement> {
         let members = members(&self.core);
         let mut state = self.core.observers.usage.lock();
-        if let Some((statement, _)) = &state.pending
-            && statement.epoch == epoch
+        if let Some(pending) = &state.pending
+            && pending.statement.epoch == epoch
         {
-            return Some(statement.clone());
+            return Some(pending.statement.clone());
         }
         let mut chain = state.chain.clone();
         let entries = state.account.entries();
-        let (statement, _) = chain.seal(entries, &members, epoch, &rand::random()).ok()?;
-        state.pending = Some((statement.clone(), chain));
+        let (statement, lines) = chain.seal(entries, &members, epoch, &rand::random()).ok()?;
+        state.pending = Some(PendingStatement {
+            statement: statement.clone(),
+            lines,
+            chain,
+        });
         Some(statement)
     }
 
@@ -296,6 +317,40 @@
     }
 }
 
+/// Sends counters by epoch, which keeps each message within the frame limit,
+/// then the statement; returns what was not confirmed.
+async fn send_usage(
+    links: &ControlLinks,
+    address: SocketAddr,
+    entries: &UsageEntries,
+    statement: Option<UsageStatement>,
+) -> UsageEntries {
+    let mut left = UsageEntries::default();
+    let parts = entries.by_epoch().into_iter();
+    let mut updates: Vec<UsageUpdate> = parts
+        .map(|entries| UsageUpdate {
+            entries,
+            statement: None,
+        })
+        .collect();
+    updates.extend(statement.map(|statement| UsageUpdate {
+        entries: UsageEntries::default(),
+        statement: Some(statement),
+    }));
+    let mut reachable = true;
+    for update in updates {
+        let sent = update.clone();
+        let call = links.call(address, |client, context| async move {
+            client.usage(context, sent).await
+        });
+        reachable = reachable && call.await.is_some();
+        if !reachable {
+            left.merge(&update.entries);
+        }
+    }
+    left
+}
+
 /// All members that a statement names, those without usage included.
 fn members<S>(core: &NodeCore<S>) -> BTreeSet<MemberId> {
     let catalog = core.catalog.load();
@@ -314,6 +369,7 @@
         Ok(statements) => (statements, None),
         Err(error) => (Vec::new(), Some(error.to_string())),
     };
+    let lines = core.observers.usage.lock().lines.clone();
     let customers = core.observers.usage.entries().customers();
     let line = |((member, customer), usage)| CustomerUsage {
         member,
@@ -333,6 +389,7 @@
         customers: customers.into_iter().map(line).collect(),
         shares: shares.collect(),
         statements,
+        lines,
         store_fault,
     }
 }
--- a/crates/verbenaring-policy/src/usage.rs
+++ b/crates/verbenaring-policy/src/usage.rs
@@ -134,6 +134,16 @@
         }
     }
 
+    /// The same counters, one part per epoch.
+    pub fn by_epoch(&self) -> Vec<UsageEntries> {
+        let mut parts: BTreeMap<u64, UsageEntries> = BTreeMap::new();
+        for (writer, customers) in &self.writers {
+            let part = parts.entry(writer.epoch).or_default();
+            part.writers.insert(writer.clone(), customers.clone());
+        }
+        parts.into_values().collect()
+    }
+
     // What is in these entries beyond `stated`.
     fn beyond(&self, stated: &UsageEntries) -> Self {
         let mut rest = self.clone();
--- a/crates/verbenaring-protocol/src/operator.rs
+++ b/crates/verbenaring-protocol/src/operator.rs
@@ -1,10 +1,12 @@
 //! Requests and answers of the operators' interface, `/operator/v1/`.
 
+use std::collections::BTreeMap;
+
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 use verbenaring_policy::contract::Revision;
 use verbenaring_policy::id::{AttemptId, ChangeId, CustomerId, DataCentre, MemberId};
-use verbenaring_policy::usage::{UsageCounters, UsageStatement};
+use verbenaring_policy::usage::{MemberLines, UsageCounters, UsageStatement};
 
 /// Path prefix of the operators' interface.
 pub const OPERATOR_PREFIX: &str = "/operator/v1/";
@@ -237,6 +239,8 @@
     pub shares: Vec<MemberShare>,
     /// Statements of the data centre, oldest first.
     pub statements: Vec<UsageStatement>,
+    /// Customers' lines of the kept statements that the node wrote, by epoch.
+    pub lines: BTreeMap<u64, BTreeMap<MemberId, MemberLines>>,
     /// Why the platform store could not be read.
     pub store_fault: Option<String>,
 }
--- a/crates/verbenaring-testbed/tests/usage.rs
+++ b/crates/verbenaring-testbed/tests/usage.rs
@@ -7,6 +7,7 @@
 use tokio::time::sleep;
 use verbenaring_cli::console::OutputConsole;
 use verbenaring_cli::usage::{check_statements, member_totals, show_usage};
+use verbenaring_gateway::node::BoundNode;
 use verbenaring_gateway::store::{PlatformStore, SwapCondition, SwapRequest};
 use verbenaring_policy::usage::UsageCounters;
 use verbenaring_protocol::operator::UsageReport;
@@ -135,13 +136,22 @@
         sleep(STATED).await;
         assert_eq!(stated(&usage(&deployment).await), rows(2, 0));
         ask(&deployment, dropped, "k2", false).await;
-        drop(deployment.centres[0].nodes.remove(dropped));
+        let node = deployment.centres[0].nodes.remove(dropped);
+        let settings = node.core().settings.clone();
+        drop(node);
         sleep(STATED * 3).await;
         let after = stated(&usage(&deployment).await);
         assert!(after == rows(2, 0) || after == rows(2, 1), "{after:?}");
         ask(&deployment, 0, CUSTOMER_KEY, false).await;
         sleep(STATED).await;
         assert_eq!(stated(&usage(&deployment).await)[0], rows(3, 0)[0]);
+        // Its replacement learns the lines of customers from its peers.
+        let replacement = BoundNode::bind(settings).await.unwrap().start();
+        deployment.centres[0].nodes.insert(0, replacement);
+        sleep(STATED).await;
+        let report = usage(&deployment).await;
+        assert_eq!(report.customers[0].usage.requests, 3);
+        assert_eq!(stated(&report)[0], rows(3, 0)[0]);
         deployment.stop().await;
     }
 }
@@ -182,7 +192,7 @@
     deployment.stop().await;
 }
 
-/// A total that is changed in the store, and a chain without the statement
+/// Lines that a statement was not made from, a total that is changed, and a chain without the statement
 /// that a member has kept, must be detected.
 #[tokio::test(start_paused = true)]
 async fn changed_statement_is_detected() {
@@ -190,6 +200,20 @@
     ask(&deployment, 0, CUSTOMER_KEY, false).await;
     sleep(STATED * 2).await;
     let report = usage(&deployment).await;
+    let mut writers = report.clone();
+    for node in &deployment.centres[0].nodes {
+        let client = TestClient::new(node.operator_address(), OPERATOR_KEY);
+        let answer = client.get("/operator/v1/usage").await;
+        let other: UsageReport = serde_json::from_slice(&answer.body).unwrap();
+        writers.lines.extend(other.lines);
+    }
+    check_statements(&writers, None).unwrap();
+    let lines = writers.lines.values_mut().flatten();
+    let line = lines.flat_map(|(_, lines)| lines.customers.values_mut());
+    line.for_each(|counters| counters.prompt_tokens += 1);
+    let fault = check_statements(&writers, None).unwrap_err();
+    assert!(fault.to_string().contains("lines of awning"), "{fault}");
+
     let kept = report.statements[0].digest.to_string();
     check_statements(&report, Some(&kept)).unwrap();
     let other = "00".repeat(32);
