--- a/crates/verbenaring-gateway/src/usage.rs
+++ b/crates/verbenaring-gateway/src/usage.rs
@@ -26,6 +26,7 @@
 use crate::config::NodeSettings;
 use crate::controller::NodeCore;
 use crate::error::StoreError;
+use crate::links::ControlLinks;
 use crate::store::{
     PlatformStore, StoreResult, StoredValue, SwapCondition, SwapOutcome, SwapRequest,
 };
@@ -143,6 +144,7 @@
 pub struct UsageDriver<S> {
     core: Arc<NodeCore<S>>,
     store: Arc<S>,
+    /// Counters that a node of the data centre has not confirmed.
     unsent: HashMap<SocketAddr, UsageEntries>,
 }
 
@@ -175,34 +177,35 @@
         self.spread(None).await;
     }
 
-    /// Sends changes to every node of the data centre; what a node did not
-    /// confirm is sent again.
+    /// Sends changes to every node of the data centre, and all counters to a
+    /// node that appears; what a node did not confirm is sent again.
     async fn spread(&mut self, statement: Option<UsageStatement>) {
-        let changes = self.core.observers.usage.lock().account.take_changes();
+        let (changes, all) = {
+            let mut state = self.core.observers.usage.lock();
+            (
+                state.account.take_changes(),
+                state.account.entries().clone(),
+            )
+        };
         let nodes = self.core.cluster.nodes.load_full();
         let mut unsent = std::mem::take(&mut self.unsent);
-        let calls = nodes.near.iter().map(|node| {
+        let sends = nodes.near.iter().map(|node| {
             let address = node.control_address;
-            let mut entries = unsent.remove(&address).unwrap_or_default();
-            entries.merge(&changes);
+            let entries = match unsent.remove(&address) {
+                Some(mut entries) => {
+                    entries.merge(&changes);
+                    entries
+                }
+                None => all.clone(),
+            };
             let statement = statement.clone();
             let links = self.core.links.clone();
             async move {
-                if entries.is_empty() && statement.is_none() {
-                    return None;
-                }
-                let update = UsageUpdate {
-                    entries: entries.clone(),
-                    statement,
-                };
-                let answer = links.call(address, |client, context| async move {
-                    client.usage(context, update).await
-                });
-                answer.await.is_none().then_some((address, entries))
+                let left = send_usage(&links, address, &entries, statement).await;
+                (address, left)
             }
         });
-        let failed = futures::future::join_all(calls).await;
-        self.unsent = failed.into_iter().flatten().collect();
+        self.unsent = futures::future::join_all(sends).await.into_iter().collect();
     }
 
     /// Newest epoch that this node is to state now.
@@ -314,6 +317,40 @@
     }
 }
 
+/// Sends counters by epoch, which keeps each message within the frame limit,
+/// then the statement; returns what was not confirmed.
+async fn send_usage(
+    links: &ControlLinks,
+    address: SocketAddr,
+    entries: &UsageEntries,
+    statement: Option<UsageStatement>,
+) -> UsageEntries {
+    let mut left = UsageEntries::default();
+    let parts = entries.by_epoch().into_iter();
+    let mut updates: Vec<UsageUpdate> = parts
+        .map(|entries| UsageUpdate {
+            entries,
+            statement: None,
+        })
+        .collect();
+    updates.extend(statement.map(|statement| UsageUpdate {
+        entries: UsageEntries::default(),
+        statement: Some(statement),
+    }));
+    let mut reachable = true;
+    for update in updates {
+        let sent = update.clone();
+        let call = links.call(address, |client, context| async move {
+            client.usage(context, sent).await
+        });
+        reachable = reachable && call.await.is_some();
+        if !reachable {
+            left.merge(&update.entries);
+        }
+    }
+    left
+}
+
 /// All members that a statement names, those without usage included.
 fn members<S>(core: &NodeCore<S>) -> BTreeSet<MemberId> {
     let catalog = core.catalog.load();
--- a/crates/verbenaring-testbed/tests/usage.rs
+++ b/crates/verbenaring-testbed/tests/usage.rs
@@ -7,6 +7,7 @@
 use tokio::time::sleep;
 use verbenaring_cli::console::OutputConsole;
 use verbenaring_cli::usage::{check_statements, member_totals, show_usage};
+use verbenaring_gateway::node::BoundNode;
 use verbenaring_gateway::store::{PlatformStore, SwapCondition, SwapRequest};
 use verbenaring_policy::usage::UsageCounters;
 use verbenaring_protocol::operator::UsageReport;
@@ -135,13 +136,22 @@
         sleep(STATED).await;
         assert_eq!(stated(&usage(&deployment).await), rows(2, 0));
         ask(&deployment, dropped, "k2", false).await;
-        drop(deployment.centres[0].nodes.remove(dropped));
+        let node = deployment.centres[0].nodes.remove(dropped);
+        let settings = node.core().settings.clone();
+        drop(node);
         sleep(STATED * 3).await;
         let after = stated(&usage(&deployment).await);
         assert!(after == rows(2, 0) || after == rows(2, 1), "{after:?}");
         ask(&deployment, 0, CUSTOMER_KEY, false).await;
         sleep(STATED).await;
         assert_eq!(stated(&usage(&deployment).await)[0], rows(3, 0)[0]);
+        // Its replacement learns the lines of customers from its peers.
+        let replacement = BoundNode::bind(settings).await.unwrap().start();
+        deployment.centres[0].nodes.insert(0, replacement);
+        sleep(STATED).await;
+        let report = usage(&deployment).await;
+        assert_eq!(report.customers[0].usage.requests, 3);
+        assert_eq!(stated(&report)[0], rows(3, 0)[0]);
         deployment.stop().await;
     }
 }
