Share the queue sizes and the suspect delay with the experiments

Conclusion: the daemon follows the measured settings, except for moved streams, which it does not have.

--- a/crates/verbenaring-gateway/src/controller.rs
+++ b/crates/verbenaring-gateway/src/controller.rs
@@ -20,6 +20,7 @@
 use uuid::Uuid;
 use verbenaring_policy::id::AttemptId;
 use verbenaring_policy::outcome::RunOutcome;
+use verbenaring_policy::quarantine::suspect_delay;
 use verbenaring_policy::retry::{AttemptPlan, NextAttempt};
 use verbenaring_protocol::header;
 
@@ -318,8 +319,13 @@
             let next = self
                 .backends
                 .after_failure(&mut plan, failure.kind(), customer);
-            if let NextAttempt::GiveUp(_) = next {
-                return Err(refuse_failure(failure, outcome));
+            match next {
+                NextAttempt::GiveUp(_) => return Err(refuse_failure(failure, outcome)),
+                NextAttempt::Retry { alone: true, .. } => {
+                    let delay = suspect_delay(&mut rand::rng());
+                    tokio::time::sleep(delay).await;
+                }
+                NextAttempt::Retry { .. } => {}
             }
             last = Some(failure);
         }
--- a/crates/verbenaring-gateway/src/schedule.rs
+++ b/crates/verbenaring-gateway/src/schedule.rs
@@ -24,8 +24,6 @@
 
 /// Multiple of a node's equal part of the slots that its queue may use.
 const SLOT_FACTOR: usize = 2;
-/// Part of the slots that is reserved for short work, as a divisor.
-const RESERVED_DIVISOR: usize = 4;
 /// Share of a member that the layout does not name.
 const DEFAULT_SHARE: u32 = 1;
 
@@ -128,15 +126,12 @@
                 .div_ceil(nodes.max(1))
                 .min(total)
                 .max(1);
-            let reserved = part / RESERVED_DIVISOR;
-            let queue = state.queues.entry(model.clone()).or_insert_with(|| {
-                FairQueue::new(QueueSettings {
-                    slots: part,
-                    reserved,
-                    ..Default::default()
-                })
-            });
-            queue.set_slots(part, reserved);
+            let settings = QueueSettings::for_slots(part);
+            let queue = state
+                .queues
+                .entry(model.clone())
+                .or_insert_with(|| FairQueue::new(settings));
+            queue.set_slots(settings.slots, settings.reserved);
             for entry in catalog.contracts() {
                 let terms = &entry.terms;
                 let share = layout
--- a/crates/verbenaring-policy/src/scheduler.rs
+++ b/crates/verbenaring-policy/src/scheduler.rs
@@ -47,6 +47,22 @@
     pub max_per_contract: usize,
 }
 
+impl QueueSettings {
+    /// Settings for servers with `slots` slots.
+    ///
+    /// Longer work may take seven eighths of the slots and short work one half.
+    /// The parts overlap: where they meet, engines run short work first by its
+    /// priority. With disjoint parts, slots stayed idle while short work waited.
+    pub fn for_slots(slots: usize) -> Self {
+        let reserved = slots / 2;
+        Self {
+            slots: slots - slots / 8 + reserved,
+            reserved,
+            ..Self::default()
+        }
+    }
+}
+
 impl Default for QueueSettings {
     fn default() -> Self {
         Self {
