Split the large files of the daemon by task

Cause: controller.rs, backend.rs, cluster.rs and operator.rs had 537 to 890 lines after several pieces of work met in them. Change: exchange.rs, answer.rs and handler.rs leave controller.rs; server.rs and guard.rs leave backend.rs; view.rs and fetch.rs leave cluster.rs; status.rs leaves operator.rs. No behaviour changes. The gauge verbenaring_caller_connections, which was never set, is removed. The overhead example writes stored documents, the capacity example marks its replica as loaded. Conclusion: one job per file again.

--- a/crates/verbenaring-gateway/src/account.rs
+++ b/crates/verbenaring-gateway/src/account.rs
@@ -12,7 +12,8 @@
 use verbenaring_policy::usage::UsageCounters;
 
 use crate::admit::AdmissionTicket;
-use crate::backend::{BackendTable, WorkGuard};
+use crate::backend::BackendTable;
+use crate::guard::WorkGuard;
 use crate::metrics::NodeMetrics;
 use crate::schedule::RunTicket;
 use crate::timeline::{EventKind, TimelineRing};
--- a/crates/verbenaring-gateway/src/cluster.rs
+++ b/crates/verbenaring-gateway/src/cluster.rs
@@ -6,55 +6,48 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use arc_swap::ArcSwap;
-use futures::future::join_all;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use rand::seq::{IteratorRandom, SliceRandom};
 use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 use verbenaring_policy::config::DigestSummary;
-use verbenaring_policy::contract::Revision;
 use verbenaring_policy::gossip::{Envelope, GossipMessage, MemberState, StartId};
-use verbenaring_policy::id::{DataCentre, ModelName, VmId};
+use verbenaring_policy::id::{DataCentre, VmId};
 use verbenaring_policy::membership::{MemberSettings, MemberTable, TICK_PERIOD};
 use verbenaring_policy::rendezvous::rendezvous;
 use verbenaring_policy::summary::{
-    CentreStatus, CentreSummary, NodeAddress, SummaryEnvelope, SummaryMessage, SummarySettings,
-    SummaryTable, delegates,
+    CentreStatus, NodeAddress, SummaryEnvelope, SummaryMessage, SummarySettings, SummaryTable,
+    delegates,
 };
 use verbenaring_policy::time::Moment;
-use verbenaring_protocol::control::{LoadFact, NodeCard, NodeFacts};
+use verbenaring_protocol::control::{NodeCard, NodeFacts};
 
-use crate::admit::AdmissionDesk;
-use crate::backend::BackendTable;
 use crate::clock::NodeClock;
-use crate::config::{NodeSettings, PeerSettings};
+use crate::config::PeerSettings;
+use crate::fetch::{fetch_card, fetch_delta, fetch_snapshot, reread};
 use crate::links::ControlLinks;
-use crate::replica::ConfigReplica;
+use crate::view::{ClusterView, NodeList};
 
 /// Nodes of a data centre that follow the platform store.
 const WATCHERS: usize = 2;
+
 /// Time between refreshes of the gossiped facts and the published view.
 const REFRESH_PERIOD: Duration = Duration::from_millis(500);
+
 /// Time after which the card of a node elsewhere is asked for again.
 const CARD_PERIOD: Duration = Duration::from_secs(30);
+
 /// Nodes of another data centre that are kept as forwarding targets.
 const MAX_FAR_NODES: usize = 3;
 
 /// Gap between two ticks that means that the process was paused, as in the
 /// failure detector.
-const PAUSE: Duration = Duration::from_secs(2);
-/// Longest wait for a peer's configuration after a pause.
-const REREAD_TIMEOUT: Duration = Duration::from_millis(500);
-/// Longest delay of a request after a pause: peers near, then far, and a margin.
-const SETTLE_LIMIT: Duration = Duration::from_millis(1_500);
-/// Time between two looks at whether the configuration was read again.
-const SETTLE_POLL: Duration = Duration::from_millis(10);
+pub(crate) const PAUSE: Duration = Duration::from_secs(2);
 
 /// Age assumed of load reports that came by gossip.
 const GOSSIPED_LOAD_AGE: Duration = Duration::from_secs(2);
@@ -68,148 +61,6 @@
     Summary(SummaryMessage),
 }
 
-/// Load of a data centre for one model.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct CentreLoad {
-    /// Expected wait of a new request.
-    pub wait: Duration,
-    /// Time of the measurement, in milliseconds since 1970-01-01 UTC.
-    pub unix_ms: u64,
-}
-
-/// Other nodes that may be used now.
-#[derive(Debug, Clone, Default)]
-pub struct NodeList {
-    /// Live nodes of the own data centre.
-    pub near: Vec<PeerSettings>,
-    /// Nodes of other data centres.
-    pub far: Vec<PeerSettings>,
-    /// Latest known state of other data centres.
-    pub centres: Vec<CentreSummary>,
-}
-
-impl NodeList {
-    /// Load of a data centre; idle where nothing is known.
-    pub fn load_of(
-        &self,
-        centre: &DataCentre,
-        model: Option<&ModelName>,
-        unix_ms: u64,
-    ) -> CentreLoad {
-        let summary = self
-            .centres
-            .iter()
-            .find(|summary| summary.centre == *centre);
-        let spare = summary
-            .zip(model)
-            .and_then(|(summary, model)| summary.status.models.get(model));
-        CentreLoad {
-            wait: Duration::from_millis(spare.map_or(0, |spare| u64::from(spare.wait_ms))),
-            unix_ms: summary.map_or(unix_ms, |summary| summary.status.unix_ms),
-        }
-    }
-
-    /// Newest revision that every data centre has in force on all its nodes.
-    pub fn accepted_revision(&self, own: Revision) -> Revision {
-        let centres = self.centres.iter().map(|summary| match &summary.status {
-            status if status.nodes_in_force >= status.node_count => status.revision,
-            _ => 0,
-        });
-        centres.fold(own, Revision::min)
-    }
-}
-
-/// View of the other nodes, shared with the request path.
-pub struct ClusterView {
-    settings: NodeSettings,
-    clock: NodeClock,
-    /// Moment of the last tick, in microseconds.
-    last_tick: AtomicU64,
-    /// Whether the configuration is being read again after a pause.
-    rereading: AtomicBool,
-    replica: Arc<ConfigReplica>,
-    /// Other nodes that may be used now.
-    pub nodes: ArcSwap<NodeList>,
-    /// Load of the servers that this node polls.
-    pub loads: Mutex<Vec<LoadFact>>,
-    /// Backend servers of the data centre.
-    pub backends: Arc<BackendTable>,
-    /// Limits of contracts at this node.
-    pub desk: Arc<AdmissionDesk>,
-    /// Whether a graceful shutdown has begun.
-    pub stopping: AtomicBool,
-}
-
-impl ClusterView {
-    /// View that starts with the peers of the settings.
-    pub fn new(
-        settings: &NodeSettings,
-        clock: NodeClock,
-        replica: &Arc<ConfigReplica>,
-        backends: &Arc<BackendTable>,
-        desk: &Arc<AdmissionDesk>,
-    ) -> Self {
-        let (near, far) = settings
-            .peers
-            .iter()
-            .cloned()
-            .partition(|peer| peer.data_centre == settings.data_centre);
-        Self {
-            settings: settings.clone(),
-            clock,
-            last_tick: AtomicU64::new(clock.now().0),
-            rereading: AtomicBool::new(false),
-            replica: replica.clone(),
-            nodes: ArcSwap::from_pointee(NodeList {
-                near,
-                far,
-                centres: Vec::new(),
-            }),
-            backends: backends.clone(),
-            desk: desk.clone(),
-            loads: Mutex::default(),
-            stopping: AtomicBool::new(false),
-        }
-    }
-
-    /// Waits until a node that was paused has read its configuration again.
-    ///
-    /// Its peers may have removed it meanwhile, and a narrower contract may be
-    /// accepted without it. A node that reaches no peer goes on under its last
-    /// revision, as a data centre that is cut off does.
-    pub async fn settle(&self) {
-        let settled = async {
-            while !self.is_settled() {
-                tokio::time::sleep(SETTLE_POLL).await;
-            }
-        };
-        if !self.is_settled() && tokio::time::timeout(SETTLE_LIMIT, settled).await.is_err() {
-            log::warn!("no peer confirmed the configuration after a pause");
-        }
-    }
-
-    fn is_settled(&self) -> bool {
-        let last = Moment(self.last_tick.load(Ordering::Acquire));
-        self.clock.now().since(last) < PAUSE && !self.rereading.load(Ordering::Acquire)
-    }
-
-    /// Addresses and facts of this node.
-    pub fn card(&self) -> NodeCard {
-        let loads = self.loads.lock().unwrap_or_else(|error| error.into_inner());
-        NodeCard {
-            vm: self.settings.vm.clone(),
-            data_centre: self.settings.data_centre.clone(),
-            facts: NodeFacts {
-                caller_port: self.settings.caller_address.port(),
-                peer_port: self.settings.peer_address.port(),
-                config: self.replica.summary(),
-                loads: loads.clone(),
-            },
-            stopping: self.stopping.load(Ordering::Relaxed),
-        }
-    }
-}
-
 /// State of the task.
 pub struct ClusterTask {
     clock: NodeClock,
@@ -634,91 +485,3 @@
         control_address,
     }
 }
-
-async fn fetch_card(
-    links: &ControlLinks,
-    address: SocketAddr,
-    cards: &Mutex<HashMap<SocketAddr, NodeCard>>,
-) {
-    let card = links
-        .call(address, |client, context| async move {
-            client.status(context).await
-        })
-        .await;
-    let mut cards = cards.lock().unwrap_or_else(|error| error.into_inner());
-    match card {
-        Some(card) => cards.insert(address, card),
-        None => cards.remove(&address),
-    };
-}
-
-/// Merges what the near nodes have, or the far ones if none of these answers.
-///
-/// All of them are asked, because some may have been paused as well.
-async fn reread(links: &ControlLinks, view: &ClusterView) {
-    let nodes = view.nodes.load_full();
-    for group in [&nodes.near, &nodes.far] {
-        let reads = group.iter().map(|node| {
-            let fetch = fetch_delta(links, node.control_address, &view.replica);
-            tokio::time::timeout(REREAD_TIMEOUT, fetch)
-        });
-        let answers = join_all(reads).await;
-        if answers.into_iter().any(|answer| answer == Ok(true)) {
-            break;
-        }
-    }
-    view.rereading.store(false, Ordering::Release);
-}
-
-/// Merges entries of the node at `address` until nothing is missing; false if
-/// it does not answer.
-async fn fetch_delta(links: &ControlLinks, address: SocketAddr, replica: &ConfigReplica) -> bool {
-    loop {
-        let digest = links
-            .call(address, |client, context| async move {
-                client.config_digest(context).await
-            })
-            .await;
-        let Some(digest) = digest else { return false };
-        let Some(request) = replica.request(&digest) else {
-            return true;
-        };
-        let delta = links
-            .call(address, |client, context| async move {
-                client.config_delta(context, request).await
-            })
-            .await;
-        let Some(delta) = delta else { return false };
-        let changed = replica.merge(delta.entries);
-        if delta.complete || !changed {
-            return true;
-        }
-    }
-}
-
-/// Merges the whole configuration of the node at `address`.
-async fn fetch_snapshot(
-    links: &ControlLinks,
-    address: SocketAddr,
-    replica: &ConfigReplica,
-) -> bool {
-    let mut after = None;
-    loop {
-        let piece = links
-            .call(address, |client, context| async move {
-                client.config_snapshot(context, after).await
-            })
-            .await;
-        let Some(piece) = piece else { return false };
-        let empty = piece.entries.is_empty();
-        replica.merge(piece.entries);
-        if piece.next.is_none() {
-            // A peer that has just started itself proves nothing.
-            if !empty {
-                replica.set_loaded();
-            }
-            return !empty;
-        }
-        after = piece.next;
-    }
-}
--- a/crates/verbenaring-gateway/src/control.rs
+++ b/crates/verbenaring-gateway/src/control.rs
@@ -21,7 +21,7 @@
 use crate::controller::NodeCore;
 use crate::handshake::{self, HandshakeFault};
 use crate::links::frame_codec;
-use crate::operator::own_status;
+use crate::status::own_status;
 use crate::store::PlatformStore;
 use crate::tls::NodeStream;
 
--- a/crates/verbenaring-gateway/src/entry.rs
+++ b/crates/verbenaring-gateway/src/entry.rs
@@ -2,8 +2,8 @@
 
 use verbenaring_protocol::node::{EntryList, EntryVm};
 
-use crate::cluster::NodeList;
 use crate::config::{NodeSettings, PeerSettings};
+use crate::view::NodeList;
 
 /// Seconds for which a caller may use the list.
 const ENTRY_TTL_S: u32 = 30;
--- a/crates/verbenaring-gateway/src/metrics.rs
+++ b/crates/verbenaring-gateway/src/metrics.rs
@@ -24,8 +24,6 @@
     pub answer_tokens: IntCounter,
     /// Tries by target and result.
     pub attempts: IntCounterVec,
-    /// Caller connections open.
-    pub connections: IntGauge,
     /// Revision of the configuration in force.
     pub config_revision: IntGauge,
     /// Configuration documents that cannot be read.
@@ -87,7 +85,6 @@
                 "Tries by target (server, node) and result (ok, not_run, unknown)",
                 &["target", "result"],
             ),
-            connections: gauge("verbenaring_caller_connections", "Caller connections open"),
             config_revision: gauge(
                 "verbenaring_config_revision",
                 "Revision of the configuration in force",
--- a/crates/verbenaring-gateway/src/node.rs
+++ b/crates/verbenaring-gateway/src/node.rs
@@ -17,12 +17,13 @@
 use crate::attempt::AttemptClient;
 use crate::backend::BackendTable;
 use crate::clock::NodeClock;
-use crate::cluster::{ClusterTask, ClusterView};
+use crate::cluster::ClusterTask;
 use crate::config::NodeSettings;
 use crate::control::ControlServer;
-use crate::controller::{CallerHandler, NodeCore, PeerHandler};
+use crate::controller::NodeCore;
 use crate::error::{Error, Result};
 use crate::etcd::EtcdStore;
+use crate::handler::{CallerHandler, PeerHandler};
 use crate::links::ControlLinks;
 use crate::listener::{NodeListener, PeerRole};
 use crate::listing::list_models;
@@ -38,6 +39,7 @@
 use crate::schedule::RequestQueues;
 use crate::timeline::{EventKind, TimelineRing};
 use crate::usage::{UsageDriver, UsageLedger};
+use crate::view::ClusterView;
 use crate::watcher::ConfigWatcher;
 
 /// Control messages that wait for the cluster task.
--- a/crates/verbenaring-gateway/src/operation.rs
+++ b/crates/verbenaring-gateway/src/operation.rs
@@ -23,9 +23,10 @@
 use verbenaring_protocol::node::OperationStatus;
 
 use crate::admit::AdmissionTicket;
+use crate::answer::{caller_answer, header_text};
 use crate::attempt::{AttemptConnection, AttemptRequest, EchoRule, ReceiverKind};
 use crate::body::AnswerBody;
-use crate::controller::{NodeCore, Outcome, caller_answer, header_text};
+use crate::controller::{NodeCore, Outcome};
 use crate::records::operation_key;
 use crate::refusal::Refusal;
 use crate::route::RouteTarget;
--- a/crates/verbenaring-gateway/src/poller.rs
+++ b/crates/verbenaring-gateway/src/poller.rs
@@ -18,8 +18,9 @@
 use verbenaring_protocol::document::{KindDocument, ServerTerms};
 
 use crate::attempt::{AttemptClient, AttemptRequest, EchoRule, ReceiverKind};
-use crate::backend::{EVALUATE_PERIOD, short_hash};
+use crate::backend::EVALUATE_PERIOD;
 use crate::controller::NodeCore;
+use crate::server::short_hash;
 use crate::store::PlatformStore;
 
 /// Time between two polls of a server.
--- a/crates/verbenaring-gateway/src/route.rs
+++ b/crates/verbenaring-gateway/src/route.rs
@@ -17,9 +17,9 @@
 use crate::backend::{BackendTable, ChosenServer, ServerChoice};
 use crate::catalog::ServingCatalog;
 use crate::clock::NodeClock;
-use crate::cluster::{CentreLoad, NodeList};
 use crate::config::PeerSettings;
 use crate::refusal::Refusal;
+use crate::view::{CentreLoad, NodeList};
 use crate::work::{PendingWork, WorkTarget};
 
 /// Round trip between two data centres of one region.
--- a/crates/verbenaring-testbed/examples/capacity.rs
+++ b/crates/verbenaring-testbed/examples/capacity.rs
@@ -88,6 +88,7 @@
     let replica = ConfigReplica::new(&catalog, &metrics, &Arc::new(TimelineRing::new(&vm)));
     replica.merge((0..contracts).map(|index| entry(index, 1 + index as u64)));
     let kilobytes = resident_kilobytes() - before;
+    replica.set_loaded();
     let start = Instant::now();
     for change in 0..CHANGES {
         let revision = contracts as u64 + 2 + u64::from(change);
--- a/crates/verbenaring-testbed/examples/overhead.rs
+++ b/crates/verbenaring-testbed/examples/overhead.rs
@@ -16,7 +16,8 @@
 use verbenaring_gateway::etcd::EtcdStore;
 use verbenaring_gateway::node::BoundNode;
 use verbenaring_gateway::store::{PlatformStore, SwapCondition, SwapRequest};
-use verbenaring_policy::id::{CentreName, DataCentre, RegionName, VmId};
+use verbenaring_policy::id::{CentreName, ChangeId, DataCentre, RegionName, VmId};
+use verbenaring_protocol::stored::StoredEntry;
 use verbenaring_testbed::client::chat_body;
 use verbenaring_testbed::deployment::{CUSTOMER_KEY, contract_document};
 use verbenaring_testbed::{EngineFaults, EngineServer, EngineSettings, StoreServer, StoreSettings};
@@ -373,7 +374,7 @@
     let request = |key: &str, value: serde_json::Value| SwapRequest {
         key: key.to_owned(),
         condition: SwapCondition::Absent,
-        value: Some(value.to_string().into_bytes()),
+        value: Some(stored(&value)),
         lease: 0,
     };
     let documents = [
@@ -384,6 +385,11 @@
     writer.swap(&documents).await.expect("store is up");
 }
 
+fn stored(document: &serde_json::Value) -> Vec<u8> {
+    let entry = StoredEntry::wrap(ChangeId::default(), 0, Some(&document.to_string()));
+    entry.expect("a JSON value is a document").to_value()
+}
+
 /// Store with the configuration of a node in front of `engine`.
 fn start_store(runtime: &Runtime, engine: SocketAddr) -> StoreServer {
     runtime.block_on(async {
