--- a/crates/verbenaring-gateway/src/server.rs
+++ b/crates/verbenaring-gateway/src/server.rs
@@ -38,7 +38,7 @@
 const MISSING_MODEL_PERIOD: Duration = Duration::from_secs(1);
 
 /// Time between two listings of the models of an engine that lacks none.
-const LISTING_PERIOD: Duration = Duration::from_secs(10);
+const LISTING_PERIOD: Duration = Duration::from_secs(60);
 
 /// Time for which a server that crashed or refused a connection is avoided.
 ///
@@ -233,6 +233,8 @@
         let named = |record: &&mut ServerRecord| record.terms.server == *server;
         if let Some(record) = self.servers.iter_mut().find(named) {
             record.avoided_until = record.avoided_until.max(since + AVOIDED_TIME);
+            // A restarted engine may have other models.
+            record.answered = false;
         }
     }
 
