--- a/crates/verbenaring-gateway/src/attempt.rs
+++ b/crates/verbenaring-gateway/src/attempt.rs
@@ -68,6 +68,16 @@
 }
 
 impl AttemptFailure {
+    /// This failure after an `earlier` one of the same request.
+    ///
+    /// The earlier try may have run although this one surely did not.
+    pub fn after(self, earlier: &AttemptFailure) -> Self {
+        Self {
+            outcome: earlier.outcome.combine(self.outcome),
+            ..self
+        }
+    }
+
     /// Kind of the failure for the retry decision.
     pub fn kind(&self) -> RetryFailure {
         match self.outcome {
--- a/crates/verbenaring-gateway/src/cluster.rs
+++ b/crates/verbenaring-gateway/src/cluster.rs
@@ -382,7 +382,7 @@
             .live()
             .filter(|member| member.vm != self.view.settings.vm);
         let near = live.filter_map(|member| {
-            let facts = self.facts.get(&member.vm)?;
+            let facts = self.facts.get(&member.vm).filter(|facts| !facts.leaving)?;
             Some(node_of(&member.vm, own, member.address, facts))
         });
         let cards = self.lock_cards();
--- a/crates/verbenaring-gateway/src/controller.rs
+++ b/crates/verbenaring-gateway/src/controller.rs
@@ -5,7 +5,6 @@
 //! [`Refusal`].
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -111,7 +110,7 @@
                 let list = entry_list(
                     &self.settings,
                     &self.cluster.nodes.load(),
-                    self.cluster.stopping.load(Ordering::Relaxed),
+                    self.cluster.is_leaving(),
                 );
                 Ok(json_answer(
                     serde_json::to_string(&list).unwrap_or_default(),
@@ -363,7 +362,7 @@
     }
 
     fn answer_ready(&self) -> Outcome {
-        let stopping = self.cluster.stopping.load(Ordering::Relaxed);
+        let stopping = self.cluster.is_leaving();
         if !stopping && self.replica.is_loaded() {
             return Ok(text_answer("ready\n"));
         }
--- a/crates/verbenaring-gateway/src/exchange.rs
+++ b/crates/verbenaring-gateway/src/exchange.rs
@@ -19,7 +19,7 @@
 use crate::account::{AnswerRecord, WorkTickets};
 use crate::answer::{caller_answer, header_text};
 use crate::attempt::{AttemptFailure, AttemptRequest, EchoRule, ReceiverKind, is_refusal};
-use crate::backend::ChosenServer;
+use crate::backend::{ChosenServer, PrintDecision};
 use crate::body::AnswerBody;
 use crate::config::PeerSettings;
 use crate::controller::NodeCore;
@@ -63,10 +63,12 @@
         tickets: &mut Option<WorkTickets>,
     ) -> Result<Response<AnswerBody>, AttemptFailure> {
         tried.add(&target);
+        // A suspect must not run on two servers at once.
+        let suspect = self.backends.decide(work) != PrintDecision::Send { alone: false };
         let delay = self
             .backends
             .hedge_delay(work)
-            .filter(|_| work.forwarded.is_none());
+            .filter(|_| work.forwarded.is_none() && !suspect);
         let first = self.attempt(work, target);
         let Some(delay) = delay else {
             return self.answer(work, first.await?, tickets);
@@ -90,11 +92,11 @@
         let head = tokio::select! {
             head = &mut first => match head {
                 Ok(head) => head,
-                Err(_) => second.await?,
+                Err(earlier) => second.await.map_err(|failure| failure.after(&earlier))?,
             },
             head = &mut second => match head {
                 Ok(head) => head,
-                Err(_) => first.await?,
+                Err(earlier) => first.await.map_err(|failure| failure.after(&earlier))?,
             },
         };
         self.answer(work, head, tickets)
--- a/crates/verbenaring-gateway/src/operator.rs
+++ b/crates/verbenaring-gateway/src/operator.rs
@@ -11,7 +11,6 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
@@ -101,7 +100,7 @@
             ("report", "") => Ok(answer_json(&self.report())),
             ("usage", "") => Ok(answer_json(&usage_report(&self.core, &*self.store).await)),
             ("entry", "") => {
-                let stopping = self.core.cluster.stopping.load(Ordering::Relaxed);
+                let stopping = self.core.cluster.is_leaving();
                 Ok(answer_json(&entry_list(
                     &self.core.settings,
                     &self.core.cluster.nodes.load(),
--- a/crates/verbenaring-gateway/src/order.rs
+++ b/crates/verbenaring-gateway/src/order.rs
@@ -7,7 +7,6 @@
 //! last, and a connection that takes longer than the transit time is reset.
 
 use std::collections::HashMap;
-use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -205,7 +204,7 @@
         let nodes = self.core.cluster.nodes.load();
         let own = &self.core.settings.vm;
         let vms = nodes.near.iter().map(|node| &node.vm).chain([own]);
-        let stopping = self.core.cluster.stopping.load(Ordering::Relaxed);
+        let stopping = self.core.cluster.is_leaving();
         !stopping && rendezvous("order lease", vms, CANDIDATES).contains(&own)
     }
 
--- a/crates/verbenaring-gateway/src/replica.rs
+++ b/crates/verbenaring-gateway/src/replica.rs
@@ -102,6 +102,11 @@
         self.lock().snapshot(after)
     }
 
+    /// Catalog in force.
+    pub fn catalog(&self) -> Arc<ServingCatalog> {
+        self.catalog.load_full()
+    }
+
     /// Keys that have a document in force.
     pub fn present_keys(&self) -> Vec<(String, u64)> {
         let book = self.lock();
--- a/crates/verbenaring-gateway/src/status.rs
+++ b/crates/verbenaring-gateway/src/status.rs
@@ -1,7 +1,5 @@
 //! Status and events of this node and, merged, of all known nodes.
 
-use std::sync::atomic::Ordering;
-
 use futures::future::join_all;
 use verbenaring_protocol::operator::{
     EventList, EventView, FaultStatus, NodeStatus, ServerStatus, StatusList,
@@ -112,7 +110,7 @@
         region: place.region.to_string(),
         data_centre: place.name.to_string(),
         revision: catalog.revision(),
-        stopping: core.cluster.stopping.load(Ordering::Relaxed),
+        stopping: core.cluster.is_leaving(),
         servers: servers.collect(),
         faults: faults.collect(),
     }
--- a/crates/verbenaring-gateway/src/view.rs
+++ b/crates/verbenaring-gateway/src/view.rs
@@ -10,6 +10,7 @@
 use verbenaring_policy::summary::CentreSummary;
 use verbenaring_policy::time::Moment;
 use verbenaring_protocol::control::{LoadFact, NodeCard, NodeFacts};
+use verbenaring_protocol::document::{ScopeDocument, StopDocument};
 
 use crate::admit::AdmissionDesk;
 use crate::backend::BackendTable;
@@ -149,6 +150,23 @@
             && !self.rereading.load(Ordering::Acquire)
     }
 
+    /// Whether callers and nodes should use other nodes: a graceful shutdown
+    /// has begun, or a planned stop covers this node.
+    pub fn is_leaving(&self) -> bool {
+        let now_ms = self.clock.unix_ms();
+        let covers = |stop: &StopDocument| match stop.scope {
+            ScopeDocument::Vm => stop.target == self.settings.vm.as_str(),
+            ScopeDocument::DataCentre => stop.target == self.settings.data_centre.name.as_str(),
+            ScopeDocument::Server | ScopeDocument::Rack => false,
+        };
+        let is_due = |stop: &StopDocument| {
+            now_ms >= stop.from_unix_ms && stop.until_unix_ms.is_none_or(|until| now_ms < until)
+        };
+        let catalog = self.replica.catalog();
+        let mut stops = catalog.stops().iter();
+        self.stopping.load(Ordering::Relaxed) || stops.any(|stop| covers(stop) && is_due(stop))
+    }
+
     /// Addresses and facts of this node.
     pub fn card(&self) -> NodeCard {
         let loads = self.loads.lock().unwrap_or_else(|error| error.into_inner());
@@ -160,8 +178,9 @@
                 peer_port: self.settings.peer_address.port(),
                 config: self.replica.summary(),
                 loads: loads.clone(),
+                leaving: self.is_leaving(),
             },
-            stopping: self.stopping.load(Ordering::Relaxed),
+            stopping: self.is_leaving(),
         }
     }
 }
--- a/crates/verbenaring-protocol/src/control.rs
+++ b/crates/verbenaring-protocol/src/control.rs
@@ -27,6 +27,8 @@
     pub config: DigestSummary,
     /// Load of the servers that this node polls.
     pub loads: Vec<LoadFact>,
+    /// Whether other nodes should be used instead.
+    pub leaving: bool,
 }
 
 /// Load report of one server, as polled.
--- a/crates/verbenaring-testbed/tests/cluster.rs
+++ b/crates/verbenaring-testbed/tests/cluster.rs
@@ -329,6 +329,33 @@
     deployment.stop().await;
 }
 
+/// Guards against callers that are still sent to an entry VM whose planned stop
+/// has begun, and against one that stays out after the stop was called off.
+#[tokio::test]
+async fn planned_stop_of_a_node_leads_callers_away() {
+    let deployment = start(vec![centre(2)]).await;
+    let nodes = &deployment.centres[0].nodes;
+    let name = "dublin-a-vm-1".to_owned();
+    let ready = |node| async move { client(node).get("/readyz").await.status == 200 };
+    let mut stop = json!({
+        "stop": "rack-work", "scope": "vm", "target": name, "from_unix_ms": 0,
+    });
+    deployment.write("config/stop/rack-work", &stop).await;
+    wait_for("stop begins", || async {
+        !ready(&nodes[1]).await && !entries(&nodes[0]).await.contains(&name)
+    })
+    .await;
+    assert!(ready(&nodes[0]).await);
+    assert!(answers_chat(&nodes[1]).await);
+    stop["until_unix_ms"] = json!(1);
+    deployment.write("config/stop/rack-work", &stop).await;
+    wait_for("stop is called off", || async {
+        ready(&nodes[1]).await && entries(&nodes[0]).await.contains(&name)
+    })
+    .await;
+    deployment.stop().await;
+}
+
 /// Guards against a stop without notice: the drain time must not depend on the
 /// list of neighbours, which is empty shortly after a start.
 #[test]
