--- /dev/null
+++ b/crates/verbenaring-core/src/caller/mod.rs
@@ -0,0 +1,4 @@
+//! Towards callers: connections and answers.
+
+pub mod body;
+pub mod listener;
--- /dev/null
+++ b/crates/verbenaring-core/src/cluster/report.rs
@@ -0,0 +1,234 @@
+//! Reports between VMs.
+//!
+//! Each VM sends datagrams with its state, the newest configuration it knows
+//! and, inside its region, the work it has outstanding at each server. Losing
+//! one does no harm, the next replaces it. Datagrams rather than calls: a
+//! report that is late is worthless, a silent connection would hold back all
+//! that follow, and one costs two system calls.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use tokio::net::UdpSocket;
+use tokio::time::{Instant, MissedTickBehavior};
+use verbenaring_policy::dispatch::presence::{ServiceWait, VmRecord, VmState};
+use verbenaring_policy::dispatch::prompt::name_hash;
+use verbenaring_policy::dispatch::table::LoadShare;
+use verbenaring_policy::id::{CentreName, VmId};
+
+use crate::border::WireBorder;
+use crate::config::source::VmAnnouncement;
+use crate::node::FrontNode;
+
+/// Largest datagram that passes common links whole.
+const MAX_DATAGRAM_BYTES: usize = 1_400;
+/// Time per VM between reports to all of a kind, so that the datagrams a VM
+/// sends stay bounded as VMs are added.
+const NEAR_SPACING: Duration = Duration::from_millis(10);
+/// The same for VMs of other regions.
+const FAR_SPACING: Duration = Duration::from_millis(40);
+
+/// What a VM tells the others.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+struct VmReport {
+    vm: VmId,
+    centre: CentreName,
+    report_address: SocketAddr,
+    peer_address: SocketAddr,
+    caller_address: SocketAddr,
+    boot: u64,
+    sequence: u32,
+    state: VmState,
+    routes_version: u64,
+    servers_revision: u64,
+    interval_ms: u32,
+    waits: Vec<ServiceWait>,
+    loads: Vec<(u32, LoadShare)>,
+}
+
+/// Addresses to which reports go beside those of known VMs.
+#[derive(Debug, Default)]
+pub struct ReportTargets {
+    announced: Mutex<HashSet<SocketAddr>>,
+}
+
+impl ReportTargets {
+    /// Replaces the announced VMs.
+    pub fn set_announced(&self, vms: &[VmAnnouncement]) {
+        let addresses = vms.iter().map(|vm| vm.report_address).collect();
+        *self
+            .announced
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner) = addresses;
+    }
+
+    fn announced(&self) -> HashSet<SocketAddr> {
+        let announced = self.announced.lock();
+        announced.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+}
+
+struct Destinations {
+    near: Vec<SocketAddr>,
+    far: Vec<SocketAddr>,
+}
+
+/// Sends and receives reports until the process ends.
+pub async fn exchange_reports<B: WireBorder>(node: Arc<FrontNode<B>>, socket: UdpSocket) {
+    let tuning = &node.settings.tuning;
+    let near_base = Duration::from_millis(tuning.near_report_ms);
+    let far_base = Duration::from_millis(tuning.far_report_ms);
+    let mut ticks = tokio::time::interval(near_base);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let (mut near_due, mut far_due) = (Instant::now(), Instant::now());
+    let mut sequence = 0;
+    let mut datagram = [0; 2 * MAX_DATAGRAM_BYTES];
+    loop {
+        tokio::select! {
+            received = socket.recv_from(&mut datagram) => {
+                if let Ok((length, _)) = received {
+                    node.take_report(&datagram[..length]);
+                }
+            }
+            _ = ticks.tick() => {
+                let now = Instant::now();
+                let destinations = node.destinations();
+                let near_interval = near_base.max(NEAR_SPACING * destinations.near.len() as u32);
+                let far_interval = far_base.max(FAR_SPACING * destinations.far.len() as u32);
+                if now >= near_due {
+                    near_due = now + near_interval;
+                    sequence += 1;
+                    let report = node.report(sequence, near_interval, true);
+                    send(&socket, &report, &destinations.near).await;
+                }
+                if now >= far_due {
+                    far_due = now + far_interval;
+                    sequence += 1;
+                    let report = node.report(sequence, far_interval, false);
+                    send(&socket, &report, &destinations.far).await;
+                }
+            }
+        }
+    }
+}
+
+async fn send(socket: &UdpSocket, report: &VmReport, addresses: &[SocketAddr]) {
+    let bytes = match postcard::to_allocvec(report) {
+        Ok(bytes) => bytes,
+        Err(error) => {
+            log::warn!(error:% = error; "report not encoded");
+            return;
+        }
+    };
+    for address in addresses {
+        if let Err(error) = socket.send_to(&bytes, address).await {
+            log::debug!(address:% = address, error:% = error; "report not sent");
+        }
+    }
+}
+
+impl<B: WireBorder> FrontNode<B> {
+    fn report(&self, sequence: u32, interval: Duration, near: bool) -> VmReport {
+        let settings = &self.settings;
+        let now = self.clock.now();
+        let routes = self.routes.load();
+        let state = self.lock();
+        let mut loads = match near {
+            true => state.servers.own_loads(),
+            false => Vec::new(),
+        };
+        // The busiest servers matter most if not all fit into a datagram.
+        const MAX_LOADS: usize = 60;
+        if loads.len() > MAX_LOADS {
+            loads.sort_by_key(|(_, share)| {
+                std::cmp::Reverse(share.urgent_tokens.saturating_add(share.late_tokens))
+            });
+            loads.truncate(MAX_LOADS);
+        }
+        VmReport {
+            vm: settings.vm.clone(),
+            centre: settings.data_centre.clone(),
+            report_address: settings.report_address,
+            peer_address: settings.peer_address,
+            caller_address: settings.caller_address,
+            boot: self.boot,
+            sequence,
+            state: self.vm_state(),
+            routes_version: routes.version(),
+            servers_revision: state.servers.revision(),
+            interval_ms: interval.as_millis() as u32,
+            waits: state.servers.waits(routes.services(), now),
+            loads,
+        }
+    }
+
+    fn take_report(&self, bytes: &[u8]) {
+        let report: VmReport = match postcard::from_bytes(bytes) {
+            Ok(report) => report,
+            Err(error) => {
+                log::debug!(error:% = error; "report cannot be read");
+                return;
+            }
+        };
+        if report.vm == self.settings.vm {
+            return;
+        }
+        let now = self.clock.now();
+        let vm = name_hash(report.vm.as_str());
+        let name = report.vm.clone();
+        let record = VmRecord {
+            centre: verbenaring_policy::id::DataCentre {
+                region: self.settings.region_of(&report.centre).clone(),
+                name: report.centre,
+            },
+            vm: report.vm,
+            report_address: report.report_address,
+            peer_address: report.peer_address,
+            caller_address: report.caller_address,
+            boot: report.boot,
+            sequence: report.sequence,
+            state: report.state,
+            routes_version: report.routes_version,
+            servers_revision: report.servers_revision,
+            waits: report.waits,
+            interval: Duration::from_millis(u64::from(report.interval_ms)),
+            heard: now,
+        };
+        let mut state = self.lock();
+        let near = record.centre.region == self.place.region;
+        let known = state.vms.find(&name).map(|known| known.is_live(now));
+        if state.vms.record(record, now) {
+            if near {
+                state.servers.record_peer_loads(vm, &report.loads, now);
+            }
+            if known != Some(true) {
+                log::info!(peer:% = name, near = near; "VM heard");
+            }
+        }
+    }
+
+    fn destinations(&self) -> Destinations {
+        let own = self.settings.report_address;
+        let state = self.lock();
+        let mut near = Vec::new();
+        let mut far = Vec::new();
+        for record in state.vms.iter() {
+            match record.centre.region == self.place.region {
+                true => near.push(record.report_address),
+                false => far.push(record.report_address),
+            }
+        }
+        // All VMs of a deployment use the same ports.
+        let seeds = self.settings.seeds.iter();
+        let seeds = seeds.map(|seed| SocketAddr::new(seed.ip(), own.port()));
+        let others = seeds.chain(self.reports.announced());
+        let unknown: HashSet<SocketAddr> = others
+            .filter(|address| *address != own && !state.vms.knows(address))
+            .collect();
+        far.extend(unknown);
+        Destinations { near, far }
+    }
+}
--- /dev/null
+++ b/crates/verbenaring-core/src/config/sync.rs
@@ -0,0 +1,270 @@
+//! Keeps routes and servers current.
+//!
+//! Each scope is listed once and then watched. A watch that fails or whose
+//! history is gone leads to a new listing. While the source is away, the last
+//! state holds; other VMs are asked when their reports show newer state.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use rand::Rng;
+use tokio::time::Instant;
+use verbenaring_policy::dispatch::call::{RouteDocument, RouteTable};
+use verbenaring_policy::dispatch::table::{EntryChange, ServerFacts};
+use verbenaring_policy::id::{CentreName, ServerId};
+
+use super::source::{
+    ConfigBatch, ConfigChange, ConfigScope, ConfigSource, SourceFault, VmAnnouncement,
+};
+use crate::border::WireBorder;
+use crate::node::FrontNode;
+
+/// First pause after a failed call; all VMs fail at the same moment.
+const MIN_PAUSE: Duration = Duration::from_millis(100);
+/// Longest pause after failed calls. Bounds count from the return of the
+/// source, so the pause is small against the shortest of them, 3 s.
+const MAX_PAUSE: Duration = Duration::from_millis(800);
+/// Time after the return of the source in which lapsed entries come back.
+const LAPSED_ENTRY_GRACE: Duration = Duration::from_millis(2_200);
+/// Time for which an announcement holds; some renewals may be lost.
+const ANNOUNCEMENT_TTL: Duration = Duration::from_secs(15);
+/// Time between renewals of the announcement.
+const ANNOUNCEMENT_PERIOD: Duration = Duration::from_secs(5);
+
+/// Whether the state of a scope is known and current.
+#[derive(Debug, Default)]
+pub struct ScopeStatus {
+    /// Listed by the source or by another VM in this boot.
+    pub known: AtomicBool,
+    /// Watched now.
+    pub current: AtomicBool,
+}
+
+/// Lists and watches a scope until the process ends.
+pub async fn follow<B: WireBorder, S: ConfigSource>(
+    node: Arc<FrontNode<B>>,
+    source: Arc<S>,
+    scope: ConfigScope,
+) {
+    let mut pause = MIN_PAUSE;
+    let mut lost: Option<Instant> = None;
+    loop {
+        match source.list(scope).await {
+            Ok(batch) => {
+                let regained = lost.take();
+                if let Some(since) = regained {
+                    log::info!(scope = scope.name(), away_ms = since.elapsed().as_millis() as u64,
+                        revision = batch.revision; "platform store regained");
+                }
+                let grace = match regained {
+                    Some(_) => LAPSED_ENTRY_GRACE,
+                    None => Duration::ZERO,
+                };
+                let revision = batch.revision;
+                node.apply_listing(scope, batch, grace);
+                node.status(scope).current.store(true, Ordering::Relaxed);
+                pause = MIN_PAUSE;
+                let grace_until = Instant::now() + grace;
+                let fault = watch(&node, &*source, scope, revision, grace_until).await;
+                node.status(scope).current.store(false, Ordering::Relaxed);
+                if fault == SourceFault::Compacted {
+                    log::info!(scope = scope.name(); "history of the platform store is gone, listing again");
+                    continue;
+                }
+                report_loss(&mut lost, scope, &fault);
+            }
+            Err(fault) => report_loss(&mut lost, scope, &fault),
+        }
+        let wait = rand::rng().random_range(pause / 2..pause);
+        tokio::time::sleep(wait).await;
+        pause = (pause * 2).min(MAX_PAUSE);
+    }
+}
+
+fn report_loss(lost: &mut Option<Instant>, scope: ConfigScope, fault: &SourceFault) {
+    if lost.is_none() {
+        log::warn!(scope = scope.name(), error:% = fault; "platform store lost");
+        *lost = Some(Instant::now());
+    }
+}
+
+async fn watch<B: WireBorder, S: ConfigSource>(
+    node: &FrontNode<B>,
+    source: &S,
+    scope: ConfigScope,
+    mut after: u64,
+    grace_until: Instant,
+) -> SourceFault {
+    let hold = Duration::from_millis(node.settings.tuning.watch_ms);
+    loop {
+        match source.watch(scope, after, hold).await {
+            Ok(batch) => {
+                after = after.max(batch.revision);
+                let grace = grace_until.saturating_duration_since(Instant::now());
+                for change in batch.changes {
+                    node.apply_change(change, grace);
+                }
+            }
+            Err(fault) => return fault,
+        }
+    }
+}
+
+/// Announces the VM and asks for the others until the process ends.
+pub async fn announce<B: WireBorder, S: ConfigSource>(node: Arc<FrontNode<B>>, source: Arc<S>) {
+    let announcement = VmAnnouncement {
+        vm: node.settings.vm.clone(),
+        report_address: node.settings.report_address,
+    };
+    loop {
+        let announced = source.announce(&announcement, ANNOUNCEMENT_TTL).await;
+        let listed = match announced {
+            Ok(()) => source.announced().await,
+            Err(fault) => Err(fault),
+        };
+        let period = match listed {
+            Ok(vms) => {
+                node.reports.set_announced(&vms);
+                ANNOUNCEMENT_PERIOD
+            }
+            Err(fault) => {
+                log::debug!(error:% = fault; "VM not announced");
+                MAX_PAUSE
+            }
+        };
+        let jitter = rand::rng().random_range(0.8..1.0);
+        tokio::time::sleep(period.mul_f64(jitter)).await;
+    }
+}
+
+impl<B: WireBorder> FrontNode<B> {
+    /// Takes over everything in a scope; servers that are missing are removed.
+    ///
+    /// `grace` is the time for which a missing server is still used.
+    pub fn apply_listing(&self, scope: ConfigScope, batch: ConfigBatch, grace: Duration) {
+        let revision = batch.revision;
+        let mut listed: HashSet<ServerId> = HashSet::new();
+        let mut evacuated: HashSet<CentreName> = HashSet::new();
+        for change in batch.changes {
+            match change {
+                ConfigChange::Evacuated(centre) => {
+                    evacuated.insert(centre);
+                }
+                ConfigChange::Server(facts) => {
+                    listed.insert(facts.id.clone());
+                    self.apply_server(*facts);
+                }
+                other => self.apply_change(other, grace),
+            }
+        }
+        match scope {
+            ConfigScope::Operator => self.set_evacuated(evacuated),
+            ConfigScope::Servers => self.remove_unlisted(&listed, revision, grace),
+        }
+        if !self.status(scope).known.swap(true, Ordering::Relaxed) {
+            log::info!(scope = scope.name(), revision = revision; "state known");
+        }
+    }
+
+    /// Takes over one change.
+    pub fn apply_change(&self, change: ConfigChange, grace: Duration) {
+        match change {
+            ConfigChange::Routes(document) => self.apply_routes(*document),
+            ConfigChange::Evacuated(centre) => {
+                let mut evacuated = self.lock().servers.evacuated().clone();
+                evacuated.insert(centre);
+                self.set_evacuated(evacuated);
+            }
+            ConfigChange::TakenBack(centre) => {
+                let mut evacuated = self.lock().servers.evacuated().clone();
+                evacuated.remove(&centre);
+                self.set_evacuated(evacuated);
+            }
+            ConfigChange::Server(facts) => self.apply_server(*facts),
+            ConfigChange::ServerGone { id, revision } => {
+                let now = self.clock.now();
+                let until = now + grace;
+                if self.lock().servers.remove(&id, revision, until, now) {
+                    log::info!(server:% = id, revision = revision,
+                        grace_ms = grace.as_millis() as u64; "server entry removed");
+                }
+            }
+            ConfigChange::Unreadable { key, reason } => {
+                log::warn!(key = key.as_str(), reason = reason.as_str(); "entry cannot be read, left out");
+            }
+        }
+    }
+
+    /// Takes over routes unless newer ones are in force.
+    pub fn apply_routes(&self, document: RouteDocument) {
+        let current = self.routes.load().version();
+        let version = document.version;
+        if version <= current && self.has_routes() {
+            return;
+        }
+        let routes = document.routes.len();
+        self.routes.store(Arc::new(RouteTable::new(document)));
+        self.routes_known.store(true, Ordering::Relaxed);
+        self.metrics.routes_version.set(version as i64);
+        log::info!(version = version, replaced = current, routes = routes; "routes in force");
+    }
+
+    pub(crate) fn apply_server(&self, facts: ServerFacts) {
+        let now = self.clock.now();
+        let cold = self.cold_of(&facts);
+        let (id, revision) = (facts.id.clone(), facts.revision);
+        let cold_ms = facts.cold_left.as_millis() as u64;
+        let change = self.lock().servers.apply(facts, cold, now);
+        match change {
+            EntryChange::Outdated => {}
+            EntryChange::Updated => {
+                log::debug!(server:% = id, revision = revision, cold_ms = cold_ms; "server entry changed");
+            }
+            EntryChange::Added | EntryChange::Restarted | EntryChange::Draining => {
+                log::info!(server:% = id, revision = revision, cold_ms = cold_ms, change:? = change;
+                    "server entry changed");
+            }
+        }
+    }
+
+    fn cold_of(&self, facts: &ServerFacts) -> Duration {
+        let routes = self.routes.load();
+        let terms = routes.service(&facts.service);
+        terms.map_or(Duration::ZERO, |terms| terms.cold)
+    }
+
+    pub(crate) fn set_evacuated(&self, evacuated: HashSet<CentreName>) {
+        let routes = self.routes.load();
+        let cold = routes.services().map(|(_, terms)| terms.cold).max();
+        let now = self.clock.now();
+        let mut state = self.lock();
+        if *state.servers.evacuated() != evacuated {
+            log::info!(centres:? = evacuated; "evacuated data centres changed");
+            state
+                .servers
+                .set_evacuated(evacuated, cold.unwrap_or_default(), now);
+        }
+    }
+
+    pub(crate) fn remove_unlisted(
+        &self,
+        listed: &HashSet<ServerId>,
+        revision: u64,
+        grace: Duration,
+    ) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        for id in state.servers.listed() {
+            if !listed.contains(&id)
+                && state
+                    .servers
+                    .remove_unlisted(&id, revision, now + grace, now)
+            {
+                log::info!(server:% = id, revision = revision,
+                    grace_ms = grace.as_millis() as u64; "server entry missing");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/verbenaring-core/src/node.rs
@@ -0,0 +1,361 @@
+//! One VM of the gateway: its sockets, tasks and stop.
+
+use std::marker::PhantomData;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::{Semaphore, watch};
+use tokio_util::task::TaskTracker;
+use verbenaring_policy::dispatch::call::{CallerLimits, RouteTable};
+use verbenaring_policy::dispatch::presence::VmState;
+use verbenaring_policy::dispatch::table::ServerKey;
+use verbenaring_policy::id::DataCentre;
+
+use crate::border::WireBorder;
+use crate::caller::body::AnswerBody;
+use crate::caller::listener::{ListenerRules, StopStep, bind, serve};
+use crate::clock::NodeClock;
+use crate::cluster::report::{ReportTargets, exchange_reports};
+use crate::cluster::snapshot::{SNAPSHOT_PATH, catch_up};
+use crate::config::source::{ConfigScope, ConfigSource};
+use crate::config::sync::{ScopeStatus, announce, follow};
+use crate::error::{Error, Result};
+use crate::observe::metrics::FrontMetrics;
+use crate::path::call::{CallOrigin, PendingCall};
+use crate::settings::FrontSettings;
+use crate::state::FrontState;
+use crate::upstream::pool::ConnectionPool;
+
+/// Time between clean-ups of state and connections.
+const SWEEP_PERIOD: Duration = Duration::from_millis(500);
+/// Descriptors kept for listeners, the store, other VMs and files.
+const RESERVED_DESCRIPTORS: usize = 300;
+/// Time for which a stop is announced. Callers use an answer of the directory
+/// for up to three times its time to live, 1 s.
+const ANNOUNCE_TIME: Duration = Duration::from_millis(3_300);
+/// Time kept between the end of the last call and the kill.
+const EXIT_MARGIN: Duration = Duration::from_millis(400);
+/// Lines a second on refusals and failed attempts.
+const FAILURE_LINES_PER_S: u32 = 200;
+
+/// One VM of the gateway.
+pub struct FrontNode<B: WireBorder> {
+    /// Settings.
+    pub settings: FrontSettings,
+    /// Place of the VM.
+    pub place: DataCentre,
+    /// Clock.
+    pub clock: NodeClock,
+    /// Start of the process, in Unix ms; tells its boots apart.
+    pub boot: u64,
+    /// Routes in force.
+    pub routes: ArcSwap<RouteTable>,
+    /// Whether any routes are in force.
+    pub routes_known: AtomicBool,
+    /// Connections to servers and VMs.
+    pub pool: Arc<ConnectionPool>,
+    /// Metrics.
+    pub metrics: Arc<FrontMetrics>,
+    /// Where reports go.
+    pub reports: ReportTargets,
+    /// Streams that are passed on.
+    pub tasks: TaskTracker,
+    operator: ScopeStatus,
+    servers: ScopeStatus,
+    state: Mutex<FrontState>,
+    failure_lines: Mutex<crate::observe::logger::LineBudget>,
+    stop: watch::Sender<StopStep>,
+    border: PhantomData<fn() -> B>,
+}
+
+impl<B: WireBorder> FrontNode<B> {
+    fn new(settings: FrontSettings) -> Self {
+        let clock = NodeClock::default();
+        Self {
+            place: settings.place(),
+            boot: clock.unix_ms(),
+            clock,
+            routes: ArcSwap::default(),
+            routes_known: AtomicBool::new(false),
+            pool: Arc::default(),
+            metrics: Arc::default(),
+            reports: ReportTargets::default(),
+            tasks: TaskTracker::new(),
+            operator: ScopeStatus::default(),
+            servers: ScopeStatus::default(),
+            state: Mutex::new(FrontState::new(&settings)),
+            failure_lines: Mutex::default(),
+            stop: watch::channel(StopStep::Serving).0,
+            border: PhantomData,
+            settings,
+        }
+    }
+
+    /// Locks the state of decisions.
+    pub(crate) fn lock(&self) -> MutexGuard<'_, FrontState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn status(&self, scope: ConfigScope) -> &ScopeStatus {
+        match scope {
+            ConfigScope::Operator => &self.operator,
+            ConfigScope::Servers => &self.servers,
+        }
+    }
+
+    /// Whether routes are in force.
+    pub fn has_routes(&self) -> bool {
+        self.routes_known.load(Ordering::Relaxed)
+    }
+
+    /// Whether routes and servers are known in this boot.
+    pub fn is_known(&self) -> bool {
+        self.has_routes() && self.servers.known.load(Ordering::Relaxed)
+    }
+
+    /// What the VM takes.
+    pub fn vm_state(&self) -> VmState {
+        match (*self.stop.borrow(), self.is_known()) {
+            (StopStep::Serving, true) => VmState::Ready,
+            (StopStep::Serving, false) => VmState::Starting,
+            _ => VmState::Leaving,
+        }
+    }
+
+    pub(crate) fn server_name(&self, key: ServerKey) -> String {
+        let state = self.lock();
+        let facts = state.servers.facts(key);
+        facts.map_or_else(|| "removed server".to_owned(), |facts| facts.id.to_string())
+    }
+
+    pub(crate) fn observe_first(&self, call: &PendingCall) {
+        let kind = if call.route.kind.is_stream() {
+            "stream"
+        } else {
+            "plain"
+        };
+        let seconds = call.arrived.elapsed().as_secs_f64();
+        let first_event = &self.metrics.first_event;
+        first_event.with_label_values(&[kind]).observe(seconds);
+    }
+
+    pub(crate) fn count_call(&self, outcome: &str) {
+        self.metrics.calls.with_label_values(&[outcome]).inc();
+    }
+
+    /// Whether a line may be logged; returns the number of lines left out before.
+    pub(crate) fn take_line(&self, failed: bool) -> Option<u64> {
+        let now = self.clock.now();
+        if failed {
+            let mut lines = self
+                .failure_lines
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner);
+            return lines.take(FAILURE_LINES_PER_S, now);
+        }
+        let limit = self.settings.tuning.routine_lines_per_s;
+        self.lock().lines.take(limit, now)
+    }
+
+    fn answer_ready(&self) -> Response<AnswerBody> {
+        let state = self.vm_state();
+        let mut answer = Response::new(AnswerBody::whole(format!("{state:?}\n")));
+        if state != VmState::Ready {
+            *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        }
+        answer
+    }
+
+    async fn sweep(self: Arc<Self>) {
+        loop {
+            tokio::time::sleep(SWEEP_PERIOD).await;
+            let now = self.clock.now();
+            self.pool.sweep();
+            let mut state = self.lock();
+            state.expire(now);
+            self.metrics
+                .live_vms
+                .set(state.vms.live(now).count() as i64);
+            drop(state);
+            let opened = self.pool.opened();
+            let counted = self.metrics.connections.get();
+            self.metrics
+                .connections
+                .inc_by(opened.saturating_sub(counted));
+        }
+    }
+}
+
+/// VM whose sockets are bound.
+pub struct BoundNode<B: WireBorder> {
+    node: FrontNode<B>,
+    callers: TcpListener,
+    ready: TcpListener,
+    directory: TcpListener,
+    peers: TcpListener,
+    metrics: Option<TcpListener>,
+    reports: UdpSocket,
+}
+
+/// Running VM.
+pub struct RunningNode<B: WireBorder> {
+    /// The VM.
+    pub node: Arc<FrontNode<B>>,
+    open: TaskTracker,
+}
+
+impl<B: WireBorder> BoundNode<B> {
+    /// Binds all sockets; port 0 in the settings is replaced by the bound port.
+    pub async fn bind(mut settings: FrontSettings) -> Result<Self> {
+        let callers = bind_field("caller_address", &mut settings.caller_address).await?;
+        let ready = bind_field("ready_address", &mut settings.ready_address).await?;
+        let directory = bind_field("directory_address", &mut settings.directory_address).await?;
+        let peers = bind_field("peer_address", &mut settings.peer_address).await?;
+        let metrics = match &mut settings.metrics_address {
+            Some(address) => Some(bind_field("metrics_address", address).await?),
+            None => None,
+        };
+        let listen = |source| Error::Listen {
+            field: "report_address",
+            address: settings.report_address,
+            source,
+        };
+        let reports = UdpSocket::bind(settings.report_address)
+            .await
+            .map_err(listen)?;
+        settings.report_address = reports.local_addr().map_err(listen)?;
+        Ok(Self {
+            node: FrontNode::new(settings),
+            callers,
+            ready,
+            directory,
+            peers,
+            metrics,
+            reports,
+        })
+    }
+
+    /// Settings with the bound addresses.
+    pub fn settings(&self) -> &FrontSettings {
+        &self.node.settings
+    }
+
+    /// Metrics of the VM.
+    pub fn metrics(&self) -> &Arc<FrontMetrics> {
+        &self.node.metrics
+    }
+
+    /// Starts all tasks. `directory` answers callers that ask for VMs.
+    pub fn start<S, D>(self, source: S, directory: D) -> RunningNode<B>
+    where
+        S: ConfigSource,
+        D: Fn(&FrontNode<B>, &Request<Incoming>) -> Response<AnswerBody>
+            + Clone
+            + Send
+            + Sync
+            + 'static,
+    {
+        let node = Arc::new(self.node);
+        let source = Arc::new(source);
+        let open = TaskTracker::new();
+        let descriptors = node.settings.max_descriptors;
+        let permits = descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(16) / 2;
+        let rules = ListenerRules {
+            stop: node.stop.subscribe(),
+            open: open.clone(),
+            permits: Arc::new(Semaphore::new(permits)),
+            idle: CallerLimits::default().idle_timeout,
+        };
+        tokio::spawn(serve(self.callers, rules.clone(), {
+            let node = node.clone();
+            move |request| node.clone().answer(request, CallOrigin::Caller)
+        }));
+        // Checks and other VMs do not hold up a stop.
+        let rules = ListenerRules {
+            open: TaskTracker::new(),
+            permits: Arc::new(Semaphore::new(permits)),
+            ..rules
+        };
+        tokio::spawn(serve(self.peers, rules.clone(), {
+            let node = node.clone();
+            move |request| answer_peer(node.clone(), request)
+        }));
+        tokio::spawn(serve(self.ready, rules.clone(), {
+            let node = node.clone();
+            move |_| std::future::ready(node.answer_ready())
+        }));
+        tokio::spawn(serve(self.directory, rules.clone(), {
+            let node = node.clone();
+            move |request| std::future::ready(directory(&node, &request))
+        }));
+        if let Some(listener) = self.metrics {
+            let metrics = node.metrics.clone();
+            let answer = move |_| {
+                let body = AnswerBody::whole(metrics.render());
+                std::future::ready(Response::new(body))
+            };
+            tokio::spawn(serve(listener, rules, answer));
+        }
+        tokio::spawn(exchange_reports(node.clone(), self.reports));
+        tokio::spawn(catch_up(node.clone()));
+        tokio::spawn(node.clone().sweep());
+        for scope in [ConfigScope::Operator, ConfigScope::Servers] {
+            tokio::spawn(follow(node.clone(), source.clone(), scope));
+        }
+        tokio::spawn(announce(node.clone(), source));
+        RunningNode { node, open }
+    }
+}
+
+impl<B: WireBorder> RunningNode<B> {
+    /// Stops without cutting calls: announces the stop, then lets open calls
+    /// end, at most until shortly before the end of the grace period.
+    pub async fn stop(self) {
+        let grace = self
+            .node
+            .settings
+            .bounds
+            .grace()
+            .saturating_sub(EXIT_MARGIN);
+        let ended = async {
+            self.node.stop.send_replace(StopStep::Announced);
+            tokio::time::sleep(ANNOUNCE_TIME.min(grace)).await;
+            self.node.stop.send_replace(StopStep::Closing);
+            self.open.close();
+            self.open.wait().await;
+            self.node.tasks.close();
+            self.node.tasks.wait().await;
+        };
+        if tokio::time::timeout(grace, ended).await.is_err() {
+            log::warn!(open_connections = self.open.len(), streams = self.node.tasks.len();
+                "calls are still open at the end of the grace period");
+        }
+    }
+}
+
+async fn bind_field(field: &'static str, address: &mut SocketAddr) -> Result<TcpListener> {
+    let listener = bind(field, *address).await?;
+    let bound = listener.local_addr();
+    *address = bound.map_err(|source| Error::Listen {
+        field,
+        address: *address,
+        source,
+    })?;
+    Ok(listener)
+}
+
+async fn answer_peer<B: WireBorder>(
+    node: Arc<FrontNode<B>>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    if request.uri().path() == SNAPSHOT_PATH {
+        return node.answer_snapshot();
+    }
+    node.answer(request, CallOrigin::Vm).await
+}
--- /dev/null
+++ b/crates/verbenaring-core/src/observe/metrics.rs
@@ -0,0 +1,119 @@
+//! Counters and latency histograms of the request path.
+
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
+};
+
+/// Bounds of the latency buckets, in seconds.
+const LATENCY_BUCKETS_S: [f64; 12] = [
+    0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0, 30.0,
+];
+
+/// Metrics of one process.
+pub struct FrontMetrics {
+    registry: Registry,
+    /// Calls by route and outcome.
+    pub calls: IntCounterVec,
+    /// Refusals by reason.
+    pub refusals: IntCounterVec,
+    /// Attempts by target and result.
+    pub attempts: IntCounterVec,
+    /// Seconds to the first event or the answer, by route.
+    pub first_event: HistogramVec,
+    /// Predicted seconds less seen ones, as a positive error.
+    pub forecast_error: Histogram,
+    /// New connections to servers and VMs.
+    pub connections: IntCounter,
+    /// Calls to the platform store by operation and result.
+    pub store_calls: IntCounterVec,
+    /// Version of the routes in force.
+    pub routes_version: IntGauge,
+    /// VMs from which reports arrive.
+    pub live_vms: IntGauge,
+    /// Calls in work.
+    pub open_calls: IntGauge,
+}
+
+impl Default for FrontMetrics {
+    fn default() -> Self {
+        let registry = Registry::new();
+        let counters = |name: &str, help: &str, labels: &[&str]| {
+            let counter = IntCounterVec::new(Opts::new(name, help), labels).expect("valid metric");
+            register(&registry, counter)
+        };
+        let gauge = |name: &str, help: &str| {
+            register(&registry, IntGauge::new(name, help).expect("valid metric"))
+        };
+        let options = |name: &str, help: &str| {
+            HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS_S.to_vec())
+        };
+        let first_event = options(
+            "verbenaring_first_event_seconds",
+            "Seconds from acceptance to the first event or the answer",
+        );
+        let forecast_error = options(
+            "verbenaring_forecast_error_seconds",
+            "Absolute difference between predicted and seen time to the first event",
+        );
+        let connections = IntCounter::new(
+            "verbenaring_connections_total",
+            "New connections to servers and VMs",
+        );
+        Self {
+            calls: counters("verbenaring_calls_total", "Calls by outcome", &["outcome"]),
+            refusals: counters(
+                "verbenaring_refusals_total",
+                "Refusals by reason",
+                &["reason"],
+            ),
+            attempts: counters(
+                "verbenaring_call_attempts_total",
+                "Attempts by target (server, vm) and result",
+                &["target", "result"],
+            ),
+            first_event: register(
+                &registry,
+                HistogramVec::new(first_event, &["kind"]).expect("valid metric"),
+            ),
+            forecast_error: register(
+                &registry,
+                Histogram::with_opts(forecast_error).expect("valid metric"),
+            ),
+            connections: register(&registry, connections.expect("valid metric")),
+            store_calls: counters(
+                "verbenaring_store_calls_total",
+                "Calls to the platform store",
+                &["operation", "result"],
+            ),
+            routes_version: gauge(
+                "verbenaring_routes_version",
+                "Version of the routes in force",
+            ),
+            live_vms: gauge(
+                "verbenaring_live_vms",
+                "Other VMs from which reports arrive",
+            ),
+            open_calls: gauge("verbenaring_open_calls", "Calls in work"),
+            registry,
+        }
+    }
+}
+
+fn register<M: prometheus::core::Collector + Clone + 'static>(registry: &Registry, metric: M) -> M {
+    registry
+        .register(Box::new(metric.clone()))
+        .expect("registered once");
+    metric
+}
+
+impl FrontMetrics {
+    /// All metrics in the Prometheus text format.
+    pub fn render(&self) -> String {
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            log::warn!("metrics cannot be rendered: {error}");
+        }
+        String::from_utf8_lossy(&text).into_owned()
+    }
+}
--- /dev/null
+++ b/crates/verbenaring-core/src/observe/mod.rs
@@ -0,0 +1,4 @@
+//! Logs and metrics.
+
+pub mod logger;
+pub mod metrics;
--- /dev/null
+++ b/crates/verbenaring-core/src/path/choose.rs
@@ -0,0 +1,225 @@
+//! Which server or VM gets a call.
+//!
+//! The own region comes first; see [`verbenaring_policy::dispatch`] for the
+//! decisions. A call that another VM forwarded is served in this region or
+//! refused, so that no call is forwarded twice.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::seq::IndexedRandom;
+use verbenaring_policy::dispatch::presence::VmRecord;
+use verbenaring_policy::dispatch::spill::{RegionOffer, leaves_region};
+use verbenaring_policy::dispatch::table::{NoPlacement, Placement, SentWork, VmCohort};
+use verbenaring_policy::id::{RegionName, ServerId, VmId};
+use verbenaring_policy::time::Moment;
+
+use super::call::{CallOrigin, PendingCall, TriedTargets};
+use super::refusal::CallRefusal;
+use crate::border::WireBorder;
+use crate::node::FrontNode;
+use crate::state::FrontState;
+
+/// Wait that is suggested when no server takes calls, in ms. Servers come back
+/// within seconds; the range spreads the callers.
+const NO_SERVER_WAIT_MS: std::ops::Range<u64> = 400..800;
+/// Shortest wait that is suggested to a caller.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
+/// Part by which a suggested wait is prolonged at random, so that the callers
+/// of one moment do not return together.
+const RETRY_SPREAD: f64 = 0.25;
+
+/// Where a call goes.
+#[derive(Debug)]
+pub enum CallTarget {
+    /// Backend server.
+    Server(ChosenServer),
+    /// VM of another region.
+    Vm(ChosenVm),
+}
+
+/// Chosen backend server; its work is already counted.
+#[derive(Debug)]
+pub struct ChosenServer {
+    /// Identity.
+    pub id: ServerId,
+    /// Address.
+    pub address: SocketAddr,
+    /// Counted work.
+    pub work: SentWork,
+    /// Predicted time to the first event or the answer.
+    pub forecast: Duration,
+}
+
+/// Chosen VM of another region.
+#[derive(Debug)]
+pub struct ChosenVm {
+    /// Name.
+    pub vm: VmId,
+    /// Address for forwarded calls.
+    pub address: SocketAddr,
+    /// Predicted time to the first event or the answer.
+    pub forecast: Duration,
+    /// Age of the report behind the prediction.
+    pub age: Duration,
+}
+
+impl<B: WireBorder> FrontNode<B> {
+    /// Chooses a target for a call or refuses it.
+    pub(crate) fn choose(
+        &self,
+        call: &PendingCall,
+        tried: &TriedTargets,
+    ) -> Result<CallTarget, CallRefusal> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let state = &mut *state;
+        let local = self.place_here(call, tried, state, now);
+        let remote = match call.origin {
+            CallOrigin::Caller => self.best_region(call, tried, state, now),
+            CallOrigin::Vm => None,
+        };
+        let left = call.left();
+        let chosen = match (local, remote) {
+            (Ok(placement), Some((vm, work))) => {
+                let own = (!placement.urgent).then_some(placement.forecast);
+                match own {
+                    Some(own) if leaves_region(Some(own), vm.forecast, left, call.route.goal) => {
+                        Ok(self.leave(call, vm, work, state, now))
+                    }
+                    _ => Ok(self.stay(call, tried, &placement, state, now)),
+                }
+            }
+            (Ok(placement), None) => Ok(self.stay(call, tried, &placement, state, now)),
+            (Err(_), Some((vm, work))) if vm.forecast < left => {
+                Ok(self.leave(call, vm, work, state, now))
+            }
+            (Err(fault), _) => Err(refuse(call, &fault)),
+        };
+        chosen.and_then(|target| target.ok_or_else(|| refuse(call, &NoPlacement::NoServer)))
+    }
+
+    fn place_here(
+        &self,
+        call: &PendingCall,
+        tried: &TriedTargets,
+        state: &mut FrontState,
+        now: Moment,
+    ) -> Result<Placement, NoPlacement> {
+        if !call.route.allows(&self.place.region) {
+            return Err(NoPlacement::NoServer);
+        }
+        let live = state.cohort(now);
+        let cohort = VmCohort {
+            own: state.own(),
+            live: &live,
+        };
+        state
+            .servers
+            .place(&call.demand(&tried.servers), &cohort, now)
+    }
+
+    fn stay(
+        &self,
+        call: &PendingCall,
+        tried: &TriedTargets,
+        placement: &Placement,
+        state: &mut FrontState,
+        now: Moment,
+    ) -> Option<CallTarget> {
+        let facts = state.servers.facts(placement.key)?;
+        let (id, address) = (facts.id.clone(), facts.address);
+        let demand = call.demand(&tried.servers);
+        let work = state.servers.start(placement, &demand, now);
+        Some(CallTarget::Server(ChosenServer {
+            id,
+            address,
+            work,
+            forecast: placement.forecast,
+        }))
+    }
+
+    fn leave(
+        &self,
+        call: &PendingCall,
+        vm: ChosenVm,
+        work: (RegionName, Duration),
+        state: &mut FrontState,
+        now: Moment,
+    ) -> Option<CallTarget> {
+        state.spill.record(&work.0, &call.service, work.1, now);
+        Some(CallTarget::Vm(vm))
+    }
+
+    /// VM of the region with the earliest predicted answer.
+    fn best_region(
+        &self,
+        call: &PendingCall,
+        tried: &TriedTargets,
+        state: &FrontState,
+        now: Moment,
+    ) -> Option<(ChosenVm, (RegionName, Duration))> {
+        let usable = |record: &&VmRecord| {
+            record.centre.region != self.place.region
+                && record.takes_calls(now)
+                && call.route.allows(&record.centre.region)
+                && !tried.vms.contains(&record.vm)
+                && state
+                    .servers
+                    .is_offered(&record.centre.region, &call.service)
+        };
+        let live = state.vms.live(now).map(|(_, record)| record);
+        let vms: Vec<&VmRecord> = live.filter(usable).collect();
+        let work = state.servers.work_of(&call.demand(&tried.servers));
+        let mut best: Option<(Duration, &VmRecord)> = None;
+        for record in &vms {
+            let wait = record
+                .waits
+                .iter()
+                .find(|wait| wait.service == call.service);
+            let Some(wait) = wait else {
+                continue;
+            };
+            let offer = RegionOffer {
+                region: &record.centre.region,
+                wait: Duration::from_millis(u64::from(wait.wait_ms)),
+                servers: wait.servers,
+            };
+            let forecast = state.spill.predict(&offer, &call.service, work, now);
+            if best.is_none_or(|(known, _)| forecast < known) {
+                best = Some((forecast, record));
+            }
+        }
+        let (forecast, record) = best?;
+        let region = &record.centre.region;
+        // The VMs of a region report nearly the same wait; any of them serves.
+        let same: Vec<&&VmRecord> = vms
+            .iter()
+            .filter(|other| other.centre.region == *region)
+            .collect();
+        let record = same.choose(&mut rand::rng())?;
+        let vm = ChosenVm {
+            vm: record.vm.clone(),
+            address: record.peer_address,
+            forecast,
+            age: now.since(record.heard),
+        };
+        Some((vm, (region.clone(), work)))
+    }
+}
+
+fn refuse(call: &PendingCall, fault: &NoPlacement) -> CallRefusal {
+    match fault {
+        NoPlacement::NoServer => {
+            let wait = rand::rng().random_range(NO_SERVER_WAIT_MS);
+            CallRefusal::busy("no_server", Duration::from_millis(wait))
+        }
+        NoPlacement::Overloaded { forecast } => {
+            let turn = forecast.saturating_sub(call.route.goal / 2);
+            let spread = rand::rng().random_range(1.0..1.0 + RETRY_SPREAD);
+            let wait = turn.max(MIN_RETRY_AFTER).mul_f64(spread);
+            CallRefusal::busy("overloaded", wait)
+        }
+    }
+}
--- /dev/null
+++ b/crates/verbenaring-core/src/upstream/mod.rs
@@ -0,0 +1,3 @@
+//! Connections to backend servers and to other VMs.
+
+pub mod pool;
--- a/crates/verbenaring-gateway/src/main.rs
+++ b/crates/verbenaring-gateway/src/main.rs
@@ -8,9 +8,9 @@
 use std::process::ExitCode;
 
 use tokio::signal::unix::{SignalKind, signal};
+use verbenaring_core::observe::logger::JsonLogger;
 use verbenaring_gateway::app::AppRequest;
 use verbenaring_gateway::config::NodeSettings;
-use verbenaring_gateway::logger::JsonLogger;
 use verbenaring_gateway::node::{BoundNode, RunningNode};
 use verbenaring_gateway::{Error, Result};
 
--- /dev/null
+++ b/crates/verbenaring-policy/src/dispatch/mod.rs
@@ -0,0 +1,17 @@
+//! Dispatch of calls to backend servers by route rules.
+//!
+//! A call enters at any VM, its route says what may be done with it
+//! ([`call`]), a server of the own region is chosen ([`table`]) by the
+//! predicted time to its first event ([`forecast`]) and by how the server
+//! treated earlier calls ([`evidence`]). Servers that start are approached
+//! slowly ([`pace`]). Another region is used when it answers sooner
+//! ([`spill`]). [`presence`] follows the other VMs.
+
+pub mod call;
+pub mod evidence;
+pub mod forecast;
+pub mod pace;
+pub mod presence;
+pub mod prompt;
+pub mod spill;
+pub mod table;
--- /dev/null
+++ b/crates/verbenaring-policy/src/dispatch/spill.rs
@@ -0,0 +1,91 @@
+//! Whether a call leaves its region.
+//!
+//! Load pattern: regions peak one after another and the smallest cannot serve
+//! its own peak. A call goes to another region if its predicted answer there,
+//! round trip and unread shared parts included, is clearly earlier, or if its
+//! own region cannot run it at all. Reports of other regions are some hundred
+//! ms old; calls sent there since are added to them, so that one report does
+//! not draw every call.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::id::{RegionName, ServiceName};
+use crate::time::Moment;
+
+/// Round trip between two regions before it is measured.
+pub const REGION_ROUND_TRIP: Duration = Duration::from_millis(110);
+/// Gain below which a call stays: bytes between regions are priced, and the
+/// report is older than the own queue.
+const MIN_GAIN: Duration = Duration::from_millis(150);
+/// Time in which calls sent to a region are assumed to be missing in its reports.
+const REPORT_LAG: Duration = Duration::from_millis(600);
+
+/// Another region as a choice.
+#[derive(Debug, Clone)]
+pub struct RegionOffer<'a> {
+    /// Region.
+    pub region: &'a RegionName,
+    /// Reported wait for the service.
+    pub wait: Duration,
+    /// Servers that take work there.
+    pub servers: u16,
+}
+
+/// Calls sent to other regions that their reports do not show yet.
+#[derive(Debug, Default)]
+pub struct SpillLedger {
+    sent: HashMap<(RegionName, ServiceName), Vec<(Moment, Duration)>>,
+}
+
+impl SpillLedger {
+    /// Counts a call that takes `work` of a server in `region`.
+    pub fn record(
+        &mut self,
+        region: &RegionName,
+        service: &ServiceName,
+        work: Duration,
+        now: Moment,
+    ) {
+        let key = (region.clone(), service.clone());
+        let sent = self.sent.entry(key).or_default();
+        sent.retain(|(at, _)| now.since(*at) < REPORT_LAG);
+        sent.push((now, work));
+    }
+
+    /// Predicted time to the answer of a call in the offered region.
+    pub fn predict(
+        &self,
+        offer: &RegionOffer<'_>,
+        service: &ServiceName,
+        unread: Duration,
+        now: Moment,
+    ) -> Duration {
+        let key = (offer.region.clone(), service.clone());
+        let sent = self.sent.get(&key).map_or(&[][..], Vec::as_slice);
+        let recent = sent
+            .iter()
+            .filter(|(at, _)| now.since(*at) < REPORT_LAG)
+            .map(|(_, work)| *work);
+        let added: Duration = recent.sum();
+        REGION_ROUND_TRIP + offer.wait + unread + added / u32::from(offer.servers.max(1))
+    }
+}
+
+/// Whether a call that would be answered `local` at home leaves for `remote`.
+pub fn leaves_region(
+    local: Option<Duration>,
+    remote: Duration,
+    left: Duration,
+    goal: Duration,
+) -> bool {
+    let Some(local) = local else {
+        return true;
+    };
+    // A call that meets its goal at home stays there.
+    let meets_goal = local < goal.mul_f64(GOAL_MARGIN).min(left);
+    !meets_goal && remote + MIN_GAIN < local
+}
+
+/// Part of the goal that a prediction may use; the rest covers its error.
+pub const GOAL_MARGIN: f64 = 0.7;
--- /dev/null
+++ b/crates/verbenaring-policy/src/dispatch/table.rs
@@ -0,0 +1,726 @@
+//! Choice of a backend server in the own region.
+//!
+//! Load patterns: prompts queue at engines while other engines idle, shared
+//! parts of prompts are read again and again, several VMs choose at once, and
+//! bursts exceed what can be answered in time. A call goes to the server with
+//! the earliest predicted answer. The prediction counts the unread tokens that
+//! this VM and the others of the region have outstanding there. Calls that can
+//! still meet their goal are urgent; the others take what the urgent ones
+//! leave, so that a burst does not make every later call late.
+
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use slotmap::{SlotMap, new_key_type};
+
+use super::call::ServiceTerms;
+use super::evidence::ServerEvidence;
+use super::forecast::{FirstEventModel, ServiceTimeModel};
+use super::pace::{PaceTerms, PaceWindow};
+use super::presence::ServiceWait;
+use super::prompt::{PartCache, PromptPart, affinity, name_hash};
+use super::spill::GOAL_MARGIN;
+use crate::id::{CentreName, DataCentre, ModelName, RegionName, ServerId, ServiceName};
+use crate::time::Moment;
+
+new_key_type! {
+    /// Backend server.
+    pub struct ServerKey;
+}
+
+/// Calls that a plain server holds, as a multiple of its slots. Servers queue a
+/// few times their slots and refuse the rest.
+const PLAIN_BACKLOG: u32 = 4;
+/// Age at which the load that another VM reported no longer counts.
+const PEER_LOAD_AGE: Duration = Duration::from_millis(1_500);
+/// Time for which the removal of a server is remembered. It exceeds the age of
+/// any entry that another VM may still pass on.
+const REMOVAL_MEMORY: Duration = Duration::from_secs(30);
+
+/// Published state of a server.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServerFacts {
+    /// Identity; a server that starts again mostly has a new one.
+    pub id: ServerId,
+    /// Service that it runs.
+    pub service: ServiceName,
+    /// Address for calls.
+    pub address: SocketAddr,
+    /// Place.
+    pub centre: DataCentre,
+    /// Calls that run at the same time.
+    pub slots: u32,
+    /// Whether it leaves and takes no new calls.
+    pub draining: bool,
+    /// Time for which it is still cold.
+    pub cold_left: Duration,
+    /// Unix ms of its start.
+    pub born: Option<u64>,
+    /// Models that it runs whole; empty for plain services.
+    pub models: Vec<ModelName>,
+    /// Revision of the entry.
+    pub revision: u64,
+}
+
+/// Work that one VM has outstanding at a server.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadShare {
+    /// Unread prompt tokens of urgent calls.
+    pub urgent_tokens: u32,
+    /// Unread prompt tokens of other calls.
+    pub late_tokens: u32,
+    /// Tokens of prompts and expected answers.
+    pub memory_tokens: u32,
+    /// Calls.
+    pub calls: u16,
+}
+
+impl LoadShare {
+    fn add(self, other: Self) -> Self {
+        Self {
+            urgent_tokens: self.urgent_tokens.saturating_add(other.urgent_tokens),
+            late_tokens: self.late_tokens.saturating_add(other.late_tokens),
+            memory_tokens: self.memory_tokens.saturating_add(other.memory_tokens),
+            calls: self.calls.saturating_add(other.calls),
+        }
+    }
+}
+
+/// Call to be placed.
+#[derive(Debug, Clone, Copy)]
+pub struct PlaceDemand<'a> {
+    /// Service.
+    pub service: &'a ServiceName,
+    /// Terms of the service.
+    pub terms: &'a ServiceTerms,
+    /// Model; any if absent.
+    pub model: Option<&'a ModelName>,
+    /// Parts of the prompt, in order; empty for plain calls.
+    pub prompt: &'a [PromptPart],
+    /// Expected tokens of the answer.
+    pub answer_tokens: u32,
+    /// Servers that already failed the call.
+    pub excluded: &'a [ServerKey],
+    /// Time since the call arrived.
+    pub elapsed: Duration,
+    /// Time within which the answer is worth the most.
+    pub goal: Duration,
+    /// Time left for the call.
+    pub left: Duration,
+}
+
+impl PlaceDemand<'_> {
+    /// Tokens of the prompt.
+    pub fn prompt_tokens(&self) -> u32 {
+        self.prompt.iter().map(|part| part.tokens).sum()
+    }
+
+    /// Parts that other calls share: all but the last.
+    fn shared(&self) -> &[PromptPart] {
+        self.prompt.split_last().map_or(&[], |(_, shared)| shared)
+    }
+
+    /// Part by which calls are kept together.
+    pub fn session(&self) -> Option<u64> {
+        let part = self.shared().last().or(self.prompt.first());
+        part.map(|part| part.id)
+    }
+}
+
+/// Live VMs of the own region, as name hashes, this one included.
+#[derive(Debug, Clone, Copy)]
+pub struct VmCohort<'a> {
+    /// This VM.
+    pub own: u64,
+    /// All live VMs.
+    pub live: &'a [u64],
+}
+
+impl VmCohort<'_> {
+    fn owns(&self, server: u64) -> bool {
+        let rank = |vm: &u64| affinity(server, *vm);
+        self.live.iter().all(|vm| rank(vm) <= rank(&self.own))
+    }
+}
+
+/// Chosen server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Placement {
+    /// Server.
+    pub key: ServerKey,
+    /// Whether the call can meet its goal.
+    pub urgent: bool,
+    /// Prompt tokens that the server has to read for the call.
+    pub unread: u32,
+    /// Unread tokens, or calls, that are ahead of it.
+    pub ahead: u32,
+    /// Predicted time to the first event or the answer.
+    pub forecast: Duration,
+}
+
+/// Why no server was chosen.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum NoPlacement {
+    /// No server of the region may take the call.
+    NoServer,
+    /// The answer would come too late or no server has room.
+    Overloaded {
+        /// Predicted time to the answer.
+        forecast: Duration,
+    },
+}
+
+/// What became of a published entry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EntryChange {
+    /// First entry of the server.
+    Added,
+    /// The server started again under its identity.
+    Restarted,
+    /// The server leaves.
+    Draining,
+    /// Another field changed.
+    Updated,
+    /// Older than what is known.
+    Outdated,
+}
+
+/// Work of one call at a server, from sending to its end.
+#[derive(Debug, Clone, Copy)]
+pub struct SentWork {
+    /// Server.
+    pub key: ServerKey,
+    /// Whether it was sent as urgent.
+    pub urgent: bool,
+    /// Prompt tokens to read.
+    pub unread: u32,
+    /// Unread tokens, or calls, that were ahead.
+    pub ahead: u32,
+    /// Tokens of the prompt and of the expected answer.
+    pub memory: u32,
+    /// Time of sending.
+    pub sent: Moment,
+}
+
+#[derive(Debug)]
+struct ServerRecord {
+    facts: ServerFacts,
+    hash: u64,
+    own: LoadShare,
+    peers: Vec<(u64, LoadShare, Moment)>,
+    evidence: ServerEvidence,
+    cache: PartCache,
+    cold_until: Moment,
+    pace: PaceWindow,
+    gone_at: Option<Moment>,
+}
+
+impl ServerRecord {
+    fn load(&self, now: Moment) -> LoadShare {
+        let fresh = self
+            .peers
+            .iter()
+            .filter(|(_, _, at)| now.since(*at) < PEER_LOAD_AGE);
+        fresh.fold(self.own, |sum, (_, share, _)| sum.add(*share))
+    }
+
+    /// Whether calls must be paced: the server is cold, or it refused a
+    /// connection and may have started again without its entry showing it.
+    fn is_paced(&self, terms: &ServiceTerms, now: Moment) -> bool {
+        terms.cold_rate > 0.0 && (now < self.cold_until || self.evidence.is_refusing())
+    }
+}
+
+/// Servers of all regions and the work at those of the own one.
+#[derive(Debug)]
+pub struct ServerTable {
+    region: RegionName,
+    pace: PaceTerms,
+    servers: SlotMap<ServerKey, ServerRecord>,
+    by_id: HashMap<ServerId, ServerKey>,
+    removed: HashMap<ServerId, (u64, Moment)>,
+    evacuated: HashSet<CentreName>,
+    generations: HashMap<ServiceName, FirstEventModel>,
+    calls: HashMap<ServiceName, ServiceTimeModel>,
+    revision: u64,
+}
+
+impl ServerTable {
+    /// Empty table of a VM in `region`.
+    pub fn new(region: RegionName, pace: PaceTerms) -> Self {
+        Self {
+            region,
+            pace,
+            servers: SlotMap::with_key(),
+            by_id: HashMap::new(),
+            removed: HashMap::new(),
+            evacuated: HashSet::new(),
+            generations: HashMap::new(),
+            calls: HashMap::new(),
+            revision: 0,
+        }
+    }
+
+    /// Highest revision that was applied.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Counts a revision of the store at which the entries were complete.
+    pub fn reach_revision(&mut self, revision: u64) {
+        self.revision = self.revision.max(revision);
+    }
+
+    /// Takes over a published entry.
+    pub fn apply(&mut self, facts: ServerFacts, cold: Duration, now: Moment) -> EntryChange {
+        self.reach_revision(facts.revision);
+        let removed = self.removed.get(&facts.id);
+        if removed.is_some_and(|(revision, _)| *revision >= facts.revision) {
+            return EntryChange::Outdated;
+        }
+        self.removed.remove(&facts.id);
+        let Some(key) = self.by_id.get(&facts.id).copied() else {
+            self.insert(facts, now);
+            return EntryChange::Added;
+        };
+        let record = &mut self.servers[key];
+        if record.facts.revision >= facts.revision {
+            return EntryChange::Outdated;
+        }
+        let restarted = record.facts.born != facts.born || record.facts.address != facts.address;
+        let cold_left = match restarted {
+            true => facts.cold_left.max(cold),
+            false => facts.cold_left,
+        };
+        if restarted {
+            record.cache.clear();
+            record.evidence.clear();
+        }
+        if !cold_left.is_zero() {
+            record.cold_until = record.cold_until.max(now + cold_left);
+        }
+        let leaves = facts.draining && !record.facts.draining;
+        record.facts = facts;
+        record.gone_at = None;
+        match (restarted, leaves) {
+            (true, _) => EntryChange::Restarted,
+            (_, true) => EntryChange::Draining,
+            _ => EntryChange::Updated,
+        }
+    }
+
+    fn insert(&mut self, facts: ServerFacts, now: Moment) {
+        let id = facts.id.clone();
+        let record = ServerRecord {
+            hash: name_hash(id.as_str()),
+            own: LoadShare::default(),
+            peers: Vec::new(),
+            evidence: ServerEvidence::default(),
+            cache: PartCache::default(),
+            cold_until: now + facts.cold_left,
+            pace: PaceWindow::default(),
+            gone_at: None,
+            facts,
+        };
+        let key = self.servers.insert(record);
+        self.by_id.insert(id, key);
+    }
+
+    /// Takes over the removal of an entry; the server is used until `until`.
+    ///
+    /// Returns whether a server was removed by it.
+    pub fn remove(&mut self, id: &ServerId, revision: u64, until: Moment, now: Moment) -> bool {
+        self.reach_revision(revision);
+        self.remove_unlisted(id, revision, until, now)
+    }
+
+    /// Removes a server that a listing at `revision` does not name.
+    ///
+    /// Unlike the revision of an entry, that of a listing is no sign that other
+    /// VMs lack something.
+    pub fn remove_unlisted(
+        &mut self,
+        id: &ServerId,
+        revision: u64,
+        until: Moment,
+        now: Moment,
+    ) -> bool {
+        let Some(key) = self.by_id.get(id).copied() else {
+            return false;
+        };
+        let record = &mut self.servers[key];
+        if record.facts.revision >= revision {
+            return false;
+        }
+        let first = record.gone_at.is_none();
+        record.gone_at.get_or_insert(until);
+        self.removed.insert(id.clone(), (revision, now));
+        first
+    }
+
+    /// Identities of the servers whose entries are in force.
+    pub fn listed(&self) -> Vec<ServerId> {
+        let listed = self
+            .servers
+            .values()
+            .filter(|record| record.gone_at.is_none());
+        listed.map(|record| record.facts.id.clone()).collect()
+    }
+
+    /// Entries in force, for other VMs.
+    pub fn entries(&self) -> impl Iterator<Item = &ServerFacts> {
+        let listed = self
+            .servers
+            .values()
+            .filter(|record| record.gone_at.is_none());
+        listed.map(|record| &record.facts)
+    }
+
+    /// Published state of a server.
+    pub fn facts(&self, key: ServerKey) -> Option<&ServerFacts> {
+        self.servers.get(key).map(|record| &record.facts)
+    }
+
+    /// Drops servers whose time is over and old memories.
+    pub fn expire(&mut self, now: Moment) {
+        let by_id = &mut self.by_id;
+        self.servers.retain(|_, record| {
+            let idle = record.own.calls == 0;
+            let drop = idle && record.gone_at.is_some_and(|at| now >= at);
+            if drop {
+                by_id.remove(&record.facts.id);
+            }
+            !drop
+        });
+        self.removed
+            .retain(|_, (_, at)| now.since(*at) < REMOVAL_MEMORY);
+    }
+
+    /// Replaces the data centres whose servers take nothing.
+    ///
+    /// Servers of a data centre that is taken back are paced for `cold`: they
+    /// may have become cold meanwhile.
+    pub fn set_evacuated(&mut self, centres: HashSet<CentreName>, cold: Duration, now: Moment) {
+        for record in self.servers.values_mut() {
+            let name = &record.facts.centre.name;
+            if self.evacuated.contains(name) && !centres.contains(name) {
+                record.cold_until = record.cold_until.max(now + cold);
+            }
+        }
+        self.evacuated = centres;
+    }
+
+    /// Data centres whose servers take nothing.
+    pub fn evacuated(&self) -> &HashSet<CentreName> {
+        &self.evacuated
+    }
+
+    /// Whether a region has a server that takes calls of a service.
+    pub fn is_offered(&self, region: &RegionName, service: &ServiceName) -> bool {
+        let mut servers = self.servers.values();
+        servers.any(|record| {
+            let facts = &record.facts;
+            facts.service == *service
+                && facts.centre.region == *region
+                && !facts.draining
+                && record.gone_at.is_none()
+                && !self.evacuated.contains(&facts.centre.name)
+        })
+    }
+
+    /// Replaces the work that another VM has outstanding.
+    pub fn record_peer_loads(&mut self, vm: u64, loads: &[(u32, LoadShare)], now: Moment) {
+        for record in self.servers.values_mut() {
+            record.peers.retain(|(other, _, _)| *other != vm);
+            let hash = record.hash as u32;
+            if let Some((_, share)) = loads.iter().find(|(server, _)| *server == hash) {
+                record.peers.push((vm, *share, now));
+            }
+        }
+    }
+
+    /// Work that this VM has outstanding, for the others.
+    pub fn own_loads(&self) -> Vec<(u32, LoadShare)> {
+        let busy = self.servers.values().filter(|record| record.own.calls > 0);
+        busy.map(|record| (record.hash as u32, record.own))
+            .collect()
+    }
+
+    /// Expected waits of urgent calls in the own region, by service.
+    pub fn waits<'a>(
+        &self,
+        services: impl Iterator<Item = (&'a ServiceName, &'a ServiceTerms)>,
+        now: Moment,
+    ) -> Vec<ServiceWait> {
+        let wait = |(service, terms): (&ServiceName, &ServiceTerms)| {
+            let usable: Vec<Duration> = self
+                .servers
+                .values()
+                .filter(|record| {
+                    record.facts.service == *service
+                        && self.is_usable(record, now)
+                        && !record.is_paced(terms, now)
+                })
+                .map(|record| self.forecast(record, terms, 0, true, now).1)
+                .collect();
+            let best = usable.iter().min()?;
+            Some(ServiceWait {
+                service: service.clone(),
+                wait_ms: best.as_millis().min(u128::from(u32::MAX)) as u32,
+                servers: usable.len().min(usize::from(u16::MAX)) as u16,
+            })
+        };
+        services.filter_map(wait).collect()
+    }
+
+    /// Chooses a server of the own region.
+    pub fn place(
+        &mut self,
+        demand: &PlaceDemand<'_>,
+        cohort: &VmCohort<'_>,
+        now: Moment,
+    ) -> Result<Placement, NoPlacement> {
+        let pace = self.pace.owner_calls(demand.terms.cold_rate);
+        let mut usable = Vec::new();
+        let mut paced = false;
+        for key in self.candidates(demand, now) {
+            let record = &mut self.servers[key];
+            if record.is_paced(demand.terms, now)
+                && !(cohort.owns(record.hash) && record.pace.allows(pace, now))
+            {
+                paced = true;
+                continue;
+            }
+            usable.push(key);
+        }
+        let preferred = self.preferred(&usable, demand);
+        let best = usable
+            .iter()
+            .map(|key| {
+                let record = &self.servers[*key];
+                let unread = unread_tokens(record, demand, preferred == Some(*key));
+                let (ahead, forecast) = self.forecast(record, demand.terms, unread, true, now);
+                (forecast + record.evidence.penalty(now), ahead, unread, *key)
+            })
+            .min_by_key(|(forecast, ahead, ..)| (*forecast, *ahead));
+        let Some((forecast, ahead, unread, key)) = best else {
+            return Err(match paced {
+                // The pace window is a second long; half of it is the mean wait.
+                true => NoPlacement::Overloaded {
+                    forecast: demand.left.max(Duration::from_millis(500)),
+                },
+                false => NoPlacement::NoServer,
+            });
+        };
+        let urgent = demand.elapsed + forecast <= demand.goal.mul_f64(GOAL_MARGIN);
+        let (ahead, forecast) = if urgent {
+            (ahead, forecast)
+        } else {
+            let record = &self.servers[key];
+            let (ahead, late) = self.forecast(record, demand.terms, unread, false, now);
+            (ahead, late + record.evidence.penalty(now).min(forecast))
+        };
+        if forecast > demand.left || !self.has_room(key, demand, now) {
+            return Err(NoPlacement::Overloaded { forecast });
+        }
+        Ok(Placement {
+            key,
+            urgent,
+            unread,
+            ahead,
+            forecast,
+        })
+    }
+
+    /// Time that a call takes of a server that has read none of its parts.
+    pub fn work_of(&self, demand: &PlaceDemand<'_>) -> Duration {
+        let tokens = u64::from(demand.prompt_tokens());
+        match self.generations.get(demand.service) {
+            _ if demand.terms.cache_tokens.is_none() => Duration::ZERO,
+            Some(model) => model.read_time(tokens),
+            None => FirstEventModel::default().read_time(tokens),
+        }
+    }
+
+    /// Counts a call that is being sent.
+    pub fn start(
+        &mut self,
+        placement: &Placement,
+        demand: &PlaceDemand<'_>,
+        now: Moment,
+    ) -> SentWork {
+        let memory = demand.prompt_tokens().saturating_add(demand.answer_tokens);
+        let record = &mut self.servers[placement.key];
+        let own = &mut record.own;
+        match placement.urgent {
+            true => own.urgent_tokens += placement.unread,
+            false => own.late_tokens += placement.unread,
+        }
+        own.memory_tokens += memory;
+        own.calls += 1;
+        record.evidence.record_sent(now);
+        record.pace.record(now);
+        if let Some(capacity) = demand.terms.cache_tokens {
+            record.cache.record(demand.prompt, capacity, now);
+        }
+        SentWork {
+            key: placement.key,
+            urgent: placement.urgent,
+            unread: placement.unread,
+            ahead: placement.ahead,
+            memory,
+            sent: now,
+        }
+    }
+
+    /// Counts the first event or the answer of a call.
+    pub fn record_first(&mut self, work: &SentWork, now: Moment) {
+        let Some(record) = self.servers.get_mut(work.key) else {
+            return;
+        };
+        record.settle_first(work);
+        record.evidence.record_progress(now);
+        let service = record.facts.service.clone();
+        let observed = now.since(work.sent);
+        if record.facts.models.is_empty() {
+            let slots = record.facts.slots;
+            let model = self.calls.entry(service).or_default();
+            model.learn(work.ahead, slots, observed);
+        } else {
+            let model = self.generations.entry(service).or_default();
+            model.learn(u64::from(work.ahead) + u64::from(work.unread), observed);
+        }
+    }
+
+    /// Counts the end of a call; `answered` if its first event came.
+    pub fn finish(&mut self, work: &SentWork, answered: bool, end: CallEnd, now: Moment) {
+        let Some(record) = self.servers.get_mut(work.key) else {
+            return;
+        };
+        if !answered {
+            record.settle_first(work);
+        }
+        let own = &mut record.own;
+        own.memory_tokens = own.memory_tokens.saturating_sub(work.memory);
+        own.calls = own.calls.saturating_sub(1);
+        match end {
+            CallEnd::Good => record.evidence.record_answer(false, now),
+            CallEnd::Failed => record.evidence.record_answer(true, now),
+            CallEnd::Refused => record.evidence.record_refused(now),
+            CallEnd::Abandoned => {}
+        }
+    }
+
+    fn candidates(&self, demand: &PlaceDemand<'_>, now: Moment) -> Vec<ServerKey> {
+        let fits = |record: &ServerRecord| {
+            let facts = &record.facts;
+            let model = demand
+                .model
+                .is_none_or(|model| facts.models.is_empty() || facts.models.contains(model));
+            facts.service == *demand.service && model && self.is_usable(record, now)
+        };
+        self.servers
+            .iter()
+            .filter(|(key, record)| fits(record) && !demand.excluded.contains(key))
+            .map(|(key, _)| key)
+            .collect()
+    }
+
+    fn is_usable(&self, record: &ServerRecord, now: Moment) -> bool {
+        let facts = &record.facts;
+        facts.centre.region == self.region
+            && !facts.draining
+            && record.gone_at.is_none_or(|at| now < at)
+            && !self.evacuated.contains(&facts.centre.name)
+    }
+
+    /// Server that all VMs prefer for the session of a call.
+    fn preferred(&self, usable: &[ServerKey], demand: &PlaceDemand<'_>) -> Option<ServerKey> {
+        let session = demand.session()?;
+        let rank = |key: &&ServerKey| affinity(session, self.servers[**key].hash);
+        usable.iter().max_by_key(rank).copied()
+    }
+
+    /// Work ahead of a call and the predicted time to its first event.
+    fn forecast(
+        &self,
+        record: &ServerRecord,
+        terms: &ServiceTerms,
+        unread: u32,
+        urgent: bool,
+        now: Moment,
+    ) -> (u32, Duration) {
+        let load = record.load(now);
+        let service = &record.facts.service;
+        if terms.cache_tokens.is_none() {
+            let ahead = u32::from(load.calls);
+            let slots = record.facts.slots;
+            let forecast = match self.calls.get(service) {
+                Some(model) => model.predict(ahead, slots),
+                None => ServiceTimeModel::default().predict(ahead, slots),
+            };
+            return (ahead, forecast);
+        }
+        let ahead = match urgent {
+            true => load.urgent_tokens,
+            false => load.urgent_tokens.saturating_add(load.late_tokens),
+        };
+        let tokens = u64::from(ahead) + u64::from(unread);
+        let forecast = match self.generations.get(service) {
+            Some(model) => model.predict(tokens),
+            None => FirstEventModel::default().predict(tokens),
+        };
+        (ahead, forecast)
+    }
+
+    fn has_room(&self, key: ServerKey, demand: &PlaceDemand<'_>, now: Moment) -> bool {
+        let record = &self.servers[key];
+        let load = record.load(now);
+        match demand.terms.cache_tokens {
+            None => u32::from(load.calls) < record.facts.slots * PLAIN_BACKLOG,
+            Some(capacity) => {
+                let memory = u64::from(load.memory_tokens)
+                    + u64::from(demand.prompt_tokens())
+                    + u64::from(demand.answer_tokens);
+                load.calls == 0 || memory <= capacity
+            }
+        }
+    }
+}
+
+/// How a call at a server ended, as evidence about the server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallEnd {
+    /// Whole answer.
+    Good,
+    /// Failure or broken answer.
+    Failed,
+    /// No connection.
+    Refused,
+    /// Says nothing about the server.
+    Abandoned,
+}
+
+impl ServerRecord {
+    fn settle_first(&mut self, work: &SentWork) {
+        let own = &mut self.own;
+        match work.urgent {
+            true => own.urgent_tokens = own.urgent_tokens.saturating_sub(work.unread),
+            false => own.late_tokens = own.late_tokens.saturating_sub(work.unread),
+        }
+        self.evidence.record_settled();
+    }
+}
+
+/// Tokens that a server has to read. The preferred server of a session has
+/// probably read the shared parts for another VM.
+fn unread_tokens(record: &ServerRecord, demand: &PlaceDemand<'_>, preferred: bool) -> u32 {
+    let cached = record.cache.cached_tokens(demand.shared());
+    let cached = match preferred {
+        true => demand.shared().iter().map(|part| part.tokens).sum(),
+        false => cached,
+    };
+    demand.prompt_tokens().saturating_sub(cached)
+}
--- a/crates/verbenaring-policy/src/lib.rs
+++ b/crates/verbenaring-policy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod amendment;
 pub mod config;
 pub mod contract;
+pub mod dispatch;
 pub mod drain;
 pub mod error;
 pub mod fairness;
--- a/crates/verbenaring-policy/src/retry.rs
+++ b/crates/verbenaring-policy/src/retry.rs
@@ -24,15 +24,57 @@
 const BUCKETS: usize = 10;
 const BUCKET_US: u64 = RETRY_WINDOW.as_micros() as u64 / BUCKETS as u64;
 
+/// Retries that a budget allows in a window.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct BudgetTerms {
+    /// Retries per success.
+    pub share: f64,
+    /// Retries on top of the share.
+    pub extra: f64,
+    /// Retries allowed in any case.
+    pub floor: u32,
+}
+
+impl Default for BudgetTerms {
+    fn default() -> Self {
+        Self {
+            share: RETRY_SHARE,
+            extra: 0.0,
+            floor: MIN_RETRIES,
+        }
+    }
+}
+
+impl BudgetTerms {
+    /// Part of one of `vms` VMs in a budget of all of them.
+    ///
+    /// The extra retries are divided. Each VM keeps below its part by a tenth,
+    /// because callers move between VMs within a window.
+    pub fn part_of(self, vms: usize) -> Self {
+        const USED_PART: f64 = 0.9;
+        Self {
+            share: self.share * USED_PART,
+            extra: self.extra * USED_PART / vms.max(1) as f64,
+            floor: 0,
+        }
+    }
+}
+
 /// Successes and retries of the last [`RETRY_WINDOW`].
 #[derive(Debug, Clone, Default)]
 pub struct RetryBudget {
+    terms: BudgetTerms,
     successes: [u32; BUCKETS],
     retries: [u32; BUCKETS],
     bucket: u64,
 }
 
 impl RetryBudget {
+    /// Replaces the terms and keeps the counts.
+    pub fn set_terms(&mut self, terms: BudgetTerms) {
+        self.terms = terms;
+    }
+
     /// Counts a successful request.
     pub fn record_success(&mut self, now: Moment) {
         let slot = self.turn(now);
@@ -44,8 +86,8 @@
         self.turn(now);
         let successes: u32 = self.successes.iter().sum();
         let retries: u32 = self.retries.iter().sum();
-        let allowed = (f64::from(successes) * RETRY_SHARE) as u32;
-        retries < allowed.max(MIN_RETRIES)
+        let allowed = f64::from(successes) * self.terms.share + self.terms.extra;
+        retries < (allowed as u32).max(self.terms.floor)
     }
 
     /// Counts a retry.
