Spread prompt reading over regions and copy shared parts between engines

Cause: while one region is at its peak its engines read prompts without pause, each token of an answer waits for a chunk of some prompt, and long streams miss their time limit; the other regions are nearly idle meanwhile. Shared parts are read again when a call goes to another server than its session's. Ruled out: the time to the first event as the only reason to leave a region: it still meets its goal while answers already crawl. Change: servers and regions are compared by the part of their time that they spend reading; the excess over 40% leaves, chosen by session. A server that lacks shared parts is told which other server has probably read them.

--- a/crates/verbenaring-core/src/border.rs
+++ b/crates/verbenaring-core/src/border.rs
@@ -1,5 +1,6 @@
 //! What the request path needs from the protocol of callers and servers.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use hyper::{HeaderMap, StatusCode};
@@ -32,6 +33,8 @@
     pub server: Option<&'a ServerId>,
     /// Rank at an engine, 0 first.
     pub priority: Option<u8>,
+    /// Server from which the engine copies what it has not read.
+    pub donor: Option<SocketAddr>,
     /// Event after which the stream is to continue.
     pub last_event: Option<&'a str>,
 }
--- a/crates/verbenaring-core/src/cluster/directory.rs
+++ b/crates/verbenaring-core/src/cluster/directory.rs
@@ -15,36 +15,53 @@
     /// Addresses for callers of `host` in `region`.
     ///
     /// VMs of the caller's region come alone, because the way to another region
-    /// takes longer than most answers. Without any, VMs of regions in which all
-    /// calls of the host may run are named, and then any VM.
+    /// takes longer than most answers. Next come VMs of regions in which all
+    /// calls of the host may run. While these stop in turn, VMs that announce
+    /// their stop but still serve are better than VMs that must not see the
+    /// calls. Only without any of them all VMs are named.
     pub fn directory(&self, host: &str, region: Option<&RegionName>) -> Vec<SocketAddr> {
         let now = self.clock.now();
+        let homes = self.routes.load().residency_of(host);
         let state = self.lock();
-        let own = (self.vm_state() == VmState::Ready)
-            .then_some((&self.place.region, self.settings.caller_address));
+        let own = (
+            self.vm_state(),
+            &self.place.region,
+            self.settings.caller_address,
+        );
         let others = state
             .vms
             .live(now)
-            .filter(|(_, record)| record.state == VmState::Ready)
-            .map(|(_, record)| (&record.centre.region, record.caller_address));
-        let ready: Vec<(&RegionName, SocketAddr)> = own.into_iter().chain(others).collect();
-        let within = |regions: &[&RegionName]| -> Vec<SocketAddr> {
-            let named = ready.iter().filter(|(region, _)| regions.contains(region));
-            named
-                .map(|(_, address)| *address)
-                .take(MAX_ADDRESSES)
-                .collect()
+            .map(|(_, record)| (record.state, &record.centre.region, record.caller_address));
+        let vms: Vec<_> = others.chain([own]).collect();
+        let named = |taken: VmState, regions: &[&RegionName]| -> Vec<SocketAddr> {
+            let named = vms.iter().filter(|(state, region, _)| {
+                *state == taken && (regions.is_empty() || regions.contains(region))
+            });
+            let addresses = named.map(|(_, _, address)| *address);
+            addresses.take(MAX_ADDRESSES).collect()
         };
-        let near = region.map_or_else(Vec::new, |region| within(&[region]));
+        let near: Vec<&RegionName> = region.into_iter().collect();
+        let homes: Vec<&RegionName> = homes.iter().collect();
+        let mut choices = Vec::new();
+        for regions in [&near, &homes] {
+            if !regions.is_empty() {
+                choices.push((VmState::Ready, regions));
+            }
+        }
         if !near.is_empty() {
-            return near;
+            choices.push((VmState::Leaving, &near));
         }
-        let homes = self.routes.load().residency_of(host);
-        let home: Vec<SocketAddr> = within(&homes.iter().collect::<Vec<_>>());
-        if !home.is_empty() {
-            return home;
+        if !homes.is_empty() {
+            choices.push((VmState::Leaving, &homes));
         }
-        let all = ready.iter().map(|(_, address)| *address);
-        all.take(MAX_ADDRESSES).collect()
+        let anywhere = Vec::new();
+        choices.push((VmState::Ready, &anywhere));
+        let answers = choices
+            .iter()
+            .map(|(state, regions)| named(*state, regions));
+        answers
+            .into_iter()
+            .find(|answer| !answer.is_empty())
+            .unwrap_or_default()
     }
 }
--- a/crates/verbenaring-core/src/cluster/report.rs
+++ b/crates/verbenaring-core/src/cluster/report.rs
@@ -137,7 +137,7 @@
         let routes = self.routes.load();
         let state = self.lock();
         let mut loads = match near {
-            true => state.servers.own_loads(),
+            true => state.servers.own_loads(now),
             false => Vec::new(),
         };
         // The busiest servers matter most if not all fit into a datagram.
--- a/crates/verbenaring-core/src/node.rs
+++ b/crates/verbenaring-core/src/node.rs
@@ -124,7 +124,8 @@
         match (*self.stop.borrow(), self.is_known()) {
             (StopStep::Serving, true) => VmState::Ready,
             (StopStep::Serving, false) => VmState::Starting,
-            _ => VmState::Leaving,
+            (StopStep::Announced, _) => VmState::Leaving,
+            (StopStep::Closing, _) => VmState::Closing,
         }
     }
 
--- a/crates/verbenaring-core/src/path/call.rs
+++ b/crates/verbenaring-core/src/path/call.rs
@@ -12,8 +12,9 @@
 use hyper::{HeaderMap, Method, Uri};
 use tokio::time::Instant;
 use verbenaring_policy::dispatch::call::{CallRoute, ServiceTerms};
+use verbenaring_policy::dispatch::prompt::{affinity, name_hash};
 use verbenaring_policy::dispatch::table::{PlaceDemand, ServerKey};
-use verbenaring_policy::id::{ServiceName, VmId};
+use verbenaring_policy::id::{RegionName, ServiceName, VmId};
 use verbenaring_protocol::header;
 
 use crate::border::CallFacts;
@@ -76,6 +77,14 @@
         self.route.kind.is_repeatable() && self.runs.load(Ordering::Relaxed) < self.attempts
     }
 
+    /// Number that spreads calls of different sessions evenly, differently in
+    /// each region.
+    pub fn spread(&self, region: &RegionName) -> u64 {
+        let session = self.demand(&[]).session();
+        let session = session.unwrap_or_else(|| name_hash(&self.facts.attempt));
+        affinity(session, name_hash(region.as_str()))
+    }
+
     /// The call for the choice of a server.
     pub fn demand<'a>(&'a self, excluded: &'a [ServerKey]) -> PlaceDemand<'a> {
         PlaceDemand {
@@ -84,6 +93,7 @@
             model: self.facts.model.as_ref(),
             prompt: &self.facts.prompt,
             answer_tokens: self.facts.answer_tokens,
+            residency: &self.route.residency,
             excluded,
             elapsed: self.arrived.elapsed(),
             goal: self.route.goal,
--- a/crates/verbenaring-core/src/path/choose.rs
+++ b/crates/verbenaring-core/src/path/choose.rs
@@ -10,7 +10,7 @@
 use rand::Rng;
 use rand::seq::IndexedRandom;
 use verbenaring_policy::dispatch::presence::VmRecord;
-use verbenaring_policy::dispatch::spill::{RegionOffer, leaves_region};
+use verbenaring_policy::dispatch::spill::{RegionForecast, RegionOffer, leaves_region};
 use verbenaring_policy::dispatch::table::{NoPlacement, Placement, SentWork, VmCohort};
 use verbenaring_policy::id::{RegionName, ServerId, VmId};
 use verbenaring_policy::time::Moment;
@@ -50,6 +50,8 @@
     pub work: SentWork,
     /// Predicted time to the first event or the answer.
     pub forecast: Duration,
+    /// Server from which shared parts can be copied.
+    pub donor: Option<SocketAddr>,
 }
 
 /// Chosen VM of another region.
@@ -61,6 +63,8 @@
     pub address: SocketAddr,
     /// Predicted time to the first event or the answer.
     pub forecast: Duration,
+    /// Part of their time that the servers of its region spend reading prompts.
+    pub busy: f64,
     /// Age of the report behind the prediction.
     pub age: Duration,
 }
@@ -83,12 +87,18 @@
         let left = call.left();
         let chosen = match (local, remote) {
             (Ok(placement), Some((vm, work))) => {
-                let own = (!placement.urgent).then_some(placement.forecast);
-                match own {
-                    Some(own) if leaves_region(Some(own), vm.forecast, left, call.route.goal) => {
-                        Ok(self.leave(call, vm, work, state, now))
-                    }
-                    _ => Ok(self.stay(call, tried, &placement, state, now)),
+                let here = RegionForecast {
+                    first: placement.forecast,
+                    busy: placement.busy,
+                };
+                let there = RegionForecast {
+                    first: vm.forecast,
+                    busy: vm.busy,
+                };
+                let session = call.spread(&self.place.region);
+                match leaves_region(here, there, left, call.route.goal, session) {
+                    true => Ok(self.leave(call, vm, work, state, now)),
+                    false => Ok(self.stay(call, tried, &placement, state, now)),
                 }
             }
             (Ok(placement), None) => Ok(self.stay(call, tried, &placement, state, now)),
@@ -137,6 +147,7 @@
             address,
             work,
             forecast: placement.forecast,
+            donor: placement.donor,
         }))
     }
 
@@ -172,7 +183,7 @@
         let live = state.vms.live(now).map(|(_, record)| record);
         let vms: Vec<&VmRecord> = live.filter(usable).collect();
         let work = state.servers.work_of(&call.demand(&tried.servers));
-        let mut best: Option<(Duration, &VmRecord)> = None;
+        let mut best: Option<(Duration, f64, &VmRecord)> = None;
         for record in &vms {
             let wait = record
                 .waits
@@ -187,11 +198,18 @@
                 servers: wait.servers,
             };
             let forecast = state.spill.predict(&offer, &call.service, work, now);
-            if best.is_none_or(|(known, _)| forecast < known) {
-                best = Some((forecast, record));
+            let busy = f64::from(wait.busy_percent) / 100.0;
+            // Less work counts as long as the goal can be met.
+            let meets_goal = forecast < call.route.goal;
+            let better = |(known, known_busy, _): (Duration, f64, _)| match meets_goal {
+                true => known >= call.route.goal || busy < known_busy,
+                false => forecast < known,
+            };
+            if best.is_none_or(better) {
+                best = Some((forecast, busy, record));
             }
         }
-        let (forecast, record) = best?;
+        let (forecast, busy, record) = best?;
         let region = &record.centre.region;
         // The VMs of a region report nearly the same wait; any of them serves.
         let same: Vec<&&VmRecord> = vms
@@ -203,6 +221,7 @@
             vm: record.vm.clone(),
             address: record.peer_address,
             forecast,
+            busy,
             age: now.since(record.heard),
         };
         Some((vm, (region.clone(), work)))
--- a/crates/verbenaring-core/src/path/exchange.rs
+++ b/crates/verbenaring-core/src/path/exchange.rs
@@ -295,6 +295,7 @@
             left: call.left(),
             server: Some(&server.id),
             priority: engine.then_some(priority),
+            donor: server.donor,
             last_event,
         };
         let max_idle = match call.route.kind.is_repeatable() {
@@ -323,6 +324,7 @@
             left: call.left(),
             server: None,
             priority: None,
+            donor: None,
             last_event,
         };
         let mut request = request_of::<B>(call, &facts);
--- a/crates/verbenaring-policy/src/dispatch/mod.rs
+++ b/crates/verbenaring-policy/src/dispatch/mod.rs
@@ -15,3 +15,4 @@
 pub mod prompt;
 pub mod spill;
 pub mod table;
+pub mod usage;
--- a/crates/verbenaring-policy/src/dispatch/presence.rs
+++ b/crates/verbenaring-policy/src/dispatch/presence.rs
@@ -32,8 +32,10 @@
     Starting,
     /// Takes calls.
     Ready,
-    /// Finishes its calls and stops.
+    /// Announces its stop; still serves callers that have not heard of it.
     Leaving,
+    /// Finishes its calls and stops.
+    Closing,
 }
 
 /// Expected wait of a new call for a service in the VM's region.
@@ -45,6 +47,8 @@
     pub wait_ms: u32,
     /// Servers that take work.
     pub servers: u16,
+    /// Mean part of their time that they spend reading prompts, in percent.
+    pub busy_percent: u16,
 }
 
 /// Another VM.
--- a/crates/verbenaring-policy/src/dispatch/prompt.rs
+++ b/crates/verbenaring-policy/src/dispatch/prompt.rs
@@ -50,6 +50,11 @@
         known.map(|part| part.tokens).sum()
     }
 
+    /// Last use of a part.
+    pub fn last_use(&self, part: u64) -> Option<Moment> {
+        self.parts.get(&part).map(|(used, _)| *used)
+    }
+
     /// Forgets everything, as the server does when it starts again.
     pub fn clear(&mut self) {
         self.parts.clear();
--- a/crates/verbenaring-policy/src/dispatch/spill.rs
+++ b/crates/verbenaring-policy/src/dispatch/spill.rs
@@ -72,20 +72,46 @@
     }
 }
 
-/// Whether a call that would be answered `local` at home leaves for `remote`.
+/// Predicted service of a call in one region.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RegionForecast {
+    /// Time to the first event or the answer.
+    pub first: Duration,
+    /// Part of their time that the servers spend reading prompts.
+    pub busy: f64,
+}
+
+/// Whether a call leaves its region for `remote`.
+///
+/// A call that would miss its goal leaves for a clearly earlier answer. Beyond
+/// that, the work above [`SPILL_BUSY`] leaves for a region with less: tokens of
+/// answers wait for every prompt that is read between them. Which calls these
+/// are follows from `session`, so that the other region finds their shared
+/// parts read.
 pub fn leaves_region(
-    local: Option<Duration>,
-    remote: Duration,
+    local: RegionForecast,
+    remote: RegionForecast,
     left: Duration,
     goal: Duration,
+    session: u64,
 ) -> bool {
-    let Some(local) = local else {
+    let meets = |forecast: Duration| forecast < goal.mul_f64(GOAL_MARGIN).min(left);
+    if !meets(local.first) && remote.first + MIN_GAIN < local.first {
         return true;
-    };
-    // A call that meets its goal at home stays there.
-    let meets_goal = local < goal.mul_f64(GOAL_MARGIN).min(left);
-    !meets_goal && remote + MIN_GAIN < local
+    }
+    let level = SPILL_BUSY.max(remote.busy + SPILL_DIFFERENCE);
+    if local.busy <= level || !meets(remote.first) {
+        return false;
+    }
+    let excess = (local.busy - level) / local.busy;
+    let point = (session >> 11) as f64 / (1_u64 << 53) as f64;
+    point < excess
 }
 
 /// Part of the goal that a prediction may use; the rest covers its error.
 pub const GOAL_MARGIN: f64 = 0.7;
+/// Part of their time for reading prompts up to which servers keep their work.
+pub const SPILL_BUSY: f64 = 0.4;
+/// Difference below which work stays: it costs bytes and reading in the other
+/// region, whose report is old.
+pub const SPILL_DIFFERENCE: f64 = 0.1;
--- a/crates/verbenaring-policy/src/dispatch/table.rs
+++ b/crates/verbenaring-policy/src/dispatch/table.rs
@@ -22,6 +22,7 @@
 use super::presence::ServiceWait;
 use super::prompt::{PartCache, PromptPart, affinity, name_hash};
 use super::spill::GOAL_MARGIN;
+use super::usage::WorkRate;
 use crate::id::{CentreName, DataCentre, ModelName, RegionName, ServerId, ServiceName};
 use crate::time::Moment;
 
@@ -38,6 +39,16 @@
 /// Time for which the removal of a server is remembered. It exceeds the age of
 /// any entry that another VM may still pass on.
 const REMOVAL_MEMORY: Duration = Duration::from_secs(30);
+/// Weight of the time to read shared parts again beside the time that the call
+/// waits. Reading them takes the server's time from all its other calls.
+const REREAD_WEIGHT: u32 = 3;
+/// Time that an idle engine takes for one token of an answer, in ms.
+const TOKEN_MS: f64 = 4.0;
+/// Weight of the time for the answer's tokens: a later end costs less than a
+/// later first event.
+const ANSWER_WEIGHT: f64 = 0.1;
+/// Part of its time for reading beyond which an engine counts as saturated.
+const MAX_BUSY: f64 = 0.9;
 
 /// Published state of a server.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -75,6 +86,8 @@
     pub memory_tokens: u32,
     /// Calls.
     pub calls: u16,
+    /// Prompt tokens sent per second.
+    pub token_rate: u32,
 }
 
 impl LoadShare {
@@ -84,6 +97,7 @@
             late_tokens: self.late_tokens.saturating_add(other.late_tokens),
             memory_tokens: self.memory_tokens.saturating_add(other.memory_tokens),
             calls: self.calls.saturating_add(other.calls),
+            token_rate: self.token_rate.saturating_add(other.token_rate),
         }
     }
 }
@@ -101,6 +115,8 @@
     pub prompt: &'a [PromptPart],
     /// Expected tokens of the answer.
     pub answer_tokens: u32,
+    /// Regions in which the call may run; all if empty.
+    pub residency: &'a [RegionName],
     /// Servers that already failed the call.
     pub excluded: &'a [ServerKey],
     /// Time since the call arrived.
@@ -146,7 +162,7 @@
 }
 
 /// Chosen server.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Placement {
     /// Server.
     pub key: ServerKey,
@@ -158,6 +174,10 @@
     pub ahead: u32,
     /// Predicted time to the first event or the answer.
     pub forecast: Duration,
+    /// Part of its time that the server spends reading prompts.
+    pub busy: f64,
+    /// Server that has probably read the shared parts, if this one has not.
+    pub donor: Option<SocketAddr>,
 }
 
 /// Why no server was chosen.
@@ -209,6 +229,7 @@
     facts: ServerFacts,
     hash: u64,
     own: LoadShare,
+    rate: WorkRate,
     peers: Vec<(u64, LoadShare, Moment)>,
     evidence: ServerEvidence,
     cache: PartCache,
@@ -223,7 +244,14 @@
             .peers
             .iter()
             .filter(|(_, _, at)| now.since(*at) < PEER_LOAD_AGE);
-        fresh.fold(self.own, |sum, (_, share, _)| sum.add(*share))
+        fresh.fold(self.own_load(now), |sum, (_, share, _)| sum.add(*share))
+    }
+
+    fn own_load(&self, now: Moment) -> LoadShare {
+        LoadShare {
+            token_rate: self.rate.per_second(now) as u32,
+            ..self.own
+        }
     }
 
     /// Whether calls must be paced: the server is cold, or it refused a
@@ -245,6 +273,7 @@
     generations: HashMap<ServiceName, FirstEventModel>,
     calls: HashMap<ServiceName, ServiceTimeModel>,
     revision: u64,
+    vms: usize,
 }
 
 impl ServerTable {
@@ -260,6 +289,7 @@
             generations: HashMap::new(),
             calls: HashMap::new(),
             revision: 0,
+            vms: 1,
         }
     }
 
@@ -316,6 +346,7 @@
         let record = ServerRecord {
             hash: name_hash(id.as_str()),
             own: LoadShare::default(),
+            rate: WorkRate::default(),
             peers: Vec::new(),
             evidence: ServerEvidence::default(),
             cache: PartCache::default(),
@@ -442,9 +473,11 @@
     }
 
     /// Work that this VM has outstanding, for the others.
-    pub fn own_loads(&self) -> Vec<(u32, LoadShare)> {
-        let busy = self.servers.values().filter(|record| record.own.calls > 0);
-        busy.map(|record| (record.hash as u32, record.own))
+    pub fn own_loads(&self, now: Moment) -> Vec<(u32, LoadShare)> {
+        let loads = self.servers.values();
+        let loads = loads.map(|record| (record.hash as u32, record.own_load(now)));
+        loads
+            .filter(|(_, share)| share.calls > 0 || share.token_rate > 0)
             .collect()
     }
 
@@ -455,7 +488,7 @@
         now: Moment,
     ) -> Vec<ServiceWait> {
         let wait = |(service, terms): (&ServiceName, &ServiceTerms)| {
-            let usable: Vec<Duration> = self
+            let usable: Vec<(Duration, f64)> = self
                 .servers
                 .values()
                 .filter(|record| {
@@ -463,13 +496,18 @@
                         && self.is_usable(record, now)
                         && !record.is_paced(terms, now)
                 })
-                .map(|record| self.forecast(record, terms, 0, true, now).1)
+                .map(|record| {
+                    let (_, forecast) = self.forecast(record, terms, 0, true, now);
+                    (forecast, self.busy(record, terms, now))
+                })
                 .collect();
-            let best = usable.iter().min()?;
+            let (best, _) = usable.iter().min_by_key(|(forecast, _)| *forecast)?;
+            let busy: f64 = usable.iter().map(|(_, busy)| busy).sum();
             Some(ServiceWait {
                 service: service.clone(),
                 wait_ms: best.as_millis().min(u128::from(u32::MAX)) as u32,
                 servers: usable.len().min(usize::from(u16::MAX)) as u16,
+                busy_percent: (busy / usable.len() as f64 * 100.0) as u16,
             })
         };
         services.filter_map(wait).collect()
@@ -482,6 +520,7 @@
         cohort: &VmCohort<'_>,
         now: Moment,
     ) -> Result<Placement, NoPlacement> {
+        self.vms = cohort.live.len().max(1);
         let pace = self.pace.owner_calls(demand.terms.cold_rate);
         let mut usable = Vec::new();
         let mut paced = false;
@@ -502,10 +541,12 @@
                 let record = &self.servers[*key];
                 let unread = unread_tokens(record, demand, preferred == Some(*key));
                 let (ahead, forecast) = self.forecast(record, demand.terms, unread, true, now);
-                (forecast + record.evidence.penalty(now), ahead, unread, *key)
+                let forecast = forecast + record.evidence.penalty(now);
+                let cost = forecast + self.side_cost(record, demand, unread, now);
+                (cost, forecast, ahead, unread, *key)
             })
-            .min_by_key(|(forecast, ahead, ..)| (*forecast, *ahead));
-        let Some((forecast, ahead, unread, key)) = best else {
+            .min_by_key(|(cost, _, ahead, ..)| (*cost, *ahead));
+        let Some((_, forecast, ahead, unread, key)) = best else {
             return Err(match paced {
                 // The pace window is a second long; half of it is the mean wait.
                 true => NoPlacement::Overloaded {
@@ -531,6 +572,8 @@
             unread,
             ahead,
             forecast,
+            busy: self.busy(&self.servers[key], demand.terms, now),
+            donor: self.donor(key, preferred, demand),
         })
     }
 
@@ -552,6 +595,7 @@
         now: Moment,
     ) -> SentWork {
         let memory = demand.prompt_tokens().saturating_add(demand.answer_tokens);
+        let vms = self.vms as u64;
         let record = &mut self.servers[placement.key];
         let own = &mut record.own;
         match placement.urgent {
@@ -560,10 +604,12 @@
         }
         own.memory_tokens += memory;
         own.calls += 1;
+        record.rate.add(placement.unread, now);
         record.evidence.record_sent(now);
         record.pace.record(now);
         if let Some(capacity) = demand.terms.cache_tokens {
-            record.cache.record(demand.prompt, capacity, now);
+            // The other VMs of the region fill the same memory.
+            record.cache.record(demand.prompt, capacity / vms, now);
         }
         SentWork {
             key: placement.key,
@@ -636,6 +682,80 @@
             && !self.evacuated.contains(&facts.centre.name)
     }
 
+    /// Cost of a choice beside the wait of the call itself, as time.
+    fn side_cost(
+        &self,
+        record: &ServerRecord,
+        demand: &PlaceDemand<'_>,
+        unread: u32,
+        now: Moment,
+    ) -> Duration {
+        if demand.terms.cache_tokens.is_none() {
+            return Duration::ZERO;
+        }
+        let own = demand.prompt.last().map_or(0, |part| part.tokens);
+        let reread = u64::from(unread.saturating_sub(own));
+        let busy = self.busy(record, demand.terms, now).min(MAX_BUSY);
+        let answer_ms = f64::from(demand.answer_tokens) * TOKEN_MS * busy / (1.0 - busy);
+        self.model_of(demand.service).read_time(reread) * REREAD_WEIGHT
+            + Duration::from_secs_f64(answer_ms * ANSWER_WEIGHT / 1_000.0)
+    }
+
+    /// Part of its time that a server spends reading prompts.
+    fn busy(&self, record: &ServerRecord, terms: &ServiceTerms, now: Moment) -> f64 {
+        if terms.cache_tokens.is_none() {
+            return 0.0;
+        }
+        let rate = u64::from(record.load(now).token_rate);
+        let model = self.model_of(&record.facts.service);
+        model.read_time(rate).as_secs_f64()
+    }
+
+    fn model_of(&self, service: &ServiceName) -> FirstEventModel {
+        self.generations.get(service).cloned().unwrap_or_default()
+    }
+
+    /// Server from which the chosen one can copy shared parts.
+    ///
+    /// The one that this VM used last for them, else the one that the VMs of
+    /// this region, or of all regions, prefer.
+    fn donor(
+        &self,
+        chosen: ServerKey,
+        preferred: Option<ServerKey>,
+        demand: &PlaceDemand<'_>,
+    ) -> Option<SocketAddr> {
+        let session = demand.shared().last()?.id;
+        if self.servers[chosen].cache.last_use(session).is_some() {
+            return None;
+        }
+        let holders = self.servers.iter().filter(|(_, record)| {
+            record.facts.service == *demand.service && record.gone_at.is_none()
+        });
+        let used = holders
+            .filter_map(|(key, record)| Some((record.cache.last_use(session)?, key)))
+            .max_by_key(|(at, _)| *at);
+        let donor = match (used, preferred) {
+            (Some((_, key)), _) => key,
+            (None, Some(key)) if key != chosen => key,
+            _ => self.preferred_anywhere(session, demand)?,
+        };
+        (donor != chosen).then(|| self.servers[donor].facts.address)
+    }
+
+    /// Server that the VMs of all regions prefer for a session.
+    fn preferred_anywhere(&self, session: u64, demand: &PlaceDemand<'_>) -> Option<ServerKey> {
+        let allowed = |record: &ServerRecord| {
+            let facts = &record.facts;
+            facts.service == *demand.service
+                && record.gone_at.is_none()
+                && (demand.residency.is_empty() || demand.residency.contains(&facts.centre.region))
+        };
+        let servers = self.servers.iter().filter(|(_, record)| allowed(record));
+        let ranked = servers.max_by_key(|(_, record)| affinity(session, record.hash));
+        ranked.map(|(key, _)| key)
+    }
+
     /// Server that all VMs prefer for the session of a call.
     fn preferred(&self, usable: &[ServerKey], demand: &PlaceDemand<'_>) -> Option<ServerKey> {
         let session = demand.session()?;
