Refuse calls that a stopping VM cannot finish

Ruled out: a longer grace period, which the platform sets; closing listeners at once, which costs callers that still use the directory's last answer. Change: the announcement lasts 2.9 s; afterwards a call is taken only if its time limit lies before the end of the process, others are refused at once.

--- a/crates/verbenaring-core/src/node.rs
+++ b/crates/verbenaring-core/src/node.rs
@@ -3,7 +3,7 @@
 use std::marker::PhantomData;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -11,6 +11,7 @@
 use hyper::{Request, Response, StatusCode};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{Semaphore, watch};
+use tokio::time::Instant;
 use tokio_util::task::TaskTracker;
 use verbenaring_policy::dispatch::call::{CallerLimits, RouteTable};
 use verbenaring_policy::dispatch::presence::VmState;
@@ -36,9 +37,9 @@
 const SWEEP_PERIOD: Duration = Duration::from_millis(500);
 /// Descriptors kept for listeners, the store, other VMs and files.
 const RESERVED_DESCRIPTORS: usize = 300;
-/// Time for which a stop is announced. Callers use an answer of the directory
-/// for up to three times its time to live, 1 s.
-const ANNOUNCE_TIME: Duration = Duration::from_millis(3_300);
+/// Time for which a stop is announced and all calls are taken. Callers use an
+/// answer of the directory for up to three times its time to live, 1 s.
+const ANNOUNCE_TIME: Duration = Duration::from_millis(2_900);
 /// Time kept between the end of the last call and the kill.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
 /// Lines a second on refusals and failed attempts.
@@ -71,6 +72,7 @@
     state: Mutex<FrontState>,
     failure_lines: Mutex<crate::observe::logger::LineBudget>,
     stop: watch::Sender<StopStep>,
+    exit: OnceLock<Instant>,
     border: PhantomData<fn() -> B>,
 }
 
@@ -92,6 +94,7 @@
             state: Mutex::new(FrontState::new(&settings)),
             failure_lines: Mutex::default(),
             stop: watch::channel(StopStep::Serving).0,
+            exit: OnceLock::new(),
             border: PhantomData,
             settings,
         }
@@ -129,6 +132,12 @@
         }
     }
 
+    /// Whether a call that may last until `limit` can end before this process.
+    pub(crate) fn can_finish(&self, limit: Instant) -> bool {
+        let closing = *self.stop.borrow() == StopStep::Closing;
+        !closing || self.exit.get().is_some_and(|exit| limit < *exit)
+    }
+
     pub(crate) fn server_name(&self, key: ServerKey) -> String {
         let state = self.lock();
         let facts = state.servers.facts(key);
@@ -324,6 +333,8 @@
             .bounds
             .grace()
             .saturating_sub(EXIT_MARGIN);
+        // A second stop keeps the end of the first one.
+        let _ = self.node.exit.set(Instant::now() + grace);
         let ended = async {
             self.node.stop.send_replace(StopStep::Announced);
             tokio::time::sleep(ANNOUNCE_TIME.min(grace)).await;
--- a/crates/verbenaring-core/src/path/call.rs
+++ b/crates/verbenaring-core/src/path/call.rs
@@ -93,6 +93,7 @@
             model: self.facts.model.as_ref(),
             prompt: &self.facts.prompt,
             answer_tokens: self.facts.answer_tokens,
+            rank: self.route.rank,
             residency: &self.route.residency,
             excluded,
             elapsed: self.arrived.elapsed(),
--- a/crates/verbenaring-core/src/path/choose.rs
+++ b/crates/verbenaring-core/src/path/choose.rs
@@ -10,7 +10,7 @@
 use rand::Rng;
 use rand::seq::IndexedRandom;
 use verbenaring_policy::dispatch::presence::VmRecord;
-use verbenaring_policy::dispatch::spill::{RegionForecast, RegionOffer, leaves_region};
+use verbenaring_policy::dispatch::spill::{CallTimes, RegionForecast, RegionOffer, leaves_region};
 use verbenaring_policy::dispatch::table::{NoPlacement, Placement, SentWork, VmCohort};
 use verbenaring_policy::id::{RegionName, ServerId, VmId};
 use verbenaring_policy::time::Moment;
@@ -24,6 +24,9 @@
 /// Wait that is suggested when no server takes calls, in ms. Servers come back
 /// within seconds; the range spreads the callers.
 const NO_SERVER_WAIT_MS: std::ops::Range<u64> = 400..800;
+/// Wait that is suggested while servers are cold: half of the second over which
+/// their calls are counted.
+const PACED_WAIT: Duration = Duration::from_millis(500);
 /// Shortest wait that is suggested to a caller.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// Part by which a suggested wait is prolonged at random, so that the callers
@@ -96,7 +99,12 @@
                     busy: vm.busy,
                 };
                 let session = call.spread(&self.place.region);
-                match leaves_region(here, there, left, call.route.goal, session) {
+                let times = CallTimes {
+                    goal: call.route.goal,
+                    left,
+                };
+                let terms = &self.settings.tuning.dispatch;
+                match leaves_region(terms, here, there, times, session) {
                     true => Ok(self.leave(call, vm, work, state, now)),
                     false => Ok(self.stay(call, tried, &placement, state, now)),
                 }
@@ -229,16 +237,19 @@
 }
 
 fn refuse(call: &PendingCall, fault: &NoPlacement) -> CallRefusal {
+    let mut rng = rand::rng();
+    let spread = rng.random_range(1.0..1.0 + RETRY_SPREAD);
+    let later = |wait: Duration| wait.max(MIN_RETRY_AFTER).mul_f64(spread);
     match fault {
         NoPlacement::NoServer => {
-            let wait = rand::rng().random_range(NO_SERVER_WAIT_MS);
+            let wait = rng.random_range(NO_SERVER_WAIT_MS);
             CallRefusal::busy("no_server", Duration::from_millis(wait))
         }
+        NoPlacement::Paced => CallRefusal::busy("servers_cold", later(PACED_WAIT)),
+        NoPlacement::Saturated { until } => CallRefusal::busy("saturated", later(*until)),
         NoPlacement::Overloaded { forecast } => {
             let turn = forecast.saturating_sub(call.route.goal / 2);
-            let spread = rand::rng().random_range(1.0..1.0 + RETRY_SPREAD);
-            let wait = turn.max(MIN_RETRY_AFTER).mul_f64(spread);
-            CallRefusal::busy("overloaded", wait)
+            CallRefusal::busy("overloaded", later(turn))
         }
     }
 }
--- a/crates/verbenaring-core/src/path/controller.rs
+++ b/crates/verbenaring-core/src/path/controller.rs
@@ -32,6 +32,8 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Wait that is suggested while the VM has no configuration.
 const STARTING_WAIT: Duration = Duration::from_millis(300);
+/// Wait that is suggested by a VM that stops; other VMs serve the call.
+const STOPPING_WAIT: Duration = Duration::from_millis(20);
 /// Wait that is suggested to a call whose time ended before it was sent.
 const UNSENT_WAIT: Duration = Duration::from_millis(100);
 
@@ -107,6 +109,9 @@
         let elapsed = Duration::from_millis(number(ELAPSED_MS).unwrap_or_default());
         let left = facts.left.unwrap_or(route.timeout);
         let limit = (started + left).min(started + route.timeout.saturating_sub(elapsed));
+        if !self.can_finish(limit) {
+            return Err(CallRefusal::busy("stopping", STOPPING_WAIT));
+        }
         let attempts = number(ATTEMPTS).map_or(route.attempts, |attempts| attempts as u32);
         let mut headers = parts.headers;
         B::strip_call(&mut headers);
@@ -193,6 +198,8 @@
                 AttemptEnd::Failed(answer) => {
                     repeat = true;
                     call.runs.fetch_add(1, Ordering::Relaxed);
+                    // Many servers fail the same call again.
+                    target_key.exclude(tried);
                     let reason = format!("the server failed with {}", answer.status());
                     failed = Some(answer);
                     reason
--- a/crates/verbenaring-core/src/settings.rs
+++ b/crates/verbenaring-core/src/settings.rs
@@ -7,6 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 use verbenaring_policy::dispatch::pace::PaceTerms;
+use verbenaring_policy::dispatch::terms::DispatchTerms;
 use verbenaring_policy::id::{CentreName, DataCentre, RegionName, VmId};
 use verbenaring_policy::retry::BudgetTerms;
 
@@ -131,6 +132,8 @@
     pub watch_ms: u64,
     /// Log lines a second on calls that went well; failures are always logged.
     pub routine_lines_per_s: u32,
+    /// Weights and limits of the choice of a server and a region.
+    pub dispatch: DispatchTerms,
 }
 
 impl Default for TuningSettings {
@@ -143,6 +146,7 @@
             directory_ttl_s: 1,
             watch_ms: 5_000,
             routine_lines_per_s: 20,
+            dispatch: DispatchTerms::default(),
         }
     }
 }
--- a/crates/verbenaring-core/src/state.rs
+++ b/crates/verbenaring-core/src/state.rs
@@ -38,7 +38,11 @@
     pub fn new(settings: &FrontSettings) -> Self {
         let region = settings.place().region;
         Self {
-            servers: ServerTable::new(region.clone(), settings.bounds.pace()),
+            servers: ServerTable::new(
+                region.clone(),
+                settings.bounds.pace(),
+                settings.tuning.dispatch,
+            ),
             vms: PresenceTable::default(),
             spill: SpillLedger::default(),
             lines: LineBudget::default(),
--- a/crates/verbenaring-policy/src/dispatch/mod.rs
+++ b/crates/verbenaring-policy/src/dispatch/mod.rs
@@ -15,4 +15,5 @@
 pub mod prompt;
 pub mod spill;
 pub mod table;
+pub mod terms;
 pub mod usage;
--- a/crates/verbenaring-policy/src/dispatch/spill.rs
+++ b/crates/verbenaring-policy/src/dispatch/spill.rs
@@ -10,6 +10,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use super::terms::DispatchTerms;
 use crate::id::{RegionName, ServiceName};
 use crate::time::Moment;
 
@@ -84,23 +85,23 @@
 /// Whether a call leaves its region for `remote`.
 ///
 /// A call that would miss its goal leaves for a clearly earlier answer. Beyond
-/// that, the work above [`SPILL_BUSY`] leaves for a region with less: tokens of
-/// answers wait for every prompt that is read between them. Which calls these
-/// are follows from `session`, so that the other region finds their shared
-/// parts read.
+/// that, the work above [`DispatchTerms::spill_busy`] leaves for a region with
+/// less: tokens of answers wait for every prompt that is read between them.
+/// Which calls these are follows from `session`, so that the other region finds
+/// their shared parts read.
 pub fn leaves_region(
+    terms: &DispatchTerms,
     local: RegionForecast,
     remote: RegionForecast,
-    left: Duration,
-    goal: Duration,
+    limits: CallTimes,
     session: u64,
 ) -> bool {
-    let meets = |forecast: Duration| forecast < goal.mul_f64(GOAL_MARGIN).min(left);
-    if !meets(local.first) && remote.first + MIN_GAIN < local.first {
+    let goal = limits.goal.mul_f64(terms.goal_margin).min(limits.left);
+    if local.first >= goal && remote.first + MIN_GAIN < local.first {
         return true;
     }
-    let level = SPILL_BUSY.max(remote.busy + SPILL_DIFFERENCE);
-    if local.busy <= level || !meets(remote.first) {
+    let level = terms.spill_busy.max(remote.busy + terms.spill_difference);
+    if local.busy <= level || remote.first >= goal {
         return false;
     }
     let excess = (local.busy - level) / local.busy;
@@ -108,10 +109,11 @@
     point < excess
 }
 
-/// Part of the goal that a prediction may use; the rest covers its error.
-pub const GOAL_MARGIN: f64 = 0.7;
-/// Part of their time for reading prompts up to which servers keep their work.
-pub const SPILL_BUSY: f64 = 0.4;
-/// Difference below which work stays: it costs bytes and reading in the other
-/// region, whose report is old.
-pub const SPILL_DIFFERENCE: f64 = 0.1;
+/// Times of a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallTimes {
+    /// Time within which the answer is worth the most.
+    pub goal: Duration,
+    /// Time left.
+    pub left: Duration,
+}
--- a/crates/verbenaring-policy/src/dispatch/table.rs
+++ b/crates/verbenaring-policy/src/dispatch/table.rs
@@ -21,7 +21,7 @@
 use super::pace::{PaceTerms, PaceWindow};
 use super::presence::ServiceWait;
 use super::prompt::{PartCache, PromptPart, affinity, name_hash};
-use super::spill::GOAL_MARGIN;
+use super::terms::DispatchTerms;
 use super::usage::WorkRate;
 use crate::id::{CentreName, DataCentre, ModelName, RegionName, ServerId, ServiceName};
 use crate::time::Moment;
@@ -39,14 +39,8 @@
 /// Time for which the removal of a server is remembered. It exceeds the age of
 /// any entry that another VM may still pass on.
 const REMOVAL_MEMORY: Duration = Duration::from_secs(30);
-/// Weight of the time to read shared parts again beside the time that the call
-/// waits. Reading them takes the server's time from all its other calls.
-const REREAD_WEIGHT: u32 = 3;
 /// Time that an idle engine takes for one token of an answer, in ms.
 const TOKEN_MS: f64 = 4.0;
-/// Weight of the time for the answer's tokens: a later end costs less than a
-/// later first event.
-const ANSWER_WEIGHT: f64 = 0.1;
 /// Part of its time for reading beyond which an engine counts as saturated.
 const MAX_BUSY: f64 = 0.9;
 
@@ -115,6 +109,8 @@
     pub prompt: &'a [PromptPart],
     /// Expected tokens of the answer.
     pub answer_tokens: u32,
+    /// Rank of the route, 0 first.
+    pub rank: u8,
     /// Regions in which the call may run; all if empty.
     pub residency: &'a [RegionName],
     /// Servers that already failed the call.
@@ -185,6 +181,13 @@
 pub enum NoPlacement {
     /// No server of the region may take the call.
     NoServer,
+    /// The servers that may take it are cold and get as much as they bear.
+    Paced,
+    /// Every server spends too much of its time reading prompts.
+    Saturated {
+        /// Time until one reads less, without new calls.
+        until: Duration,
+    },
     /// The answer would come too late or no server has room.
     Overloaded {
         /// Predicted time to the answer.
@@ -266,6 +269,7 @@
 pub struct ServerTable {
     region: RegionName,
     pace: PaceTerms,
+    terms: DispatchTerms,
     servers: SlotMap<ServerKey, ServerRecord>,
     by_id: HashMap<ServerId, ServerKey>,
     removed: HashMap<ServerId, (u64, Moment)>,
@@ -278,10 +282,11 @@
 
 impl ServerTable {
     /// Empty table of a VM in `region`.
-    pub fn new(region: RegionName, pace: PaceTerms) -> Self {
+    pub fn new(region: RegionName, pace: PaceTerms, terms: DispatchTerms) -> Self {
         Self {
             region,
             pace,
+            terms,
             servers: SlotMap::with_key(),
             by_id: HashMap::new(),
             removed: HashMap::new(),
@@ -522,9 +527,16 @@
     ) -> Result<Placement, NoPlacement> {
         self.vms = cohort.live.len().max(1);
         let pace = self.pace.owner_calls(demand.terms.cold_rate);
+        let busy_limit = self.terms.busy_limit - self.terms.busy_rank_step * f64::from(demand.rank);
         let mut usable = Vec::new();
         let mut paced = false;
+        let mut least_busy: Option<f64> = None;
         for key in self.candidates(demand, now) {
+            let busy = self.busy(&self.servers[key], demand.terms, now);
+            if busy > busy_limit {
+                least_busy = Some(least_busy.map_or(busy, |least| least.min(busy)));
+                continue;
+            }
             let record = &mut self.servers[key];
             if record.is_paced(demand.terms, now)
                 && !(cohort.owns(record.hash) && record.pace.allows(pace, now))
@@ -547,15 +559,15 @@
             })
             .min_by_key(|(cost, _, ahead, ..)| (*cost, *ahead));
         let Some((_, forecast, ahead, unread, key)) = best else {
-            return Err(match paced {
-                // The pace window is a second long; half of it is the mean wait.
-                true => NoPlacement::Overloaded {
-                    forecast: demand.left.max(Duration::from_millis(500)),
+            return Err(match (least_busy, paced) {
+                (Some(busy), _) => NoPlacement::Saturated {
+                    until: WorkRate::time_to_fall(busy, busy_limit),
                 },
-                false => NoPlacement::NoServer,
+                (None, true) => NoPlacement::Paced,
+                (None, false) => NoPlacement::NoServer,
             });
         };
-        let urgent = demand.elapsed + forecast <= demand.goal.mul_f64(GOAL_MARGIN);
+        let urgent = demand.elapsed + forecast <= demand.goal.mul_f64(self.terms.goal_margin);
         let (ahead, forecast) = if urgent {
             (ahead, forecast)
         } else {
@@ -697,8 +709,10 @@
         let reread = u64::from(unread.saturating_sub(own));
         let busy = self.busy(record, demand.terms, now).min(MAX_BUSY);
         let answer_ms = f64::from(demand.answer_tokens) * TOKEN_MS * busy / (1.0 - busy);
-        self.model_of(demand.service).read_time(reread) * REREAD_WEIGHT
-            + Duration::from_secs_f64(answer_ms * ANSWER_WEIGHT / 1_000.0)
+        self.model_of(demand.service)
+            .read_time(reread)
+            .mul_f64(self.terms.reread_weight)
+            + Duration::from_secs_f64(answer_ms * self.terms.answer_weight / 1_000.0)
     }
 
     /// Part of its time that a server spends reading prompts.
--- /dev/null
+++ b/crates/verbenaring-policy/src/dispatch/terms.rs
@@ -0,0 +1,43 @@
+//! Weights and limits of the choice of a server and a region.
+
+use serde::{Deserialize, Serialize};
+
+/// Weights and limits of the choice of a server and a region.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct DispatchTerms {
+    /// Part of the goal that a prediction may use; the rest covers its error.
+    pub goal_margin: f64,
+    /// Part of their time for reading prompts up to which servers keep their
+    /// work in the region.
+    pub spill_busy: f64,
+    /// Difference to another region below which work stays. It costs bytes and
+    /// reading there, and the report of that region is old.
+    pub spill_difference: f64,
+    /// Part of its time for reading prompts beyond which an engine takes no
+    /// call of rank 0. Above it, answers advance too slowly to end in time.
+    pub busy_limit: f64,
+    /// By how much the limit falls with each rank, so that the more urgent
+    /// calls are served when not all can be.
+    pub busy_rank_step: f64,
+    /// Weight of the time to read shared parts again beside the time that the
+    /// call waits. Reading them takes the server's time from all its calls.
+    pub reread_weight: f64,
+    /// Weight of the time for the answer's tokens: a later end costs less than
+    /// a later first event.
+    pub answer_weight: f64,
+}
+
+impl Default for DispatchTerms {
+    fn default() -> Self {
+        Self {
+            goal_margin: 0.7,
+            spill_busy: 0.3,
+            spill_difference: 0.1,
+            busy_limit: 1.2,
+            busy_rank_step: 0.1,
+            reread_weight: 3.0,
+            answer_weight: 0.1,
+        }
+    }
+}
--- a/crates/verbenaring-policy/src/dispatch/usage.rs
+++ b/crates/verbenaring-policy/src/dispatch/usage.rs
@@ -8,6 +8,9 @@
 /// a rise of the load is seen within two seconds.
 const RATE_TIME: Duration = Duration::from_millis(1_500);
 
+/// Most multiples of [`RATE_TIME`] that a prediction spans.
+const MAX_TIMES: f64 = 10.0;
+
 /// Exponentially decaying rate.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct WorkRate {
@@ -27,6 +30,12 @@
         self.decayed(now) / RATE_TIME.as_secs_f64()
     }
 
+    /// Time in which a rate falls from `from` to `to` without new work.
+    pub fn time_to_fall(from: f64, to: f64) -> Duration {
+        let halvings = (from / to.max(f64::EPSILON)).ln().max(0.0);
+        RATE_TIME.mul_f64(halvings.min(MAX_TIMES))
+    }
+
     fn decayed(&self, now: Moment) -> f64 {
         let passed = now.since(self.at).as_secs_f64() / RATE_TIME.as_secs_f64();
         self.sum * (-passed).exp()
