Keep long prompts away from engines with many running streams

Ruled out: the relay (events are passed on as they arrive), preemption (none). Change: a choice costs 100 ms for each running stream and further 8,000 unread tokens; the end of a stream is logged with its longest pause.

--- a/crates/verbenaring-core/src/path/relay.rs
+++ b/crates/verbenaring-core/src/path/relay.rs
@@ -6,6 +6,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -42,6 +43,8 @@
     sender: PartSender,
     events: Option<EventSplitter>,
     first: Option<Instant>,
+    last: Instant,
+    longest_pause: Duration,
     parts: u32,
 }
 
@@ -66,6 +69,8 @@
             sender,
             events: resumable.then(EventSplitter::default),
             first: None,
+            last: Instant::now(),
+            longest_pause: Duration::ZERO,
             parts: 0,
         };
         node.tasks.spawn(relay.run(begun));
@@ -128,10 +133,7 @@
                     _ => continue,
                 },
             };
-            if self.first.is_none() {
-                self.first = Some(Instant::now());
-                self.node.observe_first(&self.call);
-            }
+            self.record_part();
             begun.guard.record_first();
             let whole = match &mut self.events {
                 None => Some(data),
@@ -148,6 +150,21 @@
         }
     }
 
+    fn record_part(&mut self) {
+        let now = Instant::now();
+        match self.first {
+            Some(_) => {
+                let pause = now.saturating_duration_since(self.last);
+                self.longest_pause = self.longest_pause.max(pause);
+            }
+            None => {
+                self.first = Some(now);
+                self.node.observe_first(&self.call);
+            }
+        }
+        self.last = now;
+    }
+
     /// Passes on what follows the last event.
     async fn finish(&mut self) -> RelayEnd {
         let rest = self.events.as_mut().map(EventSplitter::rest);
@@ -231,6 +248,8 @@
         log::info!(request = self.call.facts.attempt.as_str(), route = self.call.route.name.as_str(),
             outcome = outcome, reason = reason, parts = self.parts,
             first_ms = first.map_or(0, |first| first.as_millis() as u64),
+            longest_pause_ms = self.longest_pause.as_millis() as u64,
+            prompt_tokens = self.call.demand(&[]).prompt_tokens(),
             total_ms = self.call.arrived.elapsed().as_millis() as u64,
             suppressed_lines = suppressed; "stream ended");
     }
--- a/crates/verbenaring-policy/src/dispatch/table.rs
+++ b/crates/verbenaring-policy/src/dispatch/table.rs
@@ -554,7 +554,7 @@
                 let unread = unread_tokens(record, demand, preferred == Some(*key));
                 let (ahead, forecast) = self.forecast(record, demand.terms, unread, true, now);
                 let forecast = forecast + record.evidence.penalty(now);
-                let cost = forecast + self.side_cost(record, demand, unread, now);
+                let cost = forecast + self.side_cost(record, demand, unread, ahead, now);
                 (cost, forecast, ahead, unread, *key)
             })
             .min_by_key(|(cost, _, ahead, ..)| (*cost, *ahead));
@@ -700,6 +700,7 @@
         record: &ServerRecord,
         demand: &PlaceDemand<'_>,
         unread: u32,
+        ahead: u32,
         now: Moment,
     ) -> Duration {
         if demand.terms.cache_tokens.is_none() {
@@ -709,10 +710,14 @@
         let reread = u64::from(unread.saturating_sub(own));
         let busy = self.busy(record, demand.terms, now).min(MAX_BUSY);
         let answer_ms = f64::from(demand.answer_tokens) * TOKEN_MS * busy / (1.0 - busy);
+        let terms = &self.terms;
+        let stall = (f64::from(ahead) + f64::from(unread)) / terms.stall_tokens - 1.0;
+        let calls = f64::from(record.load(now).calls);
+        let stall_ms = stall.max(0.0) * calls * terms.stall_ms;
         self.model_of(demand.service)
             .read_time(reread)
             .mul_f64(self.terms.reread_weight)
-            + Duration::from_secs_f64(answer_ms * self.terms.answer_weight / 1_000.0)
+            + Duration::from_secs_f64((answer_ms * terms.answer_weight + stall_ms) / 1_000.0)
     }
 
     /// Part of its time that a server spends reading prompts.
--- a/crates/verbenaring-policy/src/dispatch/terms.rs
+++ b/crates/verbenaring-policy/src/dispatch/terms.rs
@@ -26,6 +26,12 @@
     /// Weight of the time for the answer's tokens: a later end costs less than
     /// a later first event.
     pub answer_weight: f64,
+    /// Tokens that an engine may read without pause before the streams that run
+    /// there stall noticeably: a few chunks.
+    pub stall_tokens: f64,
+    /// Cost of each stream that stalls while another as many tokens are read,
+    /// in ms of waiting.
+    pub stall_ms: f64,
 }
 
 impl Default for DispatchTerms {
@@ -38,6 +44,8 @@
             busy_rank_step: 0.1,
             reread_weight: 3.0,
             answer_weight: 0.1,
+            stall_tokens: 8_000.0,
+            stall_ms: 100.0,
         }
     }
 }
