Tell other VMs which server was given which session

A VM knew only its own calls and guessed the server of a session by rank. Asking the engines for their cache events: priced, late and not needed while all prompts pass through these VMs. Change: reports carry a note for each prompt given to a server; the caches of engines are followed for all VMs of a region, and parts read in another region can be copied. Calls that cannot end in time by the predicted pace of tokens are refused at once; broken answers weigh more than failures; saturated regions get no forwarded calls; a VM without configuration asks others every 30 ms.

--- a/crates/verbenaring-core/src/cluster/report.rs
+++ b/crates/verbenaring-core/src/cluster/report.rs
@@ -15,9 +15,9 @@
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, MissedTickBehavior};
 use verbenaring_policy::dispatch::presence::{ServiceWait, VmRecord, VmState};
-use verbenaring_policy::dispatch::prompt::name_hash;
+use verbenaring_policy::dispatch::prompt::{ReadNote, name_hash};
 use verbenaring_policy::dispatch::table::LoadShare;
-use verbenaring_policy::id::{CentreName, VmId};
+use verbenaring_policy::id::{CentreName, ServiceName, VmId};
 
 use crate::border::WireBorder;
 use crate::config::source::VmAnnouncement;
@@ -47,6 +47,7 @@
     interval_ms: u32,
     waits: Vec<ServiceWait>,
     loads: Vec<(u32, LoadShare)>,
+    reads: Vec<ReadNote>,
 }
 
 /// Addresses to which reports go beside those of known VMs.
@@ -135,13 +136,13 @@
         let settings = &self.settings;
         let now = self.clock.now();
         let routes = self.routes.load();
-        let state = self.lock();
+        let mut state = self.lock();
         let mut loads = match near {
             true => state.servers.own_loads(now),
             false => Vec::new(),
         };
         // The busiest servers matter most if not all fit into a datagram.
-        const MAX_LOADS: usize = 60;
+        const MAX_LOADS: usize = 30;
         if loads.len() > MAX_LOADS {
             loads.sort_by_key(|(_, share)| {
                 std::cmp::Reverse(share.urgent_tokens.saturating_add(share.late_tokens))
@@ -162,6 +163,7 @@
             interval_ms: interval.as_millis() as u32,
             waits: state.servers.waits(routes.services(), now),
             loads,
+            reads: state.servers.take_notes(near),
         }
     }
 
@@ -201,6 +203,12 @@
         let near = record.centre.region == self.place.region;
         let known = state.vms.find(&name).map(|known| known.is_live(now));
         if state.vms.record(record, now) {
+            let routes = self.routes.load();
+            let capacity = |service: &ServiceName| {
+                let terms = routes.service(service);
+                terms.and_then(|terms| terms.cache_tokens).unwrap_or(0)
+            };
+            state.servers.record_reads(&report.reads, capacity, now);
             if near {
                 state.servers.record_peer_loads(vm, &report.loads, now);
             }
--- a/crates/verbenaring-core/src/cluster/snapshot.rs
+++ b/crates/verbenaring-core/src/cluster/snapshot.rs
@@ -29,6 +29,8 @@
 pub const SNAPSHOT_PATH: &str = "/verbenaring/snapshot";
 /// Time between checks for newer state.
 const CHECK_PERIOD: Duration = Duration::from_millis(200);
+/// The same while the VM has no configuration and refuses every call.
+const STARTING_CHECK_PERIOD: Duration = Duration::from_millis(30);
 /// Time for which the own watch may be behind a report before a VM is asked.
 const WATCH_LAG: Duration = Duration::from_millis(400);
 /// Time limit of a snapshot; two round trips between regions and the transfer.
@@ -49,7 +51,11 @@
 pub async fn catch_up<B: WireBorder>(node: Arc<FrontNode<B>>) {
     let mut behind: Option<Instant> = None;
     loop {
-        tokio::time::sleep(CHECK_PERIOD).await;
+        let period = match node.is_known() {
+            true => CHECK_PERIOD,
+            false => STARTING_CHECK_PERIOD,
+        };
+        tokio::time::sleep(period).await;
         let Some(address) = node.newer_vm() else {
             behind = None;
             continue;
--- a/crates/verbenaring-core/src/path/choose.rs
+++ b/crates/verbenaring-core/src/path/choose.rs
@@ -191,6 +191,7 @@
         let live = state.vms.live(now).map(|(_, record)| record);
         let vms: Vec<&VmRecord> = live.filter(usable).collect();
         let work = state.servers.work_of(&call.demand(&tried.servers));
+        let busy_limit = self.settings.tuning.dispatch.busy_limit(call.route.rank);
         let mut best: Option<(Duration, f64, &VmRecord)> = None;
         for record in &vms {
             let wait = record
@@ -207,6 +208,9 @@
             };
             let forecast = state.spill.predict(&offer, &call.service, work, now);
             let busy = f64::from(wait.busy_percent) / 100.0;
+            if busy > busy_limit {
+                continue;
+            }
             // Less work counts as long as the goal can be met.
             let meets_goal = forecast < call.route.goal;
             let better = |(known, known_busy, _): (Duration, f64, _)| match meets_goal {
--- a/crates/verbenaring-core/src/path/exchange.rs
+++ b/crates/verbenaring-core/src/path/exchange.rs
@@ -174,9 +174,7 @@
             (next < call.attempts).then_some(limit)
         });
         call.in_doubt.store(true, Ordering::Relaxed);
-        let end = self
-            .await_answer(call, route, silence.flatten(), &mut guard)
-            .await;
+        let end = self.await_answer(call, route, silence.flatten()).await;
         let (end, result) = match end {
             Ok((answer, lease)) => self.read_answer(call, answer, lease, vm, guard).await,
             Err(SendFault::NoConnection(reason)) => {
@@ -185,7 +183,7 @@
                 (AttemptEnd::NotRun { reason, arrived }, "not_run")
             }
             Err(SendFault::Broken(reason)) => {
-                guard.set_end(CallEnd::Failed);
+                guard.set_end(CallEnd::Broken);
                 (AttemptEnd::Broken { reason }, "unknown")
             }
         };
@@ -202,7 +200,6 @@
         call: &PendingCall,
         route: AttemptRoute,
         silence: Option<Duration>,
-        guard: &mut WorkGuard<B>,
     ) -> Result<(Response<Incoming>, ConnectionLease), SendFault> {
         let sending = self.pool.send(route.address, route.request, route.rules);
         tokio::pin!(sending);
@@ -213,7 +210,6 @@
             tokio::select! {
                 sent = sending.as_mut() => return sent,
                 () = silent.as_mut(), if silent_at.is_some() => {
-                    guard.set_end(CallEnd::Failed);
                     return Err(SendFault::Broken(format!("no answer within {silence:?}")));
                 }
                 () = tokio::time::sleep(PRESENCE_CHECK), if route.vm.is_some() => {
@@ -256,7 +252,7 @@
                 (AttemptEnd::NotRun { reason, arrived }, "not_run")
             }
             AnswerHead::Foreign => {
-                guard.set_end(CallEnd::Failed);
+                guard.set_end(CallEnd::Broken);
                 let reason = format!("the answer {} is not to this call", head.status);
                 (AttemptEnd::Broken { reason }, "foreign")
             }
@@ -387,7 +383,7 @@
     let body = match Limited::new(body, MAX_WHOLE_BYTES).collect().await {
         Ok(body) => body.to_bytes(),
         Err(error) => {
-            guard.set_end(CallEnd::Failed);
+            guard.set_end(CallEnd::Broken);
             let reason = format!("the answer broke off: {error}");
             return (AttemptEnd::Broken { reason }, "unknown");
         }
--- a/crates/verbenaring-core/src/path/relay.rs
+++ b/crates/verbenaring-core/src/path/relay.rs
@@ -98,7 +98,7 @@
                 }
                 RelayEnd::Broken(reason) => reason,
             };
-            begun.guard.set_end(CallEnd::Failed);
+            begun.guard.set_end(CallEnd::Broken);
             let excluded = self.exclude(&begun);
             drop(begun);
             log::warn!(request = self.call.facts.attempt.as_str(), target = excluded.as_str(),
--- a/crates/verbenaring-policy/src/dispatch/evidence.rs
+++ b/crates/verbenaring-policy/src/dispatch/evidence.rs
@@ -16,6 +16,9 @@
 const FORGET: Duration = Duration::from_secs(2);
 /// Penalty of a server that fails every call.
 const FAILURE_PENALTY: Duration = Duration::from_millis(1_500);
+/// Penalty of a server whose answers all break. Unlike a failure, a broken
+/// answer leaves a call that must not be repeated in doubt.
+const BREAK_PENALTY: Duration = Duration::from_millis(4_000);
 /// Failure share that every server may have without penalty. Services with
 /// ordinary errors in 14% of their calls are in use.
 const USUAL_FAILURES: f64 = 0.2;
@@ -27,10 +30,22 @@
 /// Silence that is usual while calls wait for their first answer.
 const USUAL_SILENCE: Duration = Duration::from_millis(400);
 
+/// What an answer says about its server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AnswerQuality {
+    /// Whole and good.
+    Good,
+    /// Whole, but a failure or a refusal.
+    Failed,
+    /// Lost, cut or not an answer.
+    Broken,
+}
+
 /// Evidence about one server.
 #[derive(Debug, Clone, Default)]
 pub struct ServerEvidence {
     failures: f64,
+    breaks: f64,
     updated: Moment,
     refused: Option<Moment>,
     waiting: u32,
@@ -57,12 +72,16 @@
     }
 
     /// Counts the end of a call.
-    pub fn record_answer(&mut self, failed: bool, now: Moment) {
-        let sample = if failed { 1.0 } else { 0.0 };
-        let share = self.failure_share(now);
-        self.failures = share + ANSWER_WEIGHT * (sample - share);
+    pub fn record_answer(&mut self, quality: AnswerQuality, now: Moment) {
+        let kept = self.kept(now);
+        let moved = |share: f64, bad: bool| {
+            let sample = if bad { 1.0 } else { 0.0 };
+            share * kept + ANSWER_WEIGHT * (sample - share * kept)
+        };
+        self.failures = moved(self.failures, quality == AnswerQuality::Failed);
+        self.breaks = moved(self.breaks, quality == AnswerQuality::Broken);
         self.updated = now;
-        if !failed {
+        if quality == AnswerQuality::Good {
             self.refused = None;
         }
     }
@@ -94,16 +113,19 @@
         if refused {
             return REFUSED_PENALTY;
         }
-        let failing = (self.failure_share(now) - USUAL_FAILURES).max(0.0);
+        let kept = self.kept(now);
+        let failing = (self.failures * kept - USUAL_FAILURES).max(0.0);
+        let breaking = self.breaks * kept;
         let silence = match self.waiting {
             0 => Duration::ZERO,
             _ => now.since(self.quiet_since).saturating_sub(USUAL_SILENCE),
         };
-        FAILURE_PENALTY.mul_f64(failing) + silence
+        FAILURE_PENALTY.mul_f64(failing) + BREAK_PENALTY.mul_f64(breaking) + silence
     }
 
-    fn failure_share(&self, now: Moment) -> f64 {
+    /// Part of the shares that is still remembered.
+    fn kept(&self, now: Moment) -> f64 {
         let halves = now.since(self.updated).as_secs_f64() / FORGET.as_secs_f64();
-        self.failures * 0.5_f64.powf(halves)
+        0.5_f64.powf(halves)
     }
 }
--- a/crates/verbenaring-policy/src/dispatch/prompt.rs
+++ b/crates/verbenaring-policy/src/dispatch/prompt.rs
@@ -4,13 +4,15 @@
 //! A server that has read a part continues after it, so a request that goes
 //! there leaves more of the server's time to others.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
+
+use serde::{Deserialize, Serialize};
 
 use crate::time::Moment;
 
-/// Parts remembered for one server. At 300 tokens a part this covers the
+/// Prompts remembered for one server. At 300 tokens a prompt this covers the
 /// memory of the largest engines seen.
-const MAX_PARTS: usize = 2_048;
+const MAX_PROMPTS: usize = 2_048;
 
 /// Part of a prompt that requests share.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -21,60 +23,86 @@
     pub tokens: u32,
 }
 
-/// Parts that a server has probably read, by their last use.
+/// Short identity of a part, as VMs report it.
+pub fn part_key(id: u64) -> u32 {
+    (id ^ (id >> 32)) as u32
+}
+
+/// Prompt that a server was given, as VMs tell each other.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReadNote {
+    /// Last shared part, by [`part_key`].
+    pub session: u32,
+    /// Server, by the low half of its name hash.
+    pub server: u32,
+    /// Tokens of all shared parts.
+    pub shared: u32,
+    /// Other tokens.
+    pub own: u32,
+}
+
+/// Prompts that a server probably keeps, by their last use.
 #[derive(Debug, Clone, Default)]
 pub struct PartCache {
-    parts: HashMap<u64, (Moment, u32)>,
+    sessions: HashMap<u32, (Moment, u32)>,
+    // Tokens used once, in the order of their use; they fill the memory too.
+    single: VecDeque<(Moment, u32)>,
     tokens: u64,
 }
 
 impl PartCache {
-    /// Counts a request with `parts`; evicts the least recently used parts
-    /// that exceed `capacity` tokens.
-    pub fn record(&mut self, parts: &[PromptPart], capacity: u64, now: Moment) {
-        for part in parts {
-            let old = self.parts.insert(part.id, (now, part.tokens));
-            self.tokens += u64::from(part.tokens);
+    /// Counts a prompt; evicts the least recently used ones that exceed
+    /// `capacity` tokens.
+    pub fn record(&mut self, note: &ReadNote, capacity: u64, now: Moment) {
+        if note.shared > 0 {
+            let old = self.sessions.insert(note.session, (now, note.shared));
+            self.tokens += u64::from(note.shared);
             self.tokens -= u64::from(old.map_or(0, |(_, tokens)| tokens));
         }
-        if self.tokens > capacity || self.parts.len() > MAX_PARTS {
+        self.single.push_back((now, note.own));
+        self.tokens += u64::from(note.own);
+        if self.tokens > capacity || self.sessions.len() + self.single.len() > MAX_PROMPTS {
             self.evict(capacity);
         }
     }
 
-    /// Tokens of `parts` that the server need not read.
-    pub fn cached_tokens(&self, parts: &[PromptPart]) -> u32 {
-        let known = parts
-            .iter()
-            .take_while(|part| self.parts.contains_key(&part.id));
-        known.map(|part| part.tokens).sum()
-    }
-
-    /// Last use of a part.
-    pub fn last_use(&self, part: u64) -> Option<Moment> {
-        self.parts.get(&part).map(|(used, _)| *used)
+    /// Last use of a session.
+    pub fn last_use(&self, session: u32) -> Option<Moment> {
+        self.sessions.get(&session).map(|(used, _)| *used)
     }
 
     /// Forgets everything, as the server does when it starts again.
     pub fn clear(&mut self) {
-        self.parts.clear();
-        self.tokens = 0;
+        *self = Self::default();
     }
 
-    /// Evicts down to three quarters, so that evictions are rare.
+    /// Evicts a little more than needed, so that evictions are rare.
     fn evict(&mut self, capacity: u64) {
-        let mut order: Vec<(Moment, u64)> = self
-            .parts
+        let target = capacity / 16 * 15;
+        let most = MAX_PROMPTS / 16 * 15;
+        let mut order: Vec<(Moment, u32)> = self
+            .sessions
             .iter()
-            .map(|(id, (used, _))| (*used, *id))
+            .map(|(session, (used, _))| (*used, *session))
             .collect();
         order.sort_unstable();
-        for (_, id) in order {
-            if self.tokens <= capacity / 4 * 3 && self.parts.len() <= MAX_PARTS / 4 * 3 {
-                break;
-            }
-            if let Some((_, tokens)) = self.parts.remove(&id) {
-                self.tokens -= u64::from(tokens);
+        let mut order = order.into_iter().peekable();
+        while self.tokens > target || self.sessions.len() + self.single.len() > most {
+            let single = self.single.front().map(|(used, _)| *used);
+            match (order.peek().copied(), single) {
+                (Some((used, session)), single) if single.is_none_or(|single| used < single) => {
+                    order.next();
+                    let tokens = self
+                        .sessions
+                        .remove(&session)
+                        .map_or(0, |(_, tokens)| tokens);
+                    self.tokens -= u64::from(tokens);
+                }
+                (_, Some(_)) => {
+                    let tokens = self.single.pop_front().map_or(0, |(_, tokens)| tokens);
+                    self.tokens -= u64::from(tokens);
+                }
+                _ => break,
             }
         }
     }
--- a/crates/verbenaring-policy/src/dispatch/table.rs
+++ b/crates/verbenaring-policy/src/dispatch/table.rs
@@ -8,6 +8,7 @@
 //! still meet their goal are urgent; the others take what the urgent ones
 //! leave, so that a burst does not make every later call late.
 
+use std::cmp::Reverse;
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -16,11 +17,11 @@
 use slotmap::{SlotMap, new_key_type};
 
 use super::call::ServiceTerms;
-use super::evidence::ServerEvidence;
+use super::evidence::{AnswerQuality, ServerEvidence};
 use super::forecast::{FirstEventModel, ServiceTimeModel};
 use super::pace::{PaceTerms, PaceWindow};
 use super::presence::ServiceWait;
-use super::prompt::{PartCache, PromptPart, affinity, name_hash};
+use super::prompt::{PartCache, PromptPart, ReadNote, affinity, name_hash, part_key};
 use super::terms::DispatchTerms;
 use super::usage::WorkRate;
 use crate::id::{CentreName, DataCentre, ModelName, RegionName, ServerId, ServiceName};
@@ -39,6 +40,13 @@
 /// Time for which the removal of a server is remembered. It exceeds the age of
 /// any entry that another VM may still pass on.
 const REMOVAL_MEMORY: Duration = Duration::from_secs(30);
+/// Time for which a report that a server of another region read a part counts.
+const FAR_READ_AGE: Duration = Duration::from_secs(8);
+/// Shared tokens from which a read is reported to other regions: copying fewer
+/// saves less than the bytes of the report cost.
+const FAR_READ_TOKENS: u32 = 1_000;
+/// Notes kept for the next report; more are sent only in overload.
+const MAX_NOTES: usize = 24;
 /// Time that an idle engine takes for one token of an answer, in ms.
 const TOKEN_MS: f64 = 4.0;
 /// Part of its time for reading beyond which an engine counts as saturated.
@@ -134,6 +142,17 @@
         self.prompt.split_last().map_or(&[], |(_, shared)| shared)
     }
 
+    /// The prompt as it is reported when `server` is given it.
+    fn note(&self, server: u64) -> ReadNote {
+        let shared = self.shared().iter().map(|part| part.tokens).sum();
+        ReadNote {
+            session: self.session().map_or(0, part_key),
+            server: server as u32,
+            shared,
+            own: self.prompt_tokens().saturating_sub(shared),
+        }
+    }
+
     /// Part by which calls are kept together.
     pub fn session(&self) -> Option<u64> {
         let part = self.shared().last().or(self.prompt.first());
@@ -277,7 +296,9 @@
     generations: HashMap<ServiceName, FirstEventModel>,
     calls: HashMap<ServiceName, ServiceTimeModel>,
     revision: u64,
-    vms: usize,
+    far_reads: HashMap<u32, (ServerKey, Moment)>,
+    near_notes: Vec<ReadNote>,
+    far_notes: Vec<ReadNote>,
 }
 
 impl ServerTable {
@@ -294,7 +315,9 @@
             generations: HashMap::new(),
             calls: HashMap::new(),
             revision: 0,
-            vms: 1,
+            far_reads: HashMap::new(),
+            near_notes: Vec::new(),
+            far_notes: Vec::new(),
         }
     }
 
@@ -432,6 +455,8 @@
         });
         self.removed
             .retain(|_, (_, at)| now.since(*at) < REMOVAL_MEMORY);
+        self.far_reads
+            .retain(|_, (_, at)| now.since(*at) < FAR_READ_AGE);
     }
 
     /// Replaces the data centres whose servers take nothing.
@@ -477,6 +502,48 @@
         }
     }
 
+    /// Takes over prompts that another VM gave to servers.
+    pub fn record_reads(
+        &mut self,
+        notes: &[ReadNote],
+        capacity: impl Fn(&ServiceName) -> u64,
+        now: Moment,
+    ) {
+        for note in notes {
+            let found = self
+                .servers
+                .iter_mut()
+                .find(|(_, record)| record.hash as u32 == note.server);
+            let Some((key, record)) = found else {
+                continue;
+            };
+            if record.facts.centre.region == self.region {
+                let capacity = capacity(&record.facts.service);
+                record.cache.record(note, capacity, now);
+            } else {
+                self.far_reads.insert(note.session, (key, now));
+            }
+        }
+    }
+
+    /// Prompts given to servers since the last report to VMs of the own region,
+    /// or of the others.
+    pub fn take_notes(&mut self, near: bool) -> Vec<ReadNote> {
+        match near {
+            true => std::mem::take(&mut self.near_notes),
+            false => std::mem::take(&mut self.far_notes),
+        }
+    }
+
+    fn keep_note(&mut self, note: ReadNote) {
+        if self.near_notes.len() < MAX_NOTES {
+            self.near_notes.push(note);
+        }
+        if note.shared >= FAR_READ_TOKENS && self.far_notes.len() < MAX_NOTES {
+            self.far_notes.push(note);
+        }
+    }
+
     /// Work that this VM has outstanding, for the others.
     pub fn own_loads(&self, now: Moment) -> Vec<(u32, LoadShare)> {
         let loads = self.servers.values();
@@ -525,9 +592,8 @@
         cohort: &VmCohort<'_>,
         now: Moment,
     ) -> Result<Placement, NoPlacement> {
-        self.vms = cohort.live.len().max(1);
         let pace = self.pace.owner_calls(demand.terms.cold_rate);
-        let busy_limit = self.terms.busy_limit - self.terms.busy_rank_step * f64::from(demand.rank);
+        let busy_limit = self.terms.busy_limit(demand.rank);
         let mut usable = Vec::new();
         let mut paced = false;
         let mut least_busy: Option<f64> = None;
@@ -546,18 +612,21 @@
             }
             usable.push(key);
         }
-        let preferred = self.preferred(&usable, demand);
+        let session = demand.session().unwrap_or_default();
+        let donor = self.donor(demand, now);
         let best = usable
             .iter()
             .map(|key| {
                 let record = &self.servers[*key];
-                let unread = unread_tokens(record, demand, preferred == Some(*key));
+                let unread = self.unread_tokens(*key, demand, donor);
                 let (ahead, forecast) = self.forecast(record, demand.terms, unread, true, now);
                 let forecast = forecast + record.evidence.penalty(now);
                 let cost = forecast + self.side_cost(record, demand, unread, ahead, now);
                 (cost, forecast, ahead, unread, *key)
             })
-            .min_by_key(|(cost, _, ahead, ..)| (*cost, *ahead));
+            .min_by_key(|(cost, .., key)| {
+                (*cost, Reverse(affinity(session, self.servers[*key].hash)))
+            });
         let Some((_, forecast, ahead, unread, key)) = best else {
             return Err(match (least_busy, paced) {
                 (Some(busy), _) => NoPlacement::Saturated {
@@ -575,7 +644,9 @@
             let (ahead, late) = self.forecast(record, demand.terms, unread, false, now);
             (ahead, late + record.evidence.penalty(now).min(forecast))
         };
-        if forecast > demand.left || !self.has_room(key, demand, now) {
+        let busy = self.busy(&self.servers[key], demand.terms, now);
+        let end = forecast + answer_time(demand, busy);
+        if end > demand.left || !self.has_room(key, demand, now) {
             return Err(NoPlacement::Overloaded { forecast });
         }
         Ok(Placement {
@@ -584,8 +655,10 @@
             unread,
             ahead,
             forecast,
-            busy: self.busy(&self.servers[key], demand.terms, now),
-            donor: self.donor(key, preferred, demand),
+            busy,
+            donor: donor
+                .filter(|donor| *donor != key && !self.keeps_session(key, demand))
+                .map(|donor| self.servers[donor].facts.address),
         })
     }
 
@@ -607,7 +680,6 @@
         now: Moment,
     ) -> SentWork {
         let memory = demand.prompt_tokens().saturating_add(demand.answer_tokens);
-        let vms = self.vms as u64;
         let record = &mut self.servers[placement.key];
         let own = &mut record.own;
         match placement.urgent {
@@ -620,8 +692,9 @@
         record.evidence.record_sent(now);
         record.pace.record(now);
         if let Some(capacity) = demand.terms.cache_tokens {
-            // The other VMs of the region fill the same memory.
-            record.cache.record(demand.prompt, capacity / vms, now);
+            let note = demand.note(record.hash);
+            record.cache.record(&note, capacity, now);
+            self.keep_note(note);
         }
         SentWork {
             key: placement.key,
@@ -664,8 +737,9 @@
         own.memory_tokens = own.memory_tokens.saturating_sub(work.memory);
         own.calls = own.calls.saturating_sub(1);
         match end {
-            CallEnd::Good => record.evidence.record_answer(false, now),
-            CallEnd::Failed => record.evidence.record_answer(true, now),
+            CallEnd::Good => record.evidence.record_answer(AnswerQuality::Good, now),
+            CallEnd::Failed => record.evidence.record_answer(AnswerQuality::Failed, now),
+            CallEnd::Broken => record.evidence.record_answer(AnswerQuality::Broken, now),
             CallEnd::Refused => record.evidence.record_refused(now),
             CallEnd::Abandoned => {}
         }
@@ -708,8 +782,9 @@
         }
         let own = demand.prompt.last().map_or(0, |part| part.tokens);
         let reread = u64::from(unread.saturating_sub(own));
-        let busy = self.busy(record, demand.terms, now).min(MAX_BUSY);
-        let answer_ms = f64::from(demand.answer_tokens) * TOKEN_MS * busy / (1.0 - busy);
+        let busy = self.busy(record, demand.terms, now);
+        let idle = answer_time(demand, 0.0);
+        let slower = answer_time(demand, busy).saturating_sub(idle);
         let terms = &self.terms;
         let stall = (f64::from(ahead) + f64::from(unread)) / terms.stall_tokens - 1.0;
         let calls = f64::from(record.load(now).calls);
@@ -717,7 +792,8 @@
         self.model_of(demand.service)
             .read_time(reread)
             .mul_f64(self.terms.reread_weight)
-            + Duration::from_secs_f64((answer_ms * terms.answer_weight + stall_ms) / 1_000.0)
+            + slower.mul_f64(terms.answer_weight)
+            + Duration::from_secs_f64(stall_ms / 1_000.0)
     }
 
     /// Part of its time that a server spends reading prompts.
@@ -734,52 +810,48 @@
         self.generations.get(service).cloned().unwrap_or_default()
     }
 
-    /// Server from which the chosen one can copy shared parts.
-    ///
-    /// The one that this VM used last for them, else the one that the VMs of
-    /// this region, or of all regions, prefer.
-    fn donor(
-        &self,
-        chosen: ServerKey,
-        preferred: Option<ServerKey>,
-        demand: &PlaceDemand<'_>,
-    ) -> Option<SocketAddr> {
-        let session = demand.shared().last()?.id;
-        if self.servers[chosen].cache.last_use(session).is_some() {
+    /// Server that was given the shared parts of a call last.
+    fn donor(&self, demand: &PlaceDemand<'_>, now: Moment) -> Option<ServerKey> {
+        if demand.shared().is_empty() {
             return None;
         }
+        let session = part_key(demand.session()?);
         let holders = self.servers.iter().filter(|(_, record)| {
             record.facts.service == *demand.service && record.gone_at.is_none()
         });
-        let used = holders
+        let near = holders
             .filter_map(|(key, record)| Some((record.cache.last_use(session)?, key)))
             .max_by_key(|(at, _)| *at);
-        let donor = match (used, preferred) {
-            (Some((_, key)), _) => key,
-            (None, Some(key)) if key != chosen => key,
-            _ => self.preferred_anywhere(session, demand)?,
-        };
-        (donor != chosen).then(|| self.servers[donor].facts.address)
+        if let Some((_, key)) = near {
+            return Some(key);
+        }
+        let (key, at) = *self.far_reads.get(&session)?;
+        let facts = &self.servers.get(key)?.facts;
+        let allowed =
+            demand.residency.is_empty() || demand.residency.contains(&facts.centre.region);
+        (allowed && now.since(at) < FAR_READ_AGE).then_some(key)
     }
 
-    /// Server that the VMs of all regions prefer for a session.
-    fn preferred_anywhere(&self, session: u64, demand: &PlaceDemand<'_>) -> Option<ServerKey> {
-        let allowed = |record: &ServerRecord| {
-            let facts = &record.facts;
-            facts.service == *demand.service
-                && record.gone_at.is_none()
-                && (demand.residency.is_empty() || demand.residency.contains(&facts.centre.region))
-        };
-        let servers = self.servers.iter().filter(|(_, record)| allowed(record));
-        let ranked = servers.max_by_key(|(_, record)| affinity(session, record.hash));
-        ranked.map(|(key, _)| key)
+    fn keeps_session(&self, key: ServerKey, demand: &PlaceDemand<'_>) -> bool {
+        let session = demand.session().map(part_key);
+        let cache = &self.servers[key].cache;
+        session.is_some_and(|session| cache.last_use(session).is_some())
     }
 
-    /// Server that all VMs prefer for the session of a call.
-    fn preferred(&self, usable: &[ServerKey], demand: &PlaceDemand<'_>) -> Option<ServerKey> {
-        let session = demand.session()?;
-        let rank = |key: &&ServerKey| affinity(session, self.servers[**key].hash);
-        usable.iter().max_by_key(rank).copied()
+    /// Tokens that a server is expected to read for a call.
+    fn unread_tokens(
+        &self,
+        key: ServerKey,
+        demand: &PlaceDemand<'_>,
+        donor: Option<ServerKey>,
+    ) -> u32 {
+        let note = demand.note(0);
+        let read = match donor {
+            _ if self.keeps_session(key, demand) => 0.0,
+            Some(_) => self.terms.copy_share,
+            None => 1.0,
+        };
+        note.own + (f64::from(note.shared) * read) as u32
     }
 
     /// Work ahead of a call and the predicted time to its first event.
@@ -834,8 +906,10 @@
 pub enum CallEnd {
     /// Whole answer.
     Good,
-    /// Failure or broken answer.
+    /// Whole answer that is a failure or a refusal.
     Failed,
+    /// Lost, cut or wrong answer.
+    Broken,
     /// No connection.
     Refused,
     /// Says nothing about the server.
@@ -853,13 +927,12 @@
     }
 }
 
-/// Tokens that a server has to read. The preferred server of a session has
-/// probably read the shared parts for another VM.
-fn unread_tokens(record: &ServerRecord, demand: &PlaceDemand<'_>, preferred: bool) -> u32 {
-    let cached = record.cache.cached_tokens(demand.shared());
-    let cached = match preferred {
-        true => demand.shared().iter().map(|part| part.tokens).sum(),
-        false => cached,
-    };
-    demand.prompt_tokens().saturating_sub(cached)
+/// Time for the tokens of an answer. Between two of them the engine reads a
+/// chunk of every prompt that waits.
+fn answer_time(demand: &PlaceDemand<'_>, busy: f64) -> Duration {
+    if demand.terms.cache_tokens.is_none() {
+        return Duration::ZERO;
+    }
+    let free = 1.0 - busy.min(MAX_BUSY);
+    Duration::from_secs_f64(f64::from(demand.answer_tokens) * TOKEN_MS / free / 1_000.0)
 }
--- a/crates/verbenaring-policy/src/dispatch/terms.rs
+++ b/crates/verbenaring-policy/src/dispatch/terms.rs
@@ -23,6 +23,9 @@
     /// Weight of the time to read shared parts again beside the time that the
     /// call waits. Reading them takes the server's time from all its calls.
     pub reread_weight: f64,
+    /// Part of the shared tokens that a server still has to read when it can
+    /// copy them: the other server may have dropped them.
+    pub copy_share: f64,
     /// Weight of the time for the answer's tokens: a later end costs less than
     /// a later first event.
     pub answer_weight: f64,
@@ -43,9 +46,18 @@
             busy_limit: 1.2,
             busy_rank_step: 0.1,
             reread_weight: 3.0,
+            copy_share: 0.3,
             answer_weight: 0.1,
             stall_tokens: 8_000.0,
             stall_ms: 100.0,
         }
     }
 }
+
+impl DispatchTerms {
+    /// Part of its time for reading prompts beyond which an engine takes no
+    /// call of `rank`.
+    pub fn busy_limit(&self, rank: u8) -> f64 {
+        self.busy_limit - self.busy_rank_step * f64::from(rank)
+    }
+}
