--- a/crates/verbenaring-core/src/caller/listener.rs
+++ b/crates/verbenaring-core/src/caller/listener.rs
@@ -132,7 +132,8 @@
         .max_buf_size(READ_BUFFER_BYTES);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
-    let mut closing = false;
+    // A connection that is opened while others close is still answered once.
+    let mut closing = *rules.stop.borrow_and_update() == StopStep::Closing;
     loop {
         tokio::select! {
             ended = connection.as_mut() => {
--- a/crates/verbenaring-core/src/cluster/report.rs
+++ b/crates/verbenaring-core/src/cluster/report.rs
@@ -66,6 +66,14 @@
             .unwrap_or_else(PoisonError::into_inner) = addresses;
     }
 
+    /// Adds the address of a VM.
+    pub fn add(&self, address: SocketAddr) {
+        let announced = self.announced.lock();
+        announced
+            .unwrap_or_else(PoisonError::into_inner)
+            .insert(address);
+    }
+
     fn announced(&self) -> HashSet<SocketAddr> {
         let announced = self.announced.lock();
         announced.unwrap_or_else(PoisonError::into_inner).clone()
--- a/crates/verbenaring-core/src/node.rs
+++ b/crates/verbenaring-core/src/node.rs
@@ -16,7 +16,7 @@
 use verbenaring_policy::dispatch::call::{CallerLimits, RouteTable};
 use verbenaring_policy::dispatch::presence::VmState;
 use verbenaring_policy::dispatch::table::ServerKey;
-use verbenaring_policy::id::DataCentre;
+use verbenaring_policy::id::{DataCentre, VmId};
 
 use crate::border::WireBorder;
 use crate::caller::body::AnswerBody;
@@ -132,8 +132,33 @@
         }
     }
 
+    /// Highest revision of a server entry that was taken over.
+    pub fn servers_revision(&self) -> u64 {
+        self.lock().servers.revision()
+    }
+
+    /// Whether reports of a VM arrive.
+    pub fn hears_vm(&self, vm: &VmId) -> bool {
+        let now = self.clock.now();
+        let state = self.lock();
+        state.vms.find(vm).is_some_and(|record| record.is_live(now))
+    }
+
+    /// Whether a VM is known to take calls.
+    pub fn takes_calls(&self, vm: &VmId) -> bool {
+        let now = self.clock.now();
+        let state = self.lock();
+        let record = state.vms.find(vm);
+        record.is_some_and(|record| record.takes_calls(now))
+    }
+
+    /// Whether a stop has begun.
+    pub fn is_stopping(&self) -> bool {
+        *self.stop.borrow() != StopStep::Serving
+    }
+
     /// Whether a call that may last until `limit` can end before this process.
-    pub(crate) fn can_finish(&self, limit: Instant) -> bool {
+    pub fn can_finish(&self, limit: Instant) -> bool {
         let closing = *self.stop.borrow() == StopStep::Closing;
         !closing || self.exit.get().is_some_and(|exit| limit < *exit)
     }
--- a/crates/verbenaring-core/src/path/exchange.rs
+++ b/crates/verbenaring-core/src/path/exchange.rs
@@ -213,7 +213,7 @@
                     return Err(SendFault::Broken(format!("no answer within {silence:?}")));
                 }
                 () = tokio::time::sleep(PRESENCE_CHECK), if route.vm.is_some() => {
-                    if route.vm.as_ref().is_some_and(|vm| !self.hears(vm)) {
+                    if route.vm.as_ref().is_some_and(|vm| !self.hears_vm(vm)) {
                         return Err(SendFault::Broken("the VM no longer reports".to_owned()));
                     }
                 }
@@ -270,12 +270,6 @@
         }
     }
 
-    fn hears(&self, vm: &VmId) -> bool {
-        let now = self.clock.now();
-        let state = self.lock();
-        state.vms.find(vm).is_some_and(|record| record.is_live(now))
-    }
-
     fn server_request(
         &self,
         call: &PendingCall,
