Choose only among servers that answer in time and have room

Cause: the cheapest server was chosen first and the call refused if that one had no room or would answer too late, even with another server free (test copies_parts_that_another_vm_had_read failed with Overloaded). Ruled out: the forecast and the copied parts, which the test checks as well. Change: candidates that answer in time and have room come first; the choice is in a module of its own, server records in another.

--- a/crates/verbenaring-core/src/cluster/report.rs
+++ b/crates/verbenaring-core/src/cluster/report.rs
@@ -16,7 +16,7 @@
 use tokio::time::{Instant, MissedTickBehavior};
 use verbenaring_policy::dispatch::presence::{ServiceWait, VmRecord, VmState};
 use verbenaring_policy::dispatch::prompt::{ReadNote, name_hash};
-use verbenaring_policy::dispatch::table::LoadShare;
+use verbenaring_policy::dispatch::server::LoadShare;
 use verbenaring_policy::id::{CentreName, ServiceName, VmId};
 
 use crate::border::WireBorder;
--- a/crates/verbenaring-core/src/cluster/snapshot.rs
+++ b/crates/verbenaring-core/src/cluster/snapshot.rs
@@ -16,7 +16,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 use verbenaring_policy::dispatch::call::RouteDocument;
-use verbenaring_policy::dispatch::table::ServerFacts;
+use verbenaring_policy::dispatch::server::ServerFacts;
 use verbenaring_policy::id::CentreName;
 
 use crate::border::WireBorder;
--- a/crates/verbenaring-core/src/config/source.rs
+++ b/crates/verbenaring-core/src/config/source.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 use verbenaring_policy::dispatch::call::RouteDocument;
-use verbenaring_policy::dispatch::table::ServerFacts;
+use verbenaring_policy::dispatch::server::ServerFacts;
 use verbenaring_policy::id::{CentreName, ServerId, VmId};
 
 /// Part of the configuration that is listed and watched by itself.
--- a/crates/verbenaring-core/src/config/sync.rs
+++ b/crates/verbenaring-core/src/config/sync.rs
@@ -12,7 +12,8 @@
 use rand::Rng;
 use tokio::time::Instant;
 use verbenaring_policy::dispatch::call::{RouteDocument, RouteTable};
-use verbenaring_policy::dispatch::table::{EntryChange, ServerFacts};
+use verbenaring_policy::dispatch::server::ServerFacts;
+use verbenaring_policy::dispatch::table::EntryChange;
 use verbenaring_policy::id::{CentreName, ServerId};
 
 use super::source::{
--- a/crates/verbenaring-core/src/node.rs
+++ b/crates/verbenaring-core/src/node.rs
@@ -15,7 +15,7 @@
 use tokio_util::task::TaskTracker;
 use verbenaring_policy::dispatch::call::{CallerLimits, RouteTable};
 use verbenaring_policy::dispatch::presence::VmState;
-use verbenaring_policy::dispatch::table::ServerKey;
+use verbenaring_policy::dispatch::server::ServerKey;
 use verbenaring_policy::id::{DataCentre, VmId};
 
 use crate::border::WireBorder;
--- a/crates/verbenaring-core/src/path/call.rs
+++ b/crates/verbenaring-core/src/path/call.rs
@@ -12,8 +12,9 @@
 use hyper::{HeaderMap, Method, Uri};
 use tokio::time::Instant;
 use verbenaring_policy::dispatch::call::{CallRoute, ServiceTerms};
+use verbenaring_policy::dispatch::place::PlaceDemand;
 use verbenaring_policy::dispatch::prompt::{affinity, name_hash};
-use verbenaring_policy::dispatch::table::{PlaceDemand, ServerKey};
+use verbenaring_policy::dispatch::server::ServerKey;
 use verbenaring_policy::id::{RegionName, ServiceName, VmId};
 use verbenaring_protocol::header;
 
--- a/crates/verbenaring-core/src/path/choose.rs
+++ b/crates/verbenaring-core/src/path/choose.rs
@@ -9,9 +9,10 @@
 
 use rand::Rng;
 use rand::seq::IndexedRandom;
+use verbenaring_policy::dispatch::place::{NoPlacement, Placement, VmCohort};
 use verbenaring_policy::dispatch::presence::VmRecord;
+use verbenaring_policy::dispatch::server::SentWork;
 use verbenaring_policy::dispatch::spill::{CallTimes, RegionForecast, RegionOffer, leaves_region};
-use verbenaring_policy::dispatch::table::{NoPlacement, Placement, SentWork, VmCohort};
 use verbenaring_policy::id::{RegionName, ServerId, VmId};
 use verbenaring_policy::time::Moment;
 
--- a/crates/verbenaring-core/src/path/controller.rs
+++ b/crates/verbenaring-core/src/path/controller.rs
@@ -264,7 +264,7 @@
 
 /// Target of an attempt, kept to exclude it after a failure.
 enum TargetKey {
-    Server(verbenaring_policy::dispatch::table::ServerKey),
+    Server(verbenaring_policy::dispatch::server::ServerKey),
     Vm(verbenaring_policy::id::VmId),
 }
 
--- a/crates/verbenaring-core/src/path/exchange.rs
+++ b/crates/verbenaring-core/src/path/exchange.rs
@@ -11,7 +11,7 @@
 use hyper::http::response::Parts;
 use hyper::{Request, Response};
 use tokio::time::Instant;
-use verbenaring_policy::dispatch::table::{CallEnd, SentWork, ServerKey};
+use verbenaring_policy::dispatch::server::{CallEnd, SentWork, ServerKey};
 use verbenaring_policy::id::VmId;
 use verbenaring_policy::outcome::RunOutcome;
 use verbenaring_protocol::header;
--- a/crates/verbenaring-core/src/path/relay.rs
+++ b/crates/verbenaring-core/src/path/relay.rs
@@ -13,7 +13,7 @@
 use hyper::Response;
 use tokio::time::{Instant, sleep_until, timeout_at};
 use verbenaring_policy::dispatch::call::CallKind;
-use verbenaring_policy::dispatch::table::CallEnd;
+use verbenaring_policy::dispatch::server::CallEnd;
 
 use super::call::{PendingCall, TriedTargets, strip_connection};
 use super::controller::SettledCall;
--- /dev/null
+++ b/crates/verbenaring-policy/src/dispatch/place.rs
@@ -0,0 +1,372 @@
+//! Choice of a backend server in the own region.
+//!
+//! Load patterns: prompts queue at engines while other engines idle, shared
+//! parts of prompts are read again and again, several VMs choose at once, and
+//! bursts exceed what can be answered in time. A call goes to the server with
+//! the least predicted cost among those that can answer it in time. The
+//! prediction counts the unread tokens that this VM and the others of the
+//! region have outstanding there. Calls that can still meet their goal are
+//! urgent; the others take what the urgent ones leave, so that a burst does not
+//! make every later call late.
+
+use std::cmp::Reverse;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::call::ServiceTerms;
+use super::prompt::{PromptPart, ReadNote, affinity, part_key};
+use super::server::{ServerKey, ServerRecord};
+use super::table::{FAR_READ_AGE, ServerTable};
+use super::usage::WorkRate;
+use crate::id::{ModelName, RegionName, ServiceName};
+use crate::time::Moment;
+
+/// Calls that a plain server holds, as a multiple of its slots. Servers queue a
+/// few times their slots and refuse the rest.
+const PLAIN_BACKLOG: u32 = 4;
+/// Time that an idle engine takes for one token of an answer, in ms.
+const TOKEN_MS: f64 = 4.0;
+/// Part of its time for reading beyond which an engine counts as saturated.
+const MAX_BUSY: f64 = 0.9;
+
+/// Call to be placed.
+#[derive(Debug, Clone, Copy)]
+pub struct PlaceDemand<'a> {
+    /// Service.
+    pub service: &'a ServiceName,
+    /// Terms of the service.
+    pub terms: &'a ServiceTerms,
+    /// Model; any if absent.
+    pub model: Option<&'a ModelName>,
+    /// Parts of the prompt, in order; empty for plain calls.
+    pub prompt: &'a [PromptPart],
+    /// Expected tokens of the answer.
+    pub answer_tokens: u32,
+    /// Rank of the route, 0 first.
+    pub rank: u8,
+    /// Regions in which the call may run; all if empty.
+    pub residency: &'a [RegionName],
+    /// Servers that already failed the call.
+    pub excluded: &'a [ServerKey],
+    /// Time since the call arrived.
+    pub elapsed: Duration,
+    /// Time within which the answer is worth the most.
+    pub goal: Duration,
+    /// Time left for the call.
+    pub left: Duration,
+}
+
+impl PlaceDemand<'_> {
+    /// Tokens of the prompt.
+    pub fn prompt_tokens(&self) -> u32 {
+        self.prompt.iter().map(|part| part.tokens).sum()
+    }
+
+    /// Parts that other calls share: all but the last.
+    fn shared(&self) -> &[PromptPart] {
+        self.prompt.split_last().map_or(&[], |(_, shared)| shared)
+    }
+
+    /// The prompt as it is reported when `server` is given it.
+    pub(super) fn note(&self, server: u64) -> ReadNote {
+        let shared = self.shared().iter().map(|part| part.tokens).sum();
+        ReadNote {
+            session: self.session().map_or(0, part_key),
+            server: server as u32,
+            shared,
+            own: self.prompt_tokens().saturating_sub(shared),
+        }
+    }
+
+    /// Part by which calls are kept together.
+    pub fn session(&self) -> Option<u64> {
+        let part = self.shared().last().or(self.prompt.first());
+        part.map(|part| part.id)
+    }
+}
+
+/// Live VMs of the own region, as name hashes, this one included.
+#[derive(Debug, Clone, Copy)]
+pub struct VmCohort<'a> {
+    /// This VM.
+    pub own: u64,
+    /// All live VMs.
+    pub live: &'a [u64],
+}
+
+impl VmCohort<'_> {
+    fn owns(&self, server: u64) -> bool {
+        let rank = |vm: &u64| affinity(server, *vm);
+        self.live.iter().all(|vm| rank(vm) <= rank(&self.own))
+    }
+}
+
+/// Chosen server.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Placement {
+    /// Server.
+    pub key: ServerKey,
+    /// Whether the call can meet its goal.
+    pub urgent: bool,
+    /// Prompt tokens that the server has to read for the call.
+    pub unread: u32,
+    /// Unread tokens, or calls, that are ahead of it.
+    pub ahead: u32,
+    /// Predicted time to the first event or the answer.
+    pub forecast: Duration,
+    /// Part of its time that the server spends reading prompts.
+    pub busy: f64,
+    /// Server that has probably read the shared parts, if this one has not.
+    pub donor: Option<SocketAddr>,
+}
+
+/// Why no server was chosen.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum NoPlacement {
+    /// No server of the region may take the call.
+    NoServer,
+    /// The servers that may take it are cold and get as much as they bear.
+    Paced,
+    /// Every server spends too much of its time reading prompts.
+    Saturated {
+        /// Time until one reads less, without new calls.
+        until: Duration,
+    },
+    /// The answer would come too late or no server has room.
+    Overloaded {
+        /// Predicted time to the answer.
+        forecast: Duration,
+    },
+}
+
+/// Server that could be chosen.
+#[derive(Debug, Clone, Copy)]
+struct Candidate {
+    key: ServerKey,
+    urgent: bool,
+    unread: u32,
+    ahead: u32,
+    forecast: Duration,
+    busy: f64,
+    cost: Duration,
+    in_time: bool,
+}
+
+impl ServerTable {
+    /// Chooses a server of the own region.
+    pub fn place(
+        &mut self,
+        demand: &PlaceDemand<'_>,
+        cohort: &VmCohort<'_>,
+        now: Moment,
+    ) -> Result<Placement, NoPlacement> {
+        let usable = self.usable(demand, cohort, now)?;
+        let session = demand.session().unwrap_or_default();
+        let donor = self.donor(demand, now);
+        let candidates = usable
+            .into_iter()
+            .map(|key| self.candidate(key, demand, donor, now));
+        let rank = |candidate: &Candidate| {
+            let affinity = affinity(session, self.servers[candidate.key].hash);
+            (!candidate.in_time, candidate.cost, Reverse(affinity))
+        };
+        let best = candidates.min_by_key(rank).ok_or(NoPlacement::NoServer)?;
+        if !best.in_time {
+            let forecast = best.forecast;
+            return Err(NoPlacement::Overloaded { forecast });
+        }
+        let donor =
+            donor.filter(|donor| *donor != best.key && !self.keeps_session(best.key, demand));
+        Ok(Placement {
+            key: best.key,
+            urgent: best.urgent,
+            unread: best.unread,
+            ahead: best.ahead,
+            forecast: best.forecast,
+            busy: best.busy,
+            donor: donor.map(|donor| self.servers[donor].facts.address),
+        })
+    }
+
+    /// Servers that may be given the call now.
+    fn usable(
+        &mut self,
+        demand: &PlaceDemand<'_>,
+        cohort: &VmCohort<'_>,
+        now: Moment,
+    ) -> Result<Vec<ServerKey>, NoPlacement> {
+        let pace = self.pace.owner_calls(demand.terms.cold_rate);
+        let busy_limit = self.terms.busy_limit(demand.rank);
+        let mut usable = Vec::new();
+        let mut paced = false;
+        let mut least_busy: Option<f64> = None;
+        for key in self.candidates(demand, now) {
+            let busy = self.busy(&self.servers[key], demand.terms, now);
+            if busy > busy_limit {
+                least_busy = Some(least_busy.map_or(busy, |least| least.min(busy)));
+                continue;
+            }
+            let record = &mut self.servers[key];
+            let owned = cohort.owns(record.hash) && record.pace.allows(pace, now);
+            if record.is_paced(demand.terms, now) && !owned {
+                paced = true;
+            } else {
+                usable.push(key);
+            }
+        }
+        match (usable.is_empty(), least_busy, paced) {
+            (false, ..) => Ok(usable),
+            (true, Some(busy), _) => Err(NoPlacement::Saturated {
+                until: WorkRate::time_to_fall(busy, busy_limit),
+            }),
+            (true, None, true) => Err(NoPlacement::Paced),
+            (true, None, false) => Err(NoPlacement::NoServer),
+        }
+    }
+
+    fn candidate(
+        &self,
+        key: ServerKey,
+        demand: &PlaceDemand<'_>,
+        donor: Option<ServerKey>,
+        now: Moment,
+    ) -> Candidate {
+        let record = &self.servers[key];
+        let busy = self.busy(record, demand.terms, now);
+        let unread = self.unread_tokens(key, demand, donor);
+        let penalty = record.evidence.penalty(now);
+        let (ahead, first) = self.forecast(record, demand.terms, unread, true, now);
+        let first = first + penalty;
+        let cost = first + self.side_cost(record, demand, unread, ahead, now);
+        let urgent = demand.elapsed + first <= demand.goal.mul_f64(self.terms.goal_margin);
+        let (ahead, forecast) = match urgent {
+            true => (ahead, first),
+            false => {
+                let (ahead, late) = self.forecast(record, demand.terms, unread, false, now);
+                (ahead, late + penalty)
+            }
+        };
+        let end = forecast + answer_time(demand, busy);
+        Candidate {
+            key,
+            urgent,
+            unread,
+            ahead,
+            forecast,
+            busy,
+            cost,
+            in_time: end <= demand.left && self.has_room(key, demand, now),
+        }
+    }
+
+    fn candidates(&self, demand: &PlaceDemand<'_>, now: Moment) -> Vec<ServerKey> {
+        let fits = |record: &ServerRecord| {
+            let facts = &record.facts;
+            let model = demand
+                .model
+                .is_none_or(|model| facts.models.is_empty() || facts.models.contains(model));
+            facts.service == *demand.service && model && self.is_usable(record, now)
+        };
+        self.servers
+            .iter()
+            .filter(|(key, record)| fits(record) && !demand.excluded.contains(key))
+            .map(|(key, _)| key)
+            .collect()
+    }
+
+    /// Cost of a choice beside the wait of the call itself, as time.
+    fn side_cost(
+        &self,
+        record: &ServerRecord,
+        demand: &PlaceDemand<'_>,
+        unread: u32,
+        ahead: u32,
+        now: Moment,
+    ) -> Duration {
+        if demand.terms.cache_tokens.is_none() {
+            return Duration::ZERO;
+        }
+        let own = demand.prompt.last().map_or(0, |part| part.tokens);
+        let reread = u64::from(unread.saturating_sub(own));
+        let busy = self.busy(record, demand.terms, now);
+        let idle = answer_time(demand, 0.0);
+        let slower = answer_time(demand, busy).saturating_sub(idle);
+        let terms = &self.terms;
+        let stall = (f64::from(ahead) + f64::from(unread)) / terms.stall_tokens - 1.0;
+        let calls = f64::from(record.load(now).calls);
+        let stall_ms = stall.max(0.0) * calls * terms.stall_ms;
+        self.model_of(demand.service)
+            .read_time(reread)
+            .mul_f64(self.terms.reread_weight)
+            + slower.mul_f64(terms.answer_weight)
+            + Duration::from_secs_f64(stall_ms / 1_000.0)
+    }
+
+    /// Server that was given the shared parts of a call last.
+    fn donor(&self, demand: &PlaceDemand<'_>, now: Moment) -> Option<ServerKey> {
+        if demand.shared().is_empty() {
+            return None;
+        }
+        let session = part_key(demand.session()?);
+        let holders = self.servers.iter().filter(|(_, record)| {
+            record.facts.service == *demand.service && record.gone_at.is_none()
+        });
+        let near = holders
+            .filter_map(|(key, record)| Some((record.cache.last_use(session)?, key)))
+            .max_by_key(|(at, _)| *at);
+        if let Some((_, key)) = near {
+            return Some(key);
+        }
+        let (key, at) = *self.far_reads.get(&session)?;
+        let facts = &self.servers.get(key)?.facts;
+        let allowed =
+            demand.residency.is_empty() || demand.residency.contains(&facts.centre.region);
+        (allowed && now.since(at) < FAR_READ_AGE).then_some(key)
+    }
+
+    fn keeps_session(&self, key: ServerKey, demand: &PlaceDemand<'_>) -> bool {
+        let session = demand.session().map(part_key);
+        let cache = &self.servers[key].cache;
+        session.is_some_and(|session| cache.last_use(session).is_some())
+    }
+
+    /// Tokens that a server is expected to read for a call.
+    fn unread_tokens(
+        &self,
+        key: ServerKey,
+        demand: &PlaceDemand<'_>,
+        donor: Option<ServerKey>,
+    ) -> u32 {
+        let note = demand.note(0);
+        let read = match donor {
+            _ if self.keeps_session(key, demand) => 0.0,
+            Some(_) => self.terms.copy_share,
+            None => 1.0,
+        };
+        note.own + (f64::from(note.shared) * read) as u32
+    }
+
+    fn has_room(&self, key: ServerKey, demand: &PlaceDemand<'_>, now: Moment) -> bool {
+        let record = &self.servers[key];
+        let load = record.load(now);
+        match demand.terms.cache_tokens {
+            None => u32::from(load.calls) < record.facts.slots * PLAIN_BACKLOG,
+            Some(capacity) => {
+                let memory = u64::from(load.memory_tokens)
+                    + u64::from(demand.prompt_tokens())
+                    + u64::from(demand.answer_tokens);
+                load.calls == 0 || memory <= capacity
+            }
+        }
+    }
+}
+
+/// Time for the tokens of an answer. Between two of them the engine reads a
+/// chunk of every prompt that waits.
+fn answer_time(demand: &PlaceDemand<'_>, busy: f64) -> Duration {
+    if demand.terms.cache_tokens.is_none() {
+        return Duration::ZERO;
+    }
+    let free = 1.0 - busy.min(MAX_BUSY);
+    Duration::from_secs_f64(f64::from(demand.answer_tokens) * TOKEN_MS / free / 1_000.0)
+}
--- a/crates/verbenaring-policy/tests/dispatch.rs
+++ b/crates/verbenaring-policy/tests/dispatch.rs
@@ -8,13 +8,12 @@
 use verbenaring_policy::dispatch::evidence::{AnswerQuality, ServerEvidence};
 use verbenaring_policy::dispatch::forecast::FirstEventModel;
 use verbenaring_policy::dispatch::pace::{PaceTerms, PaceWindow};
+use verbenaring_policy::dispatch::place::{NoPlacement, PlaceDemand, Placement, VmCohort};
 use verbenaring_policy::dispatch::presence::{PresenceTable, VmRecord, VmState};
 use verbenaring_policy::dispatch::prompt::{PartCache, PromptPart, ReadNote};
+use verbenaring_policy::dispatch::server::{CallEnd, SentWork, ServerFacts};
 use verbenaring_policy::dispatch::spill::{CallTimes, RegionForecast, leaves_region};
-use verbenaring_policy::dispatch::table::{
-    CallEnd, EntryChange, NoPlacement, PlaceDemand, Placement, SentWork, ServerFacts, ServerTable,
-    VmCohort,
-};
+use verbenaring_policy::dispatch::table::{EntryChange, ServerTable};
 use verbenaring_policy::dispatch::terms::DispatchTerms;
 use verbenaring_policy::id::{
     CentreName, DataCentre, ModelName, RegionName, ServerId, ServiceName, VmId,
