--- a/crates/verbenaring-core/src/node.rs
+++ b/crates/verbenaring-core/src/node.rs
@@ -17,6 +17,7 @@
 use verbenaring_policy::dispatch::presence::VmState;
 use verbenaring_policy::dispatch::server::ServerKey;
 use verbenaring_policy::id::{DataCentre, VmId};
+use verbenaring_policy::time::Moment;
 
 use crate::border::WireBorder;
 use crate::caller::body::AnswerBody;
@@ -35,6 +36,8 @@
 
 /// Time between clean-ups of state and connections.
 const SWEEP_PERIOD: Duration = Duration::from_millis(500);
+/// Time between log lines on learned times.
+const MODEL_LOG_PERIOD: Duration = Duration::from_secs(2);
 /// Descriptors kept for listeners, the store, other VMs and files.
 const RESERVED_DESCRIPTORS: usize = 300;
 /// Time for which a stop is announced and all calls are taken. Callers use an
@@ -207,10 +210,29 @@
         answer
     }
 
+    fn log_models(&self, now: Moment) {
+        let routes = self.routes.load();
+        let state = self.lock();
+        let waits = state.servers.waits(routes.services(), now);
+        for (service, model) in state.servers.models() {
+            let (base_ms, ktoken_ms) = model.learned_ms();
+            let wait = waits.iter().find(|wait| wait.service == *service);
+            log::info!(service:% = service, base_ms = base_ms, ktoken_ms = ktoken_ms,
+                wait_ms = wait.map_or(0, |wait| wait.wait_ms),
+                busy_percent = wait.map_or(0, |wait| wait.busy_percent),
+                servers = wait.map_or(0, |wait| wait.servers); "engine times learned");
+        }
+    }
+
     async fn sweep(self: Arc<Self>) {
+        let mut logged = Instant::now();
         loop {
             tokio::time::sleep(SWEEP_PERIOD).await;
             let now = self.clock.now();
+            if logged.elapsed() >= MODEL_LOG_PERIOD {
+                logged = Instant::now();
+                self.log_models(now);
+            }
             self.pool.sweep();
             let mut state = self.lock();
             state.expire(now);
--- a/crates/verbenaring-policy/src/dispatch/forecast.rs
+++ b/crates/verbenaring-policy/src/dispatch/forecast.rs
@@ -40,6 +40,11 @@
 }
 
 impl FirstEventModel {
+    /// Learned base time and time per 1,000 unread tokens, in ms.
+    pub fn learned_ms(&self) -> (f64, f64) {
+        (self.base_ms, self.ktoken_ms)
+    }
+
     /// Time to the first event with `tokens` unread tokens, the request's own included.
     pub fn predict(&self, tokens: u64) -> Duration {
         Duration::from_secs_f64((self.base_ms + self.ktoken_ms * kilo(tokens)) / 1_000.0)
@@ -50,12 +55,6 @@
         Duration::from_secs_f64(self.ktoken_ms * kilo(tokens) / 1_000.0)
     }
 
-    /// Tokens that are read within `time`, beyond the base time.
-    pub fn tokens_within(&self, time: Duration) -> u64 {
-        let left = (time.as_secs_f64() * 1_000.0 - self.base_ms).max(0.0);
-        (left / self.ktoken_ms * 1_000.0) as u64
-    }
-
     /// Learns from a request that had `tokens` unread tokens up to its own end.
     pub fn learn(&mut self, tokens: u64, observed: Duration) {
         let input = [1.0, kilo(tokens)];
--- a/crates/verbenaring-policy/src/dispatch/table.rs
+++ b/crates/verbenaring-policy/src/dispatch/table.rs
@@ -382,6 +382,11 @@
         }
     }
 
+    /// Learned time models of engines, by service.
+    pub fn models(&self) -> impl Iterator<Item = (&ServiceName, &FirstEventModel)> {
+        self.generations.iter()
+    }
+
     /// Counts the first event or the answer of a call.
     pub fn record_first(&mut self, work: &SentWork, now: Moment) {
         let Some(record) = self.servers.get_mut(work.key) else {
