Log placements with their inputs; daemon test reads standard output

Ruled out: keeping the daemon's logs on standard error: the users ask for standard output for every process. Change: bounded lines "call placed" and "call forwarded" with forecast, load, entry revision, routes version and age of the report; the daemon writes its last lines before it ends; the test reads standard output with the same checks.

--- a/crates/verbenaring-core/src/node.rs
+++ b/crates/verbenaring-core/src/node.rs
@@ -37,7 +37,7 @@
 /// Time between clean-ups of state and connections.
 const SWEEP_PERIOD: Duration = Duration::from_millis(500);
 /// Time between log lines on learned times.
-const MODEL_LOG_PERIOD: Duration = Duration::from_secs(2);
+const MODEL_LOG_PERIOD: Duration = Duration::from_secs(5);
 /// Descriptors kept for listeners, the store, other VMs and files.
 const RESERVED_DESCRIPTORS: usize = 300;
 /// Time for which a stop is announced and all calls are taken. Callers use an
--- a/crates/verbenaring-core/src/path/choose.rs
+++ b/crates/verbenaring-core/src/path/choose.rs
@@ -149,6 +149,15 @@
     ) -> Option<CallTarget> {
         let facts = state.servers.facts(placement.key)?;
         let (id, address) = (facts.id.clone(), facts.address);
+        let routine_lines = self.settings.tuning.routine_lines_per_s;
+        if let Some(suppressed) = state.lines.take(routine_lines, now) {
+            log::info!(request = call.facts.attempt.as_str(), route = call.route.name.as_str(),
+                routes_version = self.routes.load().version(), server:% = id,
+                entry_revision = facts.revision, urgent = placement.urgent,
+                unread = placement.unread, ahead = placement.ahead, busy = placement.busy,
+                forecast_ms = placement.forecast.as_millis() as u64,
+                copied = placement.donor.is_some(), suppressed_lines = suppressed; "call placed");
+        }
         let demand = call.demand(&tried.servers);
         let work = state.servers.start(placement, &demand, now);
         Some(CallTarget::Server(ChosenServer {
@@ -169,6 +178,14 @@
         now: Moment,
     ) -> Option<CallTarget> {
         state.spill.record(&work.0, &call.service, work.1, now);
+        let routine_lines = self.settings.tuning.routine_lines_per_s;
+        if let Some(suppressed) = state.lines.take(routine_lines, now) {
+            log::info!(request = call.facts.attempt.as_str(), route = call.route.name.as_str(),
+                routes_version = self.routes.load().version(), vm:% = vm.vm, region:% = work.0,
+                busy = vm.busy, forecast_ms = vm.forecast.as_millis() as u64,
+                report_age_ms = vm.age.as_millis() as u64,
+                suppressed_lines = suppressed; "call forwarded");
+        }
         Some(CallTarget::Vm(vm))
     }
 
--- a/crates/verbenaring-gateway/src/main.rs
+++ b/crates/verbenaring-gateway/src/main.rs
@@ -80,6 +80,7 @@
     tokio::select! {
         () = node.stop() => {
             log::info!("shutdown complete");
+            log::logger().flush();
             Ok(ExitCode::SUCCESS)
         }
         _ = terminate.recv() => Ok(ExitCode::from(EXIT_FAILED)),
--- a/crates/verbenaring-gateway/tests/daemon.rs
+++ b/crates/verbenaring-gateway/tests/daemon.rs
@@ -3,7 +3,7 @@
 use std::io::{BufRead, BufReader, ErrorKind};
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
-use std::process::{Child, ChildStderr, Command, Stdio};
+use std::process::{Child, ChildStdout, Command, Stdio};
 
 use serde_json::{Value, json};
 
@@ -117,7 +117,7 @@
 /// Running daemon, killed at the end of the test.
 struct Daemon {
     child: Child,
-    log: BufReader<ChildStderr>,
+    log: BufReader<ChildStdout>,
 }
 
 impl Daemon {
@@ -125,10 +125,10 @@
         let mut child = Command::new(env!("CARGO_BIN_EXE_verbenaringd"))
             .arg("--settings")
             .arg(file)
-            .stderr(Stdio::piped())
+            .stdout(Stdio::piped())
             .spawn()
             .unwrap();
-        let log = BufReader::new(child.stderr.take().unwrap());
+        let log = BufReader::new(child.stdout.take().unwrap());
         Self { child, log }
     }
 
