--- a/crates/verbenaring-policy/tests/dispatch.rs
+++ b/crates/verbenaring-policy/tests/dispatch.rs
@@ -21,7 +21,11 @@
 use verbenaring_policy::retry::{BudgetTerms, RetryBudget};
 use verbenaring_policy::time::Moment;
 
-const COHORT: VmCohort<'static> = VmCohort { own: 1, live: &[1] };
+const COHORT: VmCohort<'static> = VmCohort {
+    own: 1,
+    live: &[1],
+    settled: true,
+};
 
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
