Name closing homes before VMs outside the home regions

Ruled out: VMs that had been lost (all were stopped in turn), the stops themselves (each VM may take the grace period). Change: VMs in the last step, which still take what they can finish, come before VMs outside. Conclusion: outside VMs are named only when no VM of the homes is heard.

--- a/crates/verbenaring-core/src/cluster/directory.rs
+++ b/crates/verbenaring-core/src/cluster/directory.rs
@@ -16,9 +16,9 @@
     ///
     /// VMs of the caller's region come alone, because the way to another region
     /// takes longer than most answers. Next come VMs of regions in which all
-    /// calls of the host may run. While these stop in turn, VMs that announce
-    /// their stop but still serve are better than VMs that must not see the
-    /// calls. Only without any of them all VMs are named.
+    /// calls of the host may run. While these stop in turn, VMs that stop but
+    /// still serve what they can finish are better than VMs that must not see
+    /// the calls. Only without any of them all VMs are named.
     pub fn directory(&self, host: &str, region: Option<&RegionName>) -> Vec<SocketAddr> {
         let now = self.clock.now();
         let homes = self.routes.load().residency_of(host);
@@ -43,17 +43,13 @@
         let near: Vec<&RegionName> = region.into_iter().collect();
         let homes: Vec<&RegionName> = homes.iter().collect();
         let mut choices = Vec::new();
-        for regions in [&near, &homes] {
-            if !regions.is_empty() {
-                choices.push((VmState::Ready, regions));
+        for state in [VmState::Ready, VmState::Leaving, VmState::Closing] {
+            for regions in [&near, &homes] {
+                if !regions.is_empty() {
+                    choices.push((state, regions));
+                }
             }
         }
-        if !near.is_empty() {
-            choices.push((VmState::Leaving, &near));
-        }
-        if !homes.is_empty() {
-            choices.push((VmState::Leaving, &homes));
-        }
         let anywhere = Vec::new();
         choices.push((VmState::Ready, &anywhere));
         let answers = choices
--- a/crates/verbenaring-core/src/node.rs
+++ b/crates/verbenaring-core/src/node.rs
@@ -155,6 +155,14 @@
         record.is_some_and(|record| record.takes_calls(now))
     }
 
+    /// What a VM from which reports arrive takes.
+    pub fn vm_state_of(&self, vm: &VmId) -> Option<VmState> {
+        let now = self.clock.now();
+        let state = self.lock();
+        let record = state.vms.find(vm).filter(|record| record.is_live(now))?;
+        Some(record.state)
+    }
+
     /// Whether a stop has begun.
     pub fn is_stopping(&self) -> bool {
         *self.stop.borrow() != StopStep::Serving
