Let few VMs of a region watch the store and tell the others

Ruled out: a longer hold of the watches; they return with each change anyway. Pushing changes as datagrams; a manifest does not fit and a lost one would need the question as well. Change: three VMs of a region, chosen by rank and by who is answered, watch (policy::dispatch::duty); the others ask a VM whose reports show newer revisions and get only what changed. A VM that cannot ask watches itself. Reports carry the revision of operators' entries, so that evacuations are seen too; removals that only a listing shows count as news, and news are complete where removals may be missing. Announcements are tried again after 2 s instead of 0.8 s. Tests: decisions for 1 to 100 VMs, refused and silent sources, news of tables, eight VMs against the stand-in of the store, bound of 3 s. Sites of 7 VMs have three VMs or fewer a region: all watch.

--- a/crates/verbenaring-core/src/cluster/snapshot.rs
+++ b/crates/verbenaring-core/src/cluster/snapshot.rs
@@ -1,13 +1,13 @@
 //! Configuration from other VMs.
 //!
-//! A VM that starts while the platform store is away, or that is cut off from
-//! it, asks a VM whose reports show newer state. Revisions decide what is
-//! taken over, so that asking too often changes nothing.
+//! A VM that does not watch the source, that starts while the source is away or
+//! that is cut off from it, asks a VM whose reports show newer state. Revisions
+//! decide what is taken over, so that asking too often changes nothing. The
+//! question names what is known, so that the answer holds only what is new.
 
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -16,7 +16,8 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 use verbenaring_policy::dispatch::call::RouteDocument;
-use verbenaring_policy::dispatch::server::ServerFacts;
+use verbenaring_policy::dispatch::presence::VmRecord;
+use verbenaring_policy::dispatch::table::{RemovedServer, ServerNews};
 use verbenaring_policy::id::CentreName;
 
 use crate::border::WireBorder;
@@ -31,22 +32,58 @@
 const CHECK_PERIOD: Duration = Duration::from_millis(200);
 /// The same while the VM has no configuration and refuses every call.
 const STARTING_CHECK_PERIOD: Duration = Duration::from_millis(30);
-/// Time for which the own watch may be behind a report before a VM is asked.
+/// Time for which an open watch may be behind a report before a VM is asked.
 const WATCH_LAG: Duration = Duration::from_millis(400);
 /// Time limit of a snapshot; two round trips between regions and the transfer.
 const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Idle time after which a connection to another VM is not used again.
+const MAX_IDLE: Duration = Duration::from_secs(5);
 /// Largest snapshot that is read.
 const MAX_SNAPSHOT_BYTES: usize = 8 * 1024 * 1024;
 
 /// Configuration as one VM knows it.
 #[derive(Debug, Serialize, Deserialize)]
 struct ConfigSnapshot {
+    /// Routes, if they are newer than those asked about.
     routes: Option<RouteDocument>,
     evacuated: HashSet<CentreName>,
-    servers: Option<Vec<ServerFacts>>,
+    /// Revision of the evacuations; none if they are not known.
+    operator_revision: Option<u64>,
+    servers: Option<ServerNews>,
+}
+
+/// What the asking VM knows.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+struct KnownState {
+    routes_version: u64,
     servers_revision: u64,
 }
 
+impl KnownState {
+    fn to_query(self) -> String {
+        let Self {
+            routes_version,
+            servers_revision,
+        } = self;
+        format!("routes={routes_version}&servers={servers_revision}")
+    }
+
+    /// Reads a query; what is missing counts as not known.
+    fn read(query: Option<&str>) -> Self {
+        let mut known = Self::default();
+        let pairs = query.unwrap_or_default().split('&');
+        for (name, value) in pairs.filter_map(|pair| pair.split_once('=')) {
+            let value = value.parse().unwrap_or_default();
+            match name {
+                "routes" => known.routes_version = value,
+                "servers" => known.servers_revision = value,
+                _ => {}
+            }
+        }
+        known
+    }
+}
+
 /// Asks other VMs for newer state until the process ends.
 pub async fn catch_up<B: WireBorder>(node: Arc<FrontNode<B>>) {
     let mut behind: Option<Instant> = None;
@@ -61,49 +98,80 @@
             continue;
         };
         let since = *behind.get_or_insert_with(Instant::now);
-        if since.elapsed() < WATCH_LAG && node.is_known() {
+        if since.elapsed() < WATCH_LAG && node.is_known() && node.is_watching() {
             continue;
         }
         behind = None;
         match tokio::time::timeout(SNAPSHOT_TIMEOUT, node.fetch_snapshot(address)).await {
             Ok(Ok(())) => {}
-            Ok(Err(reason)) => {
-                log::warn!(address:% = address, reason = reason.as_str(); "snapshot not taken over");
-            }
-            Err(_) => log::warn!(address:% = address; "snapshot not received in time"),
+            Ok(Err(reason)) => node.miss_news(address, &reason),
+            Err(_) => node.miss_news(address, "no answer in time"),
         }
     }
 }
 
 impl<B: WireBorder> FrontNode<B> {
+    fn miss_news(&self, address: SocketAddr, reason: &str) {
+        log::warn!(address:% = address, reason = reason; "snapshot not taken over");
+        let now = self.clock.now();
+        self.lock().record_missed_news(now);
+    }
+
     /// VM that knows newer routes or servers.
     fn newer_vm(&self) -> Option<SocketAddr> {
         let now = self.clock.now();
         let version = self.routes.load().version();
         let state = self.lock();
         let revision = state.servers.revision();
-        let newer = state.vms.live(now).find(|(_, record)| {
-            record.routes_version > version || record.servers_revision > revision
+        let newer = state.vms.live(now).map(|(_, record)| record);
+        let newer = newer.filter(|record| {
+            record.routes_version > version
+                || record.operator_revision > state.operator_revision
+                || record.servers_revision > revision
         });
-        newer.map(|(_, record)| record.peer_address)
+        // VMs that watch know the most; those of the own region are the nearest.
+        let rank = |record: &&VmRecord| {
+            let near = record.centre.region == self.place.region;
+            (near, record.watching, rand::random::<u32>())
+        };
+        let best = newer
+            .map(|record| (rank(&record), record))
+            .max_by_key(|(rank, _)| *rank);
+        best.map(|(_, record)| record.peer_address)
     }
 
     async fn fetch_snapshot(&self, address: SocketAddr) -> Result<(), String> {
-        let request = Request::get(SNAPSHOT_PATH)
+        let known = KnownState {
+            routes_version: match self.has_routes() {
+                true => self.routes.load().version(),
+                false => 0,
+            },
+            servers_revision: match self.status(ConfigScope::Servers).is_known() {
+                true => self.servers_revision(),
+                false => 0,
+            },
+        };
+        let request = Request::get(format!("{SNAPSHOT_PATH}?{}", known.to_query()))
             .header("host", address.to_string())
             .body(Full::default())
             .map_err(|error| error.to_string())?;
         let rules = ConnectRules {
             timeout: SNAPSHOT_TIMEOUT,
-            max_idle: Duration::ZERO,
+            max_idle: MAX_IDLE,
         };
         let sent = self.pool.send(address, request, rules).await;
-        let (answer, _lease) = sent.map_err(|fault| fault.to_string())?;
+        let (answer, lease) = sent.map_err(|fault| fault.to_string())?;
         let body = Limited::new(answer.into_body(), MAX_SNAPSHOT_BYTES);
         let body = body.collect().await.map_err(|error| error.to_string())?;
+        lease.release();
         let snapshot: ConfigSnapshot =
             postcard::from_bytes(&body.to_bytes()).map_err(|error| error.to_string())?;
-        log::info!(address:% = address, revision = snapshot.servers_revision,
+        let servers = snapshot.servers.as_ref();
+        log::info!(address:% = address,
+            operator_revision = snapshot.operator_revision.unwrap_or_default(),
+            servers_revision = servers.map_or(0, |news| news.revision),
+            entries = servers.map_or(0, |news| news.entries.len()),
+            complete = servers.is_some_and(|news| news.complete),
             version = snapshot.routes.as_ref().map_or(0, |routes| routes.version);
             "snapshot taken over");
         self.apply_snapshot(snapshot);
@@ -113,38 +181,56 @@
     fn apply_snapshot(&self, snapshot: ConfigSnapshot) {
         if let Some(document) = snapshot.routes {
             self.apply_routes(document);
-            let operator = self.status(ConfigScope::Operator);
-            if !operator.current.load(Ordering::Relaxed) {
+        }
+        if let Some(revision) = snapshot.operator_revision {
+            if revision > self.lock().operator_revision {
                 self.set_evacuated(snapshot.evacuated);
+                self.lock().operator_revision = revision;
             }
-            operator.known.store(true, Ordering::Relaxed);
-        }
-        if let Some(servers) = snapshot.servers {
-            let listed: HashSet<_> = servers.iter().map(|facts| facts.id.clone()).collect();
-            for facts in servers {
-                self.apply_server(facts);
+            if self.has_routes() {
+                self.status(ConfigScope::Operator).set_known();
             }
-            self.remove_unlisted(&listed, snapshot.servers_revision, Duration::ZERO);
-            self.lock()
-                .servers
-                .reach_revision(snapshot.servers_revision);
-            let status = self.status(ConfigScope::Servers);
-            status.known.store(true, Ordering::Relaxed);
+        }
+        if let Some(news) = snapshot.servers {
+            self.apply_news(news);
+            self.status(ConfigScope::Servers).set_known();
         }
     }
 
-    /// Answers another VM with the own configuration.
-    pub(crate) fn answer_snapshot(&self) -> Response<AnswerBody> {
-        let known = |scope| self.status(scope).known.load(Ordering::Relaxed);
+    fn apply_news(&self, news: ServerNews) {
+        let mut named: HashSet<_> = news.entries.iter().map(|facts| facts.id.clone()).collect();
+        for facts in news.entries {
+            self.apply_server(facts);
+        }
+        for removed in news.removed {
+            let RemovedServer {
+                id,
+                revision,
+                grace,
+            } = removed;
+            named.insert(id.clone());
+            self.remove_server(&id, revision, grace);
+        }
+        if news.complete {
+            self.remove_unlisted(&named, news.revision, Duration::ZERO);
+        }
+        self.lock().servers.reach_revision(news.revision);
+    }
+
+    /// Answers another VM with what is new to it.
+    pub(crate) fn answer_snapshot(&self, query: Option<&str>) -> Response<AnswerBody> {
+        let asked = KnownState::read(query);
+        let is_known = |scope| self.status(scope).is_known();
+        let now = self.clock.now();
+        let routes = self.routes.load();
         let state = self.lock();
         let snapshot = ConfigSnapshot {
-            routes: self
-                .has_routes()
-                .then(|| self.routes.load().document().clone()),
+            routes: (self.has_routes() && routes.version() > asked.routes_version)
+                .then(|| routes.document().clone()),
             evacuated: state.servers.evacuated().clone(),
-            servers: known(ConfigScope::Servers)
-                .then(|| state.servers.entries().cloned().collect()),
-            servers_revision: state.servers.revision(),
+            operator_revision: is_known(ConfigScope::Operator).then_some(state.operator_revision),
+            servers: is_known(ConfigScope::Servers)
+                .then(|| state.servers.news(asked.servers_revision, now)),
         };
         drop(state);
         match postcard::to_allocvec(&snapshot) {
--- a/crates/verbenaring-core/src/config/source.rs
+++ b/crates/verbenaring-core/src/config/source.rs
@@ -62,6 +62,8 @@
     pub changes: Vec<ConfigChange>,
     /// Revision from which a watch continues.
     pub revision: u64,
+    /// Highest revision of one of the changes.
+    pub newest: u64,
 }
 
 /// Why the source did not answer.
--- a/crates/verbenaring-core/src/config/sync.rs
+++ b/crates/verbenaring-core/src/config/sync.rs
@@ -1,8 +1,9 @@
 //! Keeps routes and servers current.
 //!
-//! Each scope is listed once and then watched. A watch that fails or whose
-//! history is gone leads to a new listing. While the source is away, the last
-//! state holds; other VMs are asked when their reports show newer state.
+//! Some VMs of each region list each scope once and then watch it. A watch that
+//! fails or whose history is gone leads to a new listing. While the source is
+//! away, the last state holds. VMs that do not watch, or whose watch is behind,
+//! ask others whose reports show newer state.
 
 use std::collections::HashSet;
 use std::sync::Arc;
@@ -27,6 +28,11 @@
 /// Longest pause after failed calls. Bounds count from the return of the
 /// source, so the pause is small against the shortest of them, 3 s.
 const MAX_PAUSE: Duration = Duration::from_millis(800);
+/// Time between checks whether this VM is to watch.
+const DUTY_PERIOD: Duration = Duration::from_millis(100);
+/// Pause after a failed announcement. Announcements only help VMs to find each
+/// other after all of a region were replaced, so they can wait.
+const ANNOUNCEMENT_PAUSE: Duration = Duration::from_secs(2);
 /// Time after the return of the source in which lapsed entries come back.
 const LAPSED_ENTRY_GRACE: Duration = Duration::from_millis(2_200);
 /// Time for which an announcement holds; some renewals may be lost.
@@ -43,6 +49,18 @@
     pub current: AtomicBool,
 }
 
+impl ScopeStatus {
+    /// Whether the scope was listed in this boot.
+    pub fn is_known(&self) -> bool {
+        self.known.load(Ordering::Relaxed)
+    }
+
+    /// Counts the scope as listed; true the first time.
+    pub(crate) fn set_known(&self) -> bool {
+        !self.known.swap(true, Ordering::Relaxed)
+    }
+}
+
 /// Lists and watches a scope until the process ends.
 pub async fn follow<B: WireBorder, S: ConfigSource>(
     node: Arc<FrontNode<B>>,
@@ -52,6 +70,11 @@
     let mut pause = MIN_PAUSE;
     let mut lost: Option<Instant> = None;
     loop {
+        if !node.is_on_duty() {
+            lost = None;
+            tokio::time::sleep(DUTY_PERIOD).await;
+            continue;
+        }
         match source.list(scope).await {
             Ok(batch) => {
                 let regained = lost.take();
@@ -68,13 +91,19 @@
                 node.status(scope).current.store(true, Ordering::Relaxed);
                 pause = MIN_PAUSE;
                 let grace_until = Instant::now() + grace;
-                let fault = watch(&node, &*source, scope, revision, grace_until).await;
+                let end = watch(&node, &*source, scope, revision, grace_until).await;
                 node.status(scope).current.store(false, Ordering::Relaxed);
-                if fault == SourceFault::Compacted {
-                    log::info!(scope = scope.name(); "history of the platform store is gone, listing again");
-                    continue;
+                match end {
+                    WatchEnd::Relieved => {
+                        log::info!(scope = scope.name(); "watch left to other VMs");
+                        continue;
+                    }
+                    WatchEnd::Fault(SourceFault::Compacted) => {
+                        log::info!(scope = scope.name(); "history of the platform store is gone, listing again");
+                        continue;
+                    }
+                    WatchEnd::Fault(fault) => report_loss(&mut lost, scope, &fault),
                 }
-                report_loss(&mut lost, scope, &fault);
             }
             Err(fault) => report_loss(&mut lost, scope, &fault),
         }
@@ -91,26 +120,33 @@
     }
 }
 
+/// Why a VM stopped watching.
+enum WatchEnd {
+    /// Enough other VMs of the region watch.
+    Relieved,
+    /// The source failed.
+    Fault(SourceFault),
+}
+
 async fn watch<B: WireBorder, S: ConfigSource>(
     node: &FrontNode<B>,
     source: &S,
     scope: ConfigScope,
     mut after: u64,
     grace_until: Instant,
-) -> SourceFault {
+) -> WatchEnd {
     let hold = Duration::from_millis(node.settings.tuning.watch_ms);
-    loop {
+    while node.is_on_duty() {
         match source.watch(scope, after, hold).await {
             Ok(batch) => {
                 after = after.max(batch.revision);
                 let grace = grace_until.saturating_duration_since(Instant::now());
-                for change in batch.changes {
-                    node.apply_change(change, grace);
-                }
+                node.apply_changes(scope, batch, grace);
             }
-            Err(fault) => return fault,
+            Err(fault) => return WatchEnd::Fault(fault),
         }
     }
+    WatchEnd::Relieved
 }
 
 /// Announces the VM and asks for the others until the process ends.
@@ -132,7 +168,7 @@
             }
             Err(fault) => {
                 log::debug!(error:% = fault; "VM not announced");
-                MAX_PAUSE
+                ANNOUNCEMENT_PAUSE
             }
         };
         let jitter = rand::rng().random_range(0.8..1.0);
@@ -145,7 +181,7 @@
     ///
     /// `grace` is the time for which a missing server is still used.
     pub fn apply_listing(&self, scope: ConfigScope, batch: ConfigBatch, grace: Duration) {
-        let revision = batch.revision;
+        let (revision, newest) = (batch.revision, batch.newest);
         let mut listed: HashSet<ServerId> = HashSet::new();
         let mut evacuated: HashSet<CentreName> = HashSet::new();
         for change in batch.changes {
@@ -161,16 +197,31 @@
             }
         }
         match scope {
-            ConfigScope::Operator => self.set_evacuated(evacuated),
+            ConfigScope::Operator => self.list_evacuated(evacuated, revision, newest),
             ConfigScope::Servers => self.remove_unlisted(&listed, revision, grace),
         }
-        if !self.status(scope).known.swap(true, Ordering::Relaxed) {
+        if self.status(scope).set_known() {
             log::info!(scope = scope.name(), revision = revision; "state known");
         }
     }
 
+    /// Takes over the changes that a watch has shown.
+    pub fn apply_changes(&self, scope: ConfigScope, batch: ConfigBatch, grace: Duration) {
+        let operator = scope == ConfigScope::Operator;
+        // Another VM may have told of these changes, and of later ones.
+        if operator && batch.newest <= self.lock().operator_revision {
+            return;
+        }
+        for change in batch.changes {
+            self.apply_change(change, grace);
+        }
+        if operator {
+            self.lock().operator_revision = batch.newest;
+        }
+    }
+
     /// Takes over one change.
-    pub fn apply_change(&self, change: ConfigChange, grace: Duration) {
+    fn apply_change(&self, change: ConfigChange, grace: Duration) {
         match change {
             ConfigChange::Routes(document) => self.apply_routes(*document),
             ConfigChange::Evacuated(centre) => {
@@ -185,12 +236,7 @@
             }
             ConfigChange::Server(facts) => self.apply_server(*facts),
             ConfigChange::ServerGone { id, revision } => {
-                let now = self.clock.now();
-                let until = now + grace;
-                if self.lock().servers.remove(&id, revision, until, now) {
-                    log::info!(server:% = id, revision = revision,
-                        grace_ms = grace.as_millis() as u64; "server entry removed");
-                }
+                self.remove_server(&id, revision, grace);
             }
             ConfigChange::Unreadable { key, reason } => {
                 log::warn!(key = key.as_str(), reason = reason.as_str(); "entry cannot be read, left out");
@@ -230,23 +276,47 @@
         }
     }
 
+    pub(crate) fn remove_server(&self, id: &ServerId, revision: u64, grace: Duration) {
+        let now = self.clock.now();
+        let until = now + grace;
+        if self.lock().servers.remove(id, revision, until, now) {
+            log::info!(server:% = id, revision = revision,
+                grace_ms = grace.as_millis() as u64; "server entry removed");
+        }
+    }
+
     fn cold_of(&self, facts: &ServerFacts) -> Duration {
         let routes = self.routes.load();
         let terms = routes.service(&facts.service);
         terms.map_or(Duration::ZERO, |terms| terms.cold)
     }
 
-    pub(crate) fn set_evacuated(&self, evacuated: HashSet<CentreName>) {
+    /// Takes over the evacuations of a listing, unless newer ones are in force.
+    fn list_evacuated(&self, evacuated: HashSet<CentreName>, revision: u64, newest: u64) {
+        let known = self.lock().operator_revision;
+        if revision < known {
+            return;
+        }
+        let changed = self.set_evacuated(evacuated);
+        // An evacuation that has ended leaves no entry with a revision.
+        let reached = if changed { revision } else { newest };
+        self.lock().operator_revision = known.max(reached);
+    }
+
+    /// Replaces the evacuated data centres; false if they are the same.
+    pub(crate) fn set_evacuated(&self, evacuated: HashSet<CentreName>) -> bool {
         let routes = self.routes.load();
         let cold = routes.services().map(|(_, terms)| terms.cold).max();
         let now = self.clock.now();
         let mut state = self.lock();
-        if *state.servers.evacuated() != evacuated {
+        let changed = *state.servers.evacuated() != evacuated;
+        if changed {
             log::info!(centres:? = evacuated; "evacuated data centres changed");
             state
                 .servers
                 .set_evacuated(evacuated, cold.unwrap_or_default(), now);
         }
+        changed
     }
 
     pub(crate) fn remove_unlisted(
@@ -267,5 +337,6 @@
                     grace_ms = grace.as_millis() as u64; "server entry missing");
             }
         }
+        state.servers.record_listing(revision);
     }
 }
--- a/crates/verbenaring-core/src/node.rs
+++ b/crates/verbenaring-core/src/node.rs
@@ -122,7 +122,7 @@
 
     /// Whether routes and servers are known in this boot.
     pub fn is_known(&self) -> bool {
-        self.has_routes() && self.servers.known.load(Ordering::Relaxed)
+        self.has_routes() && self.servers.is_known()
     }
 
     /// What the VM takes.
@@ -135,6 +135,18 @@
         }
     }
 
+    /// Whether the source answers the watches of this VM.
+    pub fn is_watching(&self) -> bool {
+        let current = |scope: &ScopeStatus| scope.current.load(Ordering::Relaxed);
+        current(&self.operator) && current(&self.servers)
+    }
+
+    /// Whether this VM reads the configuration source itself.
+    pub(crate) fn is_on_duty(&self) -> bool {
+        let now = self.clock.now();
+        self.lock().is_on_duty(self.is_watching(), now)
+    }
+
     /// Highest revision of a server entry that was taken over.
     pub fn servers_revision(&self) -> u64 {
         self.lock().servers.revision()
@@ -422,7 +434,7 @@
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
     if request.uri().path() == SNAPSHOT_PATH {
-        return node.answer_snapshot();
+        return node.answer_snapshot(request.uri().query());
     }
     node.answer(request, CallOrigin::Vm).await
 }
--- a/crates/verbenaring-core/src/state.rs
+++ b/crates/verbenaring-core/src/state.rs
@@ -5,7 +5,8 @@
 
 use std::collections::HashMap;
 
-use verbenaring_policy::dispatch::presence::PresenceTable;
+use verbenaring_policy::dispatch::duty::{WatchDuty, WatchPeer};
+use verbenaring_policy::dispatch::presence::{PresenceTable, VmState};
 use verbenaring_policy::dispatch::prompt::name_hash;
 use verbenaring_policy::dispatch::spill::SpillLedger;
 use verbenaring_policy::dispatch::table::ServerTable;
@@ -25,6 +26,9 @@
     pub vms: PresenceTable,
     /// Calls sent to other regions lately.
     pub spill: SpillLedger,
+    /// Revision of the operators' entries in force.
+    pub operator_revision: u64,
+    duty: WatchDuty,
     /// Budget of log lines on calls that went well.
     pub lines: LineBudget,
     budgets: HashMap<ServiceName, RetryBudget>,
@@ -45,6 +49,8 @@
             ),
             vms: PresenceTable::default(),
             spill: SpillLedger::default(),
+            operator_revision: 0,
+            duty: WatchDuty::default(),
             lines: LineBudget::default(),
             budgets: HashMap::new(),
             budget: settings.bounds.budget(),
@@ -69,6 +75,29 @@
             .collect()
     }
 
+    /// Counts that other VMs have news and cannot be asked.
+    pub fn record_missed_news(&mut self, now: Moment) {
+        self.duty.record_failure(now);
+    }
+
+    /// Whether this VM reads the configuration source itself.
+    pub fn is_on_duty(&mut self, watching: bool, now: Moment) -> bool {
+        let own = WatchPeer {
+            vm: self.own,
+            watching,
+        };
+        let near = self.vms.live(now).filter(|(_, record)| {
+            record.centre.region == self.region && record.state == VmState::Ready
+        });
+        let peers: Vec<WatchPeer> = near
+            .map(|(_, record)| WatchPeer {
+                vm: name_hash(record.vm.as_str()),
+                watching: record.watching,
+            })
+            .collect();
+        self.duty.is_on_duty(own, &peers, now)
+    }
+
     /// Counts a call of a caller for a service.
     pub fn record_call(&mut self, service: &ServiceName, now: Moment) {
         self.budget_of(service).record_success(now);
--- a/crates/verbenaring-policy/src/dispatch/mod.rs
+++ b/crates/verbenaring-policy/src/dispatch/mod.rs
@@ -5,9 +5,11 @@
 //! predicted time to its first event ([`forecast`]) and by how the server
 //! treated earlier calls ([`evidence`]). Servers that start are approached
 //! slowly ([`pace`]). Another region is used when it answers sooner
-//! ([`spill`]). [`presence`] follows the other VMs.
+//! ([`spill`]). [`presence`] follows the other VMs, [`duty`] tells which of them
+//! read the configuration source.
 
 pub mod call;
+pub mod duty;
 pub mod evidence;
 pub mod forecast;
 pub mod pace;
--- a/crates/verbenaring-policy/src/dispatch/presence.rs
+++ b/crates/verbenaring-policy/src/dispatch/presence.rs
@@ -72,8 +72,12 @@
     pub state: VmState,
     /// Version of the routes that it applies.
     pub routes_version: u64,
+    /// Revision of the operators' entries that it applies.
+    pub operator_revision: u64,
     /// Revision of the servers that it knows.
     pub servers_revision: u64,
+    /// Whether it watches the configuration source.
+    pub watching: bool,
     /// Waits in its region.
     pub waits: Vec<ServiceWait>,
     /// Time between its reports to this VM.
--- a/crates/verbenaring-policy/tests/dispatch/main.rs
+++ b/crates/verbenaring-policy/tests/dispatch/main.rs
@@ -1,5 +1,6 @@
 //! Choice of servers and regions: each test replays the load that a decision answers.
 
+mod duty;
 mod fixture;
 mod forecast;
 mod models;
--- a/crates/verbenaring-policy/tests/dispatch/servers.rs
+++ b/crates/verbenaring-policy/tests/dispatch/servers.rs
@@ -1,8 +1,9 @@
 //! Published entries.
 
 use verbenaring_policy::dispatch::place::NoPlacement;
-use verbenaring_policy::dispatch::table::EntryChange;
+use verbenaring_policy::dispatch::table::{EntryChange, ServerTable};
 use verbenaring_policy::id::ServerId;
+use verbenaring_policy::time::Moment;
 
 use super::fixture::*;
 
@@ -42,3 +43,76 @@
     table.apply(facts("a", 6), ms(0), at(2_100));
     assert!(ask.place(&mut table, at(2_200)).is_ok());
 }
+
+/// Takes over what one table tells another.
+fn pass_on(from: &ServerTable, to: &mut ServerTable, now: Moment) {
+    let news = from.news(to.revision(), now);
+    let mut named = Vec::new();
+    for facts in news.entries {
+        named.push(facts.id.clone());
+        to.apply(facts, ms(0), now);
+    }
+    for removed in news.removed {
+        to.remove(&removed.id, removed.revision, now + removed.grace, now);
+        named.push(removed.id);
+    }
+    if news.complete {
+        for id in to.listed() {
+            if !named.contains(&id) {
+                to.remove_unlisted(&id, news.revision, now, now);
+            }
+        }
+        to.record_listing(news.revision);
+    }
+    to.reach_revision(news.revision);
+}
+
+/// Load: VMs that do not watch ask others for changes only.
+#[test]
+fn news_hold_only_what_changed() {
+    let mut watcher = table(&["a", "b", "c"]);
+    let mut asker = table(&["a", "b", "c"]);
+    watcher.apply(facts("b", 10), ms(0), at(0));
+    watcher.remove(&ServerId::new("c").unwrap(), 11, at(2_000), at(0));
+    let news = watcher.news(asker.revision(), at(500));
+    assert_eq!((news.complete, news.entries.len()), (false, 1));
+    assert_eq!(news.removed[0].grace, ms(1_500));
+    pass_on(&watcher, &mut asker, at(500));
+    assert_eq!(asker.revision(), 11);
+    assert_eq!(asker.listed().len(), 2);
+    assert!(watcher.news(asker.revision(), at(500)).entries.is_empty());
+}
+
+/// Guards against a server that is never removed: its removal was before the
+/// listing of the VM that is asked, or is no longer remembered there.
+#[test]
+fn news_are_complete_where_removals_may_be_missing() {
+    let mut asker = table(&["a", "b"]);
+    asker.apply(facts("a", 5), ms(0), at(0));
+    let mut started = table(&[]);
+    started.apply(facts("a", 5), ms(0), at(0));
+    started.apply(facts("d", 9), ms(0), at(0));
+    started.record_listing(8);
+    pass_on(&started, &mut asker, at(0));
+    let listed = asker.listed();
+    assert!(!listed.contains(&ServerId::new("b").unwrap()), "{listed:?}");
+
+    let mut asker = table(&["a", "b"]);
+    let mut old = table(&["a", "b"]);
+    old.remove(&ServerId::new("b").unwrap(), 7, at(0), at(0));
+    old.expire(at(60_000));
+    pass_on(&old, &mut asker, at(60_000));
+    assert_eq!(asker.listed().len(), 1);
+}
+
+/// Guards against a removal that only a listing shows and that no other VM asks
+/// about, because no entry has a newer revision.
+#[test]
+fn a_removal_found_by_a_listing_is_news() {
+    let mut watcher = table(&["a", "b"]);
+    let mut asker = table(&["a", "b"]);
+    watcher.remove_unlisted(&ServerId::new("b").unwrap(), 40, at(0), at(0));
+    assert!(watcher.revision() > asker.revision());
+    pass_on(&watcher, &mut asker, at(0));
+    assert_eq!(asker.listed().len(), 1);
+}
