Count what a forwarded call met at servers as repeats

Servers refused forwarded calls with 429; the VM of the other region said 'not run', and the VM that had forwarded the call took that as never sent to a server, so that each further region cost nothing. Ruled out: the budgets of the VMs of the other region; they charge their own repeats. Change: an answer between VMs says whether a server has seen the call; the call keeps it and the next attempt is charged.

--- a/crates/verbenaring-core/src/path/call.rs
+++ b/crates/verbenaring-core/src/path/call.rs
@@ -24,6 +24,8 @@
 pub const ELAPSED_MS: &str = "x-verbenaring-elapsed-ms";
 /// Servers on which a forwarded call may still run.
 pub const ATTEMPTS: &str = "x-verbenaring-attempts";
+/// Whether a server saw a forwarded call that was not run.
+pub const ARRIVED: &str = "x-verbenaring-arrived";
 
 /// Who sent a call to this VM.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -65,6 +67,8 @@
     pub runs: AtomicU32,
     /// Whether a server works on it now, as far as is known.
     pub in_doubt: AtomicBool,
+    /// Whether a server has seen it; sending it again is a repeat.
+    pub seen: AtomicBool,
 }
 
 impl PendingCall {
@@ -139,7 +143,10 @@
     for name in fixed {
         headers.remove(name);
     }
-    for name in header::INTERNAL.into_iter().chain([ELAPSED_MS, ATTEMPTS]) {
+    for name in header::INTERNAL
+        .into_iter()
+        .chain([ELAPSED_MS, ATTEMPTS, ARRIVED])
+    {
         headers.remove(name);
     }
 }
--- a/crates/verbenaring-core/src/path/controller.rs
+++ b/crates/verbenaring-core/src/path/controller.rs
@@ -130,6 +130,7 @@
             attempts: attempts.max(1),
             runs: AtomicU32::new(0),
             in_doubt: AtomicBool::new(false),
+            seen: AtomicBool::new(false),
             facts,
             route,
         };
@@ -144,7 +145,7 @@
         let call = Arc::new(call);
         let mut tried = TriedTargets::default();
         let last = call.facts.last_event.as_deref();
-        let trying = self.try_targets(&call, &mut tried, last, false);
+        let trying = self.try_targets(&call, &mut tried, last);
         let settled = timeout_at(call.limit, trying).await;
         match settled {
             Ok(Ok(SettledCall::Stream(begun))) => StreamRelay::start(self, &call, tried, begun),
@@ -153,30 +154,36 @@
                 self.report_answer(&call, answer.status());
                 answer.map(AnswerBody::whole)
             }
-            Ok(Err(refusal)) => self.refuse(&call.facts, &refusal, call.arrived),
+            Ok(Err(refusal)) => self.refuse_call(&call, refusal),
             Err(_) => {
                 let refusal = match call.in_doubt.load(Ordering::Relaxed) {
                     true => CallRefusal::unknown(StatusCode::GATEWAY_TIMEOUT, "timed_out"),
                     false => CallRefusal::busy("not_sent_in_time", UNSENT_WAIT),
                 };
-                self.refuse(&call.facts, &refusal, call.arrived)
+                self.refuse_call(&call, refusal)
             }
         }
     }
 
+    fn refuse_call(&self, call: &PendingCall, refusal: CallRefusal) -> Response<AnswerBody> {
+        let refusal = CallRefusal {
+            seen: call.origin == CallOrigin::Vm && call.seen.load(Ordering::Relaxed),
+            ..refusal
+        };
+        self.refuse(&call.facts, &refusal, call.arrived)
+    }
+
     /// Tries targets until one answers or none is left.
-    ///
-    /// `repeat` is true if a server has already seen the call.
     pub(crate) async fn try_targets(
         self: &Arc<Self>,
         call: &Arc<PendingCall>,
         tried: &mut TriedTargets,
         last_event: Option<&str>,
-        mut repeat: bool,
     ) -> Result<SettledCall<B>, CallRefusal> {
         let mut failed = None;
         for _ in 0..MAX_TARGETS {
             let now = self.clock.now();
+            let repeat = call.seen.load(Ordering::Relaxed);
             if repeat && !self.lock().take_repeat(&call.service, now) {
                 let refusal = CallRefusal::busy("repeat_budget", UNSENT_WAIT);
                 return give_up(call, failed, refusal);
@@ -191,12 +198,12 @@
                 AttemptEnd::Whole(answer) => return Ok(SettledCall::Whole(answer)),
                 AttemptEnd::Stream(begun) => return Ok(SettledCall::Stream(begun)),
                 AttemptEnd::NotRun { reason, arrived } => {
-                    repeat |= arrived;
+                    call.seen.fetch_or(arrived, Ordering::Relaxed);
                     target_key.exclude(tried);
                     reason
                 }
                 AttemptEnd::Failed(answer) => {
-                    repeat = true;
+                    call.seen.store(true, Ordering::Relaxed);
                     call.runs.fetch_add(1, Ordering::Relaxed);
                     // Many servers fail the same call again.
                     target_key.exclude(tried);
@@ -205,7 +212,7 @@
                     reason
                 }
                 AttemptEnd::Broken { reason } => {
-                    repeat = true;
+                    call.seen.store(true, Ordering::Relaxed);
                     call.runs.fetch_add(1, Ordering::Relaxed);
                     target_key.exclude(tried);
                     reason
--- a/crates/verbenaring-core/src/path/exchange.rs
+++ b/crates/verbenaring-core/src/path/exchange.rs
@@ -16,7 +16,7 @@
 use verbenaring_policy::outcome::RunOutcome;
 use verbenaring_protocol::header;
 
-use super::call::{ATTEMPTS, ELAPSED_MS, PendingCall, strip_connection};
+use super::call::{ARRIVED, ATTEMPTS, ELAPSED_MS, PendingCall, strip_connection};
 use super::choose::{CallTarget, ChosenServer, ChosenVm};
 use crate::border::{AnswerHead, AttemptFacts, WireBorder};
 use crate::node::FrontNode;
@@ -232,8 +232,8 @@
         let (head, body) = answer.into_parts();
         if let Some(outcome) = vm_outcome(&head) {
             let reason = format!("the VM answered {} {outcome:?}", head.status);
+            let arrived = head.headers.contains_key(ARRIVED);
             drain(body, lease).await;
-            let arrived = false;
             return match outcome {
                 RunOutcome::NotRun => (AttemptEnd::NotRun { reason, arrived }, "not_run"),
                 _ => (AttemptEnd::Broken { reason }, "unknown"),
--- a/crates/verbenaring-core/src/path/refusal.rs
+++ b/crates/verbenaring-core/src/path/refusal.rs
@@ -7,6 +7,7 @@
 use verbenaring_policy::outcome::RunOutcome;
 use verbenaring_protocol::header;
 
+use super::call::ARRIVED;
 use crate::caller::body::AnswerBody;
 
 /// Why a call got no answer of a server.
@@ -20,6 +21,9 @@
     pub outcome: RunOutcome,
     /// Time after which the call would be served.
     pub retry_after: Option<Duration>,
+    /// Whether a server has seen the call. A VM that forwarded it counts a
+    /// further attempt as a repeat.
+    pub seen: bool,
 }
 
 impl CallRefusal {
@@ -30,6 +34,7 @@
             reason,
             outcome: RunOutcome::NotRun,
             retry_after: None,
+            seen: false,
         }
     }
 
@@ -58,6 +63,9 @@
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
         let outcome = HeaderValue::from_static(self.outcome.as_str());
         headers.insert(header::OUTCOME, outcome);
+        if self.seen {
+            headers.insert(ARRIVED, HeaderValue::from_static("1"));
+        }
         if let Some(wait) = self.retry_after {
             let seconds = format!("{:.3}", wait.as_secs_f64());
             if let Ok(value) = HeaderValue::from_str(&seconds) {
--- a/crates/verbenaring-core/src/path/relay.rs
+++ b/crates/verbenaring-core/src/path/relay.rs
@@ -206,11 +206,12 @@
         if !self.call.may_run_again() || self.sender.is_closed() {
             return None;
         }
+        self.call.seen.store(true, Ordering::Relaxed);
         let last = events.last().map(str::to_owned);
         let last = last.or_else(|| self.call.facts.last_event.clone());
         let resumed = self
             .node
-            .try_targets(&self.call, &mut self.tried, last.as_deref(), true);
+            .try_targets(&self.call, &mut self.tried, last.as_deref());
         match timeout_at(self.call.limit, resumed).await {
             Ok(Ok(SettledCall::Stream(begun))) => {
                 log::info!(request = self.call.facts.attempt.as_str(),
