Keep idle connections of callers as long as the configuration says

Cause: connections were closed after 15 s whatever the manifest said; callers use them up to four fifths of its limit, which changes (kind config_change, how idle). Ruled out: a fixed longer time; a small limit would then hold descriptors of callers that have left. Change: connections close after twice the limit in force when they were accepted, so that a limit that is raised later does not cut them.

--- a/crates/verbenaring-core/src/caller/listener.rs
+++ b/crates/verbenaring-core/src/caller/listener.rs
@@ -9,6 +9,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use hyper::body::Incoming;
@@ -20,6 +21,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
 use tokio_util::task::TaskTracker;
+use verbenaring_policy::dispatch::call::CallerLimits;
 
 use super::body::AnswerBody;
 use crate::error::{Error, Result};
@@ -54,7 +56,43 @@
     /// Connections that may be open.
     pub permits: Arc<Semaphore>,
     /// Time for which a connection may wait for a request head.
-    pub idle: Duration,
+    pub idle: Arc<IdleLimit>,
+}
+
+/// Idle time after which connections of callers are closed.
+///
+/// It follows the configuration and applies to connections accepted later.
+#[derive(Debug)]
+pub struct IdleLimit {
+    millis: AtomicU64,
+}
+
+/// Idle time of a connection as a multiple of the configured limit. Callers use
+/// a connection until shortly before the limit, and the limit may be raised
+/// while it is open.
+const IDLE_FACTOR: u32 = 2;
+
+impl Default for IdleLimit {
+    fn default() -> Self {
+        let limit = Self {
+            millis: AtomicU64::new(0),
+        };
+        limit.set(CallerLimits::default().idle_timeout);
+        limit
+    }
+}
+
+impl IdleLimit {
+    /// Follows the configured limit.
+    pub fn set(&self, configured: Duration) {
+        let millis = (configured * IDLE_FACTOR).as_millis() as u64;
+        self.millis.store(millis, Ordering::Relaxed);
+    }
+
+    /// Time after which a connection is closed.
+    pub fn timeout(&self) -> Duration {
+        Duration::from_millis(self.millis.load(Ordering::Relaxed))
+    }
 }
 
 /// Binds the TCP address of a settings field.
@@ -128,7 +166,7 @@
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
-        .header_read_timeout(rules.idle)
+        .header_read_timeout(rules.idle.timeout())
         .max_buf_size(READ_BUFFER_BYTES);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
--- a/crates/verbenaring-core/src/config/sync.rs
+++ b/crates/verbenaring-core/src/config/sync.rs
@@ -260,6 +260,7 @@
             return;
         }
         let routes = document.routes.len();
+        self.idle.set(document.limits.idle_timeout);
         self.routes.store(Arc::new(RouteTable::new(document)));
         self.routes_known.store(true, Ordering::Relaxed);
         self.metrics.routes_version.set(version as i64);
--- a/crates/verbenaring-core/src/node.rs
+++ b/crates/verbenaring-core/src/node.rs
@@ -13,7 +13,7 @@
 use tokio::sync::{Semaphore, watch};
 use tokio::time::Instant;
 use tokio_util::task::TaskTracker;
-use verbenaring_policy::dispatch::call::{CallerLimits, RouteTable};
+use verbenaring_policy::dispatch::call::RouteTable;
 use verbenaring_policy::dispatch::presence::VmState;
 use verbenaring_policy::dispatch::server::ServerKey;
 use verbenaring_policy::id::{DataCentre, VmId};
@@ -21,7 +21,7 @@
 
 use crate::border::WireBorder;
 use crate::caller::body::AnswerBody;
-use crate::caller::listener::{ListenerRules, StopStep, bind, serve};
+use crate::caller::listener::{IdleLimit, ListenerRules, StopStep, bind, serve};
 use crate::clock::NodeClock;
 use crate::cluster::report::{ReportTargets, exchange_reports};
 use crate::cluster::snapshot::{SNAPSHOT_PATH, catch_up};
@@ -70,6 +70,8 @@
     pub reports: ReportTargets,
     /// Streams that are passed on.
     pub tasks: TaskTracker,
+    /// Idle time of connections.
+    pub(crate) idle: Arc<IdleLimit>,
     operator: ScopeStatus,
     servers: ScopeStatus,
     state: Mutex<FrontState>,
@@ -92,6 +94,7 @@
             metrics: Arc::default(),
             reports: ReportTargets::default(),
             tasks: TaskTracker::new(),
+            idle: Arc::default(),
             operator: ScopeStatus::default(),
             servers: ScopeStatus::default(),
             state: Mutex::new(FrontState::new(&settings)),
@@ -347,7 +350,7 @@
             stop: node.stop.subscribe(),
             open: open.clone(),
             permits: Arc::new(Semaphore::new(permits)),
-            idle: CallerLimits::default().idle_timeout,
+            idle: node.idle.clone(),
         };
         tokio::spawn(serve(self.callers, rules.clone(), {
             let node = node.clone();
