Explain a request and sum up failures from log files

Cause: on-call engineers had grep only. The story of a request is spread over the logs of several VMs, and what they believed stands in other lines. The line on a forwarded call wrote the name of the target into the field of the VM that logged it; found by the first story. Ruled out: reading the metrics as well; they have no identifiers.

--- a/crates/verbenaring-cli/src/app.rs
+++ b/crates/verbenaring-cli/src/app.rs
@@ -176,6 +176,24 @@
                 /// Example: verbenaring key new
                 cmd key-new new {}
             }
+            /// Tells the story of one request from log files of VMs, without a node.
+            ///
+            /// Example: verbenaring explain --request 9c41d07be2a35f68 front-1.log front-2.log
+            cmd explain {
+                /// Identifier of the request (field `request` of the lines).
+                required --request request: String
+                /// Log files; other lines in them are left out.
+                repeated file: PathBuf
+            }
+            /// Counts refusals and failures in log files of VMs, without a node.
+            ///
+            /// Example: verbenaring summary --svg failures.svg front-1.log front-2.log
+            cmd summary {
+                /// Write a plot of the most frequent reasons over time.
+                optional --svg file: PathBuf
+                /// Log files; other lines in them are left out.
+                repeated file: PathBuf
+            }
             /// Lists the entry VMs that callers should use.
             ///
             /// Example: verbenaring --node 127.0.0.1:7003 entry
--- a/crates/verbenaring-cli/src/command.rs
+++ b/crates/verbenaring-cli/src/command.rs
@@ -1,7 +1,7 @@
 //! Commands: each reads or changes configuration through one node.
 
 use std::io::Write;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use rand::RngCore;
@@ -13,8 +13,8 @@
 
 use crate::app::AppRequest;
 use crate::app::flags::{
-    CapacityCmd, ContractCheck, ContractCmd, KeyCmd, OperationCmd, StopCmd, StopPlan,
-    VerbenaringCmd,
+    CapacityCmd, ContractCheck, ContractCmd, Explain, KeyCmd, OperationCmd, StopCmd, StopPlan,
+    Summary, VerbenaringCmd,
 };
 use crate::change::{ProposedChange, wait_accepted};
 use crate::client::NodeClient;
@@ -22,6 +22,9 @@
 use crate::difference::difference_text;
 use crate::document::CheckedDocument;
 use crate::error::{Error, Result};
+use crate::logs::explain::{RequestStep, explain};
+use crate::logs::line::LogBook;
+use crate::logs::summary::{summarize, write_plot};
 use crate::read;
 
 /// Runs a command and writes its result.
@@ -40,6 +43,8 @@
                 run_contract(command, &client, console).await
             }
         },
+        VerbenaringCmd::Explain(flags) => explain_request(&flags, console),
+        VerbenaringCmd::Summary(flags) => summarize_logs(&flags, console),
         command => {
             let client = NodeClient::new(node.address()?, &node.key()?);
             run_command(command, &client, console).await
@@ -47,6 +52,59 @@
     }
 }
 
+fn explain_request<W: Write>(flags: &Explain, console: &mut OutputConsole<W>) -> Result<()> {
+    let book = load_logs(&flags.file)?;
+    let story = explain(&book, &flags.request).ok_or_else(|| {
+        let (request, lines) = (&flags.request, book.lines.len());
+        Error::Failed(format!("none of {lines} lines names the request {request}"))
+    })?;
+    for step in &story.steps {
+        let RequestStep {
+            after_ms,
+            vm,
+            what,
+            details,
+        } = step;
+        console.say(format!("{after_ms:>7} ms  {vm}  {what}  {details}"))?;
+    }
+    for (title, texts) in [("Believed", &story.beliefs), ("Not shown", &story.gaps)] {
+        for text in texts {
+            console.say(format!("{title}: {text}"))?;
+        }
+    }
+    console.say(format!("Cause: {}", story.cause))?;
+    console.finish(&story)
+}
+
+fn summarize_logs<W: Write>(flags: &Summary, console: &mut OutputConsole<W>) -> Result<()> {
+    let summary = summarize(&load_logs(&flags.file)?);
+    for (reason, count) in &summary.reasons {
+        console.say(format!("{count:>7}  {reason}"))?;
+    }
+    for (vm, reasons) in &summary.vms {
+        let centre = summary.data_centres.get(vm).map_or("", String::as_str);
+        console.say(format!("{vm}  {centre}"))?;
+        for (reason, count) in reasons {
+            console.say(format!("  {count:>7}  {reason}"))?;
+        }
+    }
+    let (missing, skipped) = (summary.missing_lines, summary.skipped_lines);
+    console.say(format!(
+        "lines left out by the VMs: {missing}; lines not of a VM or cut off: {skipped}"
+    ))?;
+    if let Some(file) = &flags.svg {
+        write_plot(&summary, file)?;
+    }
+    console.finish(&summary)
+}
+
+fn load_logs(files: &[PathBuf]) -> Result<LogBook> {
+    match files.is_empty() {
+        true => Err(Error::Usage("give log files".into())),
+        false => LogBook::load(files),
+    }
+}
+
 async fn run_command<W: Write>(
     command: VerbenaringCmd,
     client: &NodeClient,
@@ -80,7 +138,10 @@
                 read::show_operation(client, &show.customer, &show.key, console).await
             }
         },
-        VerbenaringCmd::Contract(_) | VerbenaringCmd::Key(_) => Ok(()),
+        VerbenaringCmd::Contract(_)
+        | VerbenaringCmd::Key(_)
+        | VerbenaringCmd::Explain(_)
+        | VerbenaringCmd::Summary(_) => Ok(()),
     }
 }
 
--- a/crates/verbenaring-cli/src/lib.rs
+++ b/crates/verbenaring-cli/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod difference;
 pub mod document;
 pub mod error;
+pub mod logs;
 pub mod read;
 pub mod table;
 pub mod usage;
--- a/crates/verbenaring-core/src/path/choose.rs
+++ b/crates/verbenaring-core/src/path/choose.rs
@@ -185,7 +185,7 @@
         let routine_lines = self.settings.tuning.routine_lines_per_s;
         if let Some(suppressed) = state.lines.take(routine_lines, now) {
             log::info!(request = call.facts.attempt.as_str(), route = call.route.name.as_str(),
-                routes_version = self.routes.load().version(), vm:% = vm.vm, region:% = work.0,
+                routes_version = self.routes.load().version(), target:% = vm.vm, region:% = work.0,
                 busy = vm.busy, forecast_ms = vm.forecast.as_millis() as u64,
                 report_age_ms = vm.age.as_millis() as u64,
                 suppressed_lines = suppressed; "call forwarded");
