Name orders and ages in the dispatch decisions

Read as a newcomer: the order of servers for a session was called place, the age of the last urgent sample others, and the key of the watch order stood behind its use. No change of behaviour.

--- a/crates/verbenaring-policy/src/dispatch/duty.rs
+++ b/crates/verbenaring-policy/src/dispatch/duty.rs
@@ -18,9 +18,13 @@
 /// Time for which a VM watches itself after it could not ask the others. A
 /// path that works in one direction only brings reports but no answers.
 const FAILURE_MEMORY: Duration = Duration::from_secs(10);
-/// Doublings after which every VM of any region tries.
+/// Most doublings; three thousand VMs try then.
 const MAX_DOUBLINGS: u32 = 10;
 
+/// Key of the order in which VMs watch. Any number does, if it is the same on
+/// every VM.
+const ORDER_KEY: u64 = 0x7761_7463;
+
 /// Another VM of the own region that could watch.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct WatchPeer {
@@ -60,7 +64,7 @@
                 Duration::ZERO
             }
         };
-        let rank = |vm: u64| affinity(WATCH_RANK, vm);
+        let rank = |vm: u64| affinity(ORDER_KEY, vm);
         let ahead = |peer: &&WatchPeer| rank(peer.vm) > rank(own.vm);
         let watching_ahead = peers.iter().filter(ahead).filter(|peer| peer.watching);
         if watching_ahead.count() >= WATCHERS {
@@ -71,6 +75,3 @@
         own.watching || peers.iter().filter(ahead).count() < tries
     }
 }
-
-/// Key of the order in which VMs watch, the same on every VM.
-const WATCH_RANK: u64 = 0x7761_7463;
--- a/crates/verbenaring-policy/src/dispatch/forecast.rs
+++ b/crates/verbenaring-policy/src/dispatch/forecast.rs
@@ -80,10 +80,10 @@
     /// where there are no urgent ones. Without them, a model that predicts all
     /// calls to be late would learn nothing any more.
     pub fn learn(&mut self, sample: FirstEventSample, now: Moment) {
-        let others = self.urgent_at.map(|at| now.since(at));
+        let urgent_age = self.urgent_at.map(|at| now.since(at));
         match sample.urgent {
             true => self.urgent_at = Some(now),
-            false if others.is_some_and(|age| age < LATE_ONLY_AFTER) => return,
+            false if urgent_age.is_some_and(|age| age < LATE_ONLY_AFTER) => return,
             false => {}
         }
         let read_ms = self.ktoken_ms * kilo(sample.tokens);
--- a/crates/verbenaring-policy/src/dispatch/place.rs
+++ b/crates/verbenaring-policy/src/dispatch/place.rs
@@ -181,15 +181,15 @@
     ) -> Result<Placement, NoPlacement> {
         let mut usable = self.usable(demand, cohort, now)?;
         // Calls without parts take any order, so that they spread.
-        let any = || now.since(Moment::default()).as_micros() as u64;
-        let session = demand.session().unwrap_or_else(any);
-        let place = |key: &ServerKey| Reverse(affinity(session, self.servers[*key].hash));
+        let time_order = || now.since(Moment::default()).as_micros() as u64;
+        let session = demand.session().unwrap_or_else(time_order);
+        let order = |key: &ServerKey| Reverse(affinity(session, self.servers[*key].hash));
         let donor = self.donor(demand, now);
         let choices = match cohort.live.len() {
             0..=FEW_VMS => usable.len(),
             _ => MANY_VMS_CHOICES.min(usable.len()),
         };
-        usable.sort_unstable_by_key(place);
+        usable.sort_unstable_by_key(order);
         let best_of = |keys: &[ServerKey]| {
             let candidates = keys
                 .iter()
--- a/crates/verbenaring-policy/tests/dispatch/herd.rs
+++ b/crates/verbenaring-policy/tests/dispatch/herd.rs
@@ -138,7 +138,7 @@
 /// sent their calls to the servers that old reports showed as idle: one of them
 /// got 99,000 tokens within 0.3 s while the mean was 8,000.
 ///
-/// Load: a third of the time of 28 engines, reports every 270 ms. Streams stall
+/// Load: two fifths of the time of 28 engines, reports every 270 ms. Streams stall
 /// while an engine reads; 400 ms is the longest pause that is in time there.
 #[test]
 fn old_reports_do_not_gather_calls_at_idle_servers() {
