Move what VMs tell each other about servers to its own module

The server table held two jobs: what is known, and what another VM is told of it. Ruled out: moving the removals as well; the table decides by them which entry is newer.

--- a/crates/verbenaring-core/src/cluster/snapshot.rs
+++ b/crates/verbenaring-core/src/cluster/snapshot.rs
@@ -16,8 +16,8 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 use verbenaring_policy::dispatch::call::RouteDocument;
+use verbenaring_policy::dispatch::news::{RemovedServer, ServerNews};
 use verbenaring_policy::dispatch::presence::VmRecord;
-use verbenaring_policy::dispatch::table::{RemovedServer, ServerNews};
 use verbenaring_policy::id::CentreName;
 
 use crate::border::WireBorder;
--- a/crates/verbenaring-policy/src/dispatch/mod.rs
+++ b/crates/verbenaring-policy/src/dispatch/mod.rs
@@ -12,6 +12,7 @@
 pub mod duty;
 pub mod evidence;
 pub mod forecast;
+pub mod news;
 pub mod pace;
 pub mod place;
 pub mod presence;
--- a/crates/verbenaring-policy/src/dispatch/table.rs
+++ b/crates/verbenaring-policy/src/dispatch/table.rs
@@ -8,7 +8,6 @@
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
 use slotmap::SlotMap;
 
 use super::call::ServiceTerms;
@@ -48,30 +47,6 @@
     Outdated,
 }
 
-/// Removal of a server's entry, for other VMs.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RemovedServer {
-    /// Server.
-    pub id: ServerId,
-    /// Revision of the removal.
-    pub revision: u64,
-    /// Time for which it is still used.
-    pub grace: Duration,
-}
-
-/// What one VM knows about servers, for another one.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ServerNews {
-    /// Whether servers that are not named are gone.
-    pub complete: bool,
-    /// Entries in force.
-    pub entries: Vec<ServerFacts>,
-    /// Removals.
-    pub removed: Vec<RemovedServer>,
-    /// Revision of the newest change.
-    pub revision: u64,
-}
-
 /// Servers of all regions and the work at those of the own one.
 #[derive(Debug)]
 pub struct ServerTable {
@@ -86,7 +61,7 @@
     pub(super) calls: HashMap<ServiceName, ServiceTimeModel>,
     pub(super) revision: u64,
     /// Revision up to which removals may be missing in `removed`.
-    forgotten: u64,
+    pub(super) forgotten: u64,
     pub(super) far_reads: HashMap<u32, (ServerKey, Moment)>,
     pub(super) near_notes: Vec<ReadNote>,
     pub(super) far_notes: Vec<ReadNote>,
@@ -203,12 +178,6 @@
         first
     }
 
-    /// Counts a listing at `revision` as taken over. Servers that were added and
-    /// removed before it may be unknown here, but not to other VMs.
-    pub fn record_listing(&mut self, revision: u64) {
-        self.forgotten = self.forgotten.max(revision);
-    }
-
     /// Identities of the servers whose entries are in force.
     pub fn listed(&self) -> Vec<ServerId> {
         let listed = self
@@ -227,34 +196,6 @@
         listed.map(|record| &record.facts)
     }
 
-    /// Changes after a revision, for other VMs; everything if the removals
-    /// since then are no longer all remembered.
-    pub fn news(&self, after: u64, now: Moment) -> ServerNews {
-        let complete = after <= self.forgotten;
-        let entries = self.entries();
-        let entries = entries.filter(|facts| complete || facts.revision > after);
-        let removed = self.removed.iter();
-        let removed = removed.filter(|(_, (revision, _))| complete || *revision > after);
-        let removed = removed.map(|(id, (revision, _))| RemovedServer {
-            id: id.clone(),
-            revision: *revision,
-            grace: self.grace_left(id, now),
-        });
-        ServerNews {
-            complete,
-            entries: entries.cloned().collect(),
-            removed: removed.collect(),
-            revision: self.revision,
-        }
-    }
-
-    /// Time for which a removed server is still used.
-    fn grace_left(&self, id: &ServerId, now: Moment) -> Duration {
-        let record = self.by_id.get(id).and_then(|key| self.servers.get(*key));
-        let until = record.and_then(|record| record.gone_at);
-        until.map_or(Duration::ZERO, |until| until.since(now))
-    }
-
     /// Published state of a server.
     pub fn facts(&self, key: ServerKey) -> Option<&ServerFacts> {
         self.servers.get(key).map(|record| &record.facts)
