Test that a VM that cannot ask the others watches itself

Ruled out as cover: the test of VMs that hear nobody, which takes another branch. Change: a test only. It passes, and fails with the branch removed (the VM does not watch).

--- a/crates/verbenaring-policy/tests/dispatch/duty.rs
+++ b/crates/verbenaring-policy/tests/dispatch/duty.rs
@@ -109,3 +109,19 @@
     };
     assert!(WatchDuty::default().is_on_duty(own, &[], at(0)));
 }
+
+/// Guards against a path that works in one direction: reports of watching VMs
+/// arrive, but they cannot be asked, and the VM would never learn of changes.
+#[test]
+fn a_vm_that_cannot_ask_watches_itself() {
+    let mut region = WatchRegion::new(30);
+    region.run(2_000);
+    let cut = (0..30).find(|vm| !region.watching[*vm]).expect("30 VMs");
+    region.duties[cut].record_failure(at(region.now));
+    region.run(5_000);
+    assert!(region.watching[cut]);
+    assert!(region.watchers().len() <= WATCHERS + 1);
+    // The others can be asked again.
+    region.run(20_000);
+    assert_eq!(region.watchers().len(), WATCHERS);
+}
