--- /dev/null
+++ b/crates/verbenaring-core/src/cluster/message.rs
@@ -0,0 +1,237 @@
+//! Datagrams that VMs send each other.
+//!
+//! A datagram begins with a byte that names its kind, followed by the message,
+//! encoded with postcard. A datagram that cannot be decoded is dropped.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use verbenaring_policy::dispatch::presence::{ServiceWait, VmNews, VmRecord, VmState};
+use verbenaring_policy::dispatch::prompt::{PromptRecord, name_hash};
+use verbenaring_policy::dispatch::server::LoadShare;
+use verbenaring_policy::id::{CentreName, DataCentre, RegionName, VmId};
+use verbenaring_policy::time::Moment;
+
+use crate::settings::FrontSettings;
+
+/// Size of a datagram that common links carry without fragmentation.
+pub const MAX_DATAGRAM_BYTES: usize = 1_400;
+
+const REPORT: u8 = 1;
+const LOADS: u8 = 2;
+const MEMBERS: u8 = 3;
+const READS: u8 = 4;
+
+/// What a VM states about itself.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct VmDescription {
+    /// Name of the VM.
+    pub vm: VmId,
+    /// Data centre of the VM.
+    pub centre: CentreName,
+    /// Address that receives reports.
+    pub report_address: SocketAddr,
+    /// Address that accepts calls forwarded by other VMs.
+    pub peer_address: SocketAddr,
+    /// Address that accepts calls from callers.
+    pub caller_address: SocketAddr,
+    /// Boot number of the process.
+    pub boot: u64,
+    /// Sequence number of the report within its boot.
+    pub sequence: u32,
+    /// Lifecycle state.
+    pub state: VmState,
+    /// Version of the routes in force.
+    pub routes_version: u64,
+    /// Revision of the operators' entries in force.
+    pub operator_revision: u64,
+    /// Revision of the newest change of a server that is known.
+    pub servers_revision: u64,
+    /// Whether the VM watches the configuration source.
+    pub watching: bool,
+    /// Capacity relative to other VMs.
+    pub capacity: u32,
+}
+
+impl VmDescription {
+    /// Description of a VM that is to be passed on.
+    pub fn of(record: &VmRecord) -> Self {
+        Self {
+            vm: record.vm.clone(),
+            centre: record.centre.name.clone(),
+            report_address: record.report_address,
+            peer_address: record.peer_address,
+            caller_address: record.caller_address,
+            boot: record.boot,
+            sequence: record.sequence,
+            state: record.state,
+            routes_version: record.routes_version,
+            operator_revision: record.operator_revision,
+            servers_revision: record.servers_revision,
+            watching: record.watching,
+            capacity: record.capacity,
+        }
+    }
+
+    /// Record of the VM, of which news arrive every `interval`.
+    pub fn into_record(
+        self,
+        settings: &FrontSettings,
+        interval: Duration,
+        now: Moment,
+    ) -> VmRecord {
+        VmRecord {
+            centre: DataCentre {
+                region: settings.region_of(&self.centre).clone(),
+                name: self.centre,
+            },
+            name_hash: name_hash(self.vm.as_str()),
+            vm: self.vm,
+            report_address: self.report_address,
+            peer_address: self.peer_address,
+            caller_address: self.caller_address,
+            boot: self.boot,
+            sequence: self.sequence,
+            state: self.state,
+            routes_version: self.routes_version,
+            operator_revision: self.operator_revision,
+            servers_revision: self.servers_revision,
+            watching: self.watching,
+            capacity: self.capacity,
+            interval,
+            received_at: now,
+        }
+    }
+}
+
+/// Report of one VM about itself.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct VmReport {
+    /// Sender.
+    pub vm: VmDescription,
+    /// Time until the next report, in ms.
+    pub interval_ms: u32,
+    /// Expected waits in the sender's region, by service.
+    pub waits: Vec<ServiceWait>,
+    /// Outstanding work of the sender, by short hash of the server name.
+    pub loads: Vec<(u32, LoadShare)>,
+    /// Prompts that the sender gave to servers since its last report.
+    pub reads: Vec<PromptRecord>,
+}
+
+/// Which VMs a stated load includes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum LoadScope {
+    /// The sending relay and the VMs that report to it.
+    Group,
+    /// All VMs of the region, the receiver included.
+    Region,
+}
+
+/// Loads of the servers of a region, as a relay states them.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LoadDigest {
+    /// Relay that sends the digest.
+    pub vm: VmDescription,
+    /// Time until the next digest, in ms.
+    pub interval_ms: u32,
+    /// VMs that the loads include.
+    pub scope: LoadScope,
+    /// Outstanding work, by short hash of the server name.
+    pub loads: Vec<(u32, LoadShare)>,
+}
+
+/// Prompts given to servers, as a relay passes them on.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ReadDigest {
+    /// Whether the prompts are those of the group of the sender, which the receiver
+    /// passes on if it is a relay.
+    pub scope: LoadScope,
+    /// Prompts, with the short name hash of the VM that gave them to servers.
+    pub reads: Vec<(u32, PromptRecord)>,
+}
+
+/// Waits of one region and their age.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct RegionDigest {
+    /// Name of the region.
+    pub region: RegionName,
+    /// Time since a VM of the region stated the waits, in ms.
+    pub age_ms: u32,
+    /// Expected waits, by service.
+    pub waits: Vec<ServiceWait>,
+}
+
+/// VMs and regions that the sender knows.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct MemberDigest {
+    /// Sender.
+    pub vm: VmDescription,
+    /// Time within which news of each VM arrive again, in ms.
+    pub interval_ms: u32,
+    /// Waits of the regions that the sender knows.
+    pub regions: Vec<RegionDigest>,
+    /// Some of the VMs that the sender knows.
+    pub members: Vec<VmDescription>,
+    /// News of some of the VMs that the sender knows.
+    pub news: Vec<VmNews>,
+    /// Prompts given to servers that other regions may copy from.
+    pub reads: Vec<PromptRecord>,
+}
+
+/// Message of one datagram.
+#[derive(Debug, Clone, PartialEq)]
+pub enum VmMessage {
+    /// Report of a VM about itself.
+    Report(VmReport),
+    /// Loads, and the sequence number of the receiver's report that they include.
+    Loads(u32, LoadDigest),
+    /// VMs and regions.
+    Members(MemberDigest),
+    /// Prompts given to servers.
+    Reads(ReadDigest),
+}
+
+/// Encodes the report of a VM.
+pub fn encode_report(report: &VmReport) -> Result<Vec<u8>, postcard::Error> {
+    postcard::to_extend(report, vec![REPORT])
+}
+
+/// Encodes a digest of VMs.
+pub fn encode_members(digest: &MemberDigest) -> Result<Vec<u8>, postcard::Error> {
+    postcard::to_extend(digest, vec![MEMBERS])
+}
+
+/// Encodes prompts.
+pub fn encode_reads(digest: &ReadDigest) -> Result<Vec<u8>, postcard::Error> {
+    postcard::to_extend(digest, vec![READS])
+}
+
+/// Encodes loads for a receiver whose report `included` they include.
+///
+/// `digest` is the encoded digest, which is the same for all receivers.
+pub fn encode_loads(included: u32, digest: &[u8]) -> Vec<u8> {
+    let mut datagram = Vec::with_capacity(1 + 4 + digest.len());
+    datagram.push(LOADS);
+    datagram.extend_from_slice(&included.to_le_bytes());
+    datagram.extend_from_slice(digest);
+    datagram
+}
+
+/// Decodes a datagram.
+pub fn decode(datagram: &[u8]) -> Result<VmMessage, postcard::Error> {
+    let end = postcard::Error::DeserializeUnexpectedEnd;
+    let (kind, body) = datagram.split_first().ok_or(end.clone())?;
+    match *kind {
+        REPORT => Ok(VmMessage::Report(postcard::from_bytes(body)?)),
+        LOADS => {
+            let (included, body) = body.split_first_chunk::<4>().ok_or(end)?;
+            let digest = postcard::from_bytes(body)?;
+            Ok(VmMessage::Loads(u32::from_le_bytes(*included), digest))
+        }
+        MEMBERS => Ok(VmMessage::Members(postcard::from_bytes(body)?)),
+        READS => Ok(VmMessage::Reads(postcard::from_bytes(body)?)),
+        _ => Err(postcard::Error::DeserializeBadEnum),
+    }
+}
--- a/crates/verbenaring-core/src/cluster/snapshot.rs
+++ b/crates/verbenaring-core/src/cluster/snapshot.rs
@@ -33,8 +33,8 @@
 const CHECK_PERIOD: Duration = Duration::from_millis(200);
 /// The same while the VM has no configuration and refuses every call.
 const STARTING_CHECK_PERIOD: Duration = Duration::from_millis(30);
-/// Time for which the watch of this VM may lag behind the reports of others
-/// before a snapshot is requested.
+/// Time for which the watch of this VM may lag behind the reports of others, on
+/// top of its pause, before a snapshot is requested.
 const MAX_WATCH_LAG: Duration = Duration::from_millis(400);
 /// Time limit for fetching a snapshot; covers two round trips between regions
 /// and the transfer.
@@ -90,6 +90,7 @@
 /// Requests snapshots from VMs that report newer state until the process ends.
 pub async fn poll_snapshots<P: WireProtocol>(node: Arc<FrontNode<P>>) {
     let mut behind_since: Option<Instant> = None;
+    let max_lag = MAX_WATCH_LAG + node.settings.bounds.watch_pause();
     loop {
         let period = match node.is_configured() {
             true => CHECK_PERIOD,
@@ -101,7 +102,7 @@
             continue;
         };
         let since = *behind_since.get_or_insert_with(Instant::now);
-        if since.elapsed() < MAX_WATCH_LAG && node.is_configured() && node.is_watching() {
+        if since.elapsed() < max_lag && node.is_configured() && node.is_watching() {
             continue;
         }
         behind_since = None;
@@ -132,11 +133,12 @@
                 || record.operator_revision > state.operator_revision
                 || record.servers_revision > revision
         });
-        // Prefer VMs in this region, which are nearest, and among them those that
-        // watch, which are the most current.
+        // Prefer VMs in this data centre, which are nearest, and among them those
+        // that watch, which are the most current.
         let rank = |record: &&VmRecord| {
             let near = record.centre.region == self.location.region;
-            (near, record.watching, rand::random::<u32>())
+            let same_centre = record.centre == self.location;
+            (near, same_centre, record.watching, rand::random::<u32>())
         };
         let nearest = newer
             .map(|record| (rank(&record), record))
@@ -151,7 +153,7 @@
                 false => 0,
             },
             servers_revision: match self.status(ConfigScope::Servers).is_known() {
-                true => self.servers_revision(),
+                true => self.lock().servers.revision(),
                 false => 0,
             },
         };
@@ -162,6 +164,7 @@
         let options = ConnectOptions {
             connect_timeout: SNAPSHOT_TIMEOUT,
             max_idle: MAX_IDLE,
+            probe: false,
         };
         let sent = self.pool.send(address, request, options).await;
         let (answer, lease) = sent.map_err(|error| error.to_string())?;
--- a/crates/verbenaring-core/src/config/sync.rs
+++ b/crates/verbenaring-core/src/config/sync.rs
@@ -30,10 +30,6 @@
 /// Longest pause after failed calls. The time limits for applying changes start
 /// when the source returns; the pause is short compared to the smallest, 3 s.
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(800);
-/// Pause after a watch that returned changes. Each server writes about once a
-/// second; without the pause every change would need a request of its own. The
-/// time limits for applying changes are ten times as long.
-const WATCH_PAUSE: Duration = Duration::from_millis(300);
 /// Time between checks whether this VM should watch.
 const WATCH_CHECK_PERIOD: Duration = Duration::from_millis(100);
 /// Pause after a failed announcement. Announcements are needed only for VMs to
@@ -44,6 +40,10 @@
 const LAPSED_ENTRY_GRACE: Duration = Duration::from_millis(2_200);
 /// Time to live of an announcement; allows for some failed renewals.
 const ANNOUNCEMENT_TTL: Duration = Duration::from_secs(15);
+/// Time from the start by which a VM has found others through its seeds.
+const ANNOUNCEMENT_DELAY: Duration = Duration::from_secs(2);
+/// Time between listings while this VM hears no other one of its data centre.
+const ALONE_PERIOD: Duration = Duration::from_secs(2);
 /// Time between renewals of the announcement.
 const ANNOUNCEMENT_PERIOD: Duration = Duration::from_secs(5);
 
@@ -97,6 +97,10 @@
                 };
                 let revision = batch.revision;
                 node.apply_listing(scope, batch, grace);
+                // VMs that start together all list; most need not watch.
+                while !node.has_heard_others() {
+                    tokio::time::sleep(WATCH_CHECK_PERIOD).await;
+                }
                 node.status(scope).watched.store(true, Ordering::Relaxed);
                 pause = MIN_RETRY_PAUSE;
                 let grace_until = Instant::now() + grace;
@@ -145,15 +149,18 @@
     grace_until: Instant,
 ) -> WatchOutcome {
     let hold = Duration::from_millis(node.settings.tuning.watch_ms);
+    // Servers renew their entries about once a second; without a pause, every
+    // renewal would need a request of its own.
+    let pause = node.settings.bounds.watch_pause();
     while node.should_watch() {
         match source.watch(scope, after, hold).await {
             Ok(batch) => {
                 after = after.max(batch.revision);
-                let changed = !batch.changes.is_empty();
+                let paused = scope == ConfigScope::Servers && !batch.changes.is_empty();
                 let grace = grace_until.saturating_duration_since(Instant::now());
                 node.apply_changes(scope, batch, grace);
-                if changed {
-                    tokio::time::sleep(WATCH_PAUSE).await;
+                if paused {
+                    tokio::time::sleep(pause).await;
                 }
             }
             Err(error) => return WatchOutcome::Error(error),
@@ -162,7 +169,11 @@
     WatchOutcome::NotNeeded
 }
 
-/// Announces this VM and lists the others periodically until the process ends.
+/// Announces this VM, where that is its duty, and lists the others periodically
+/// until the process ends.
+///
+/// VMs that start together first find each other through their seeds; until then,
+/// none of them knows whether it has to announce itself.
 pub async fn run_announcements<P: WireProtocol, S: ConfigSource>(
     node: Arc<FrontNode<P>>,
     source: Arc<S>,
@@ -171,16 +182,29 @@
         vm: node.settings.vm.clone(),
         report_address: node.settings.report_address,
     };
+    let delay = rand::rng().random_range(ANNOUNCEMENT_DELAY / 2..ANNOUNCEMENT_DELAY);
+    let announced_from = Instant::now() + delay;
     loop {
-        let announced = source.announce(&announcement, ANNOUNCEMENT_TTL).await;
-        let listed = match announced {
-            Ok(()) => source.announced_vms().await,
-            Err(error) => Err(error),
+        let alone = !node.hears_centre();
+        let duty = node.is_announced();
+        let announced = match duty && Instant::now() >= announced_from {
+            true => source.announce(&announcement, ANNOUNCEMENT_TTL).await,
+            false => Ok(()),
+        };
+        let listed = match (announced, alone || duty) {
+            (Ok(()), true) => source.announced_vms().await.map(Some),
+            (Ok(()), false) => Ok(None),
+            (Err(error), _) => Err(error),
         };
         let period = match listed {
             Ok(vms) => {
-                node.reports.set_announced(&vms);
-                ANNOUNCEMENT_PERIOD
+                if let Some(vms) = vms {
+                    node.reports.set_announced(&vms);
+                }
+                match alone {
+                    true => ALONE_PERIOD,
+                    false => ANNOUNCEMENT_PERIOD,
+                }
             }
             Err(error) => {
                 log::debug!(error:% = error; "failed to announce this VM or to list the others");
@@ -188,7 +212,13 @@
             }
         };
         let jitter = rand::rng().random_range(0.8..1.0);
-        tokio::time::sleep(period.mul_f64(jitter)).await;
+        let pause = period.mul_f64(jitter);
+        let until_announced = announced_from.saturating_duration_since(Instant::now());
+        tokio::time::sleep(match until_announced.is_zero() {
+            true => pause,
+            false => pause.min(until_announced),
+        })
+        .await;
     }
 }
 
@@ -282,7 +312,7 @@
         let cold_ms = entry.cold_left.as_millis() as u64;
         let change = self.lock().servers.apply(entry, cold, now);
         match change {
-            EntryChange::Outdated => {}
+            EntryChange::Outdated | EntryChange::Renewed => {}
             EntryChange::Updated => {
                 log::debug!(server:% = id, revision = revision, cold_ms = cold_ms; "server entry changed");
             }
--- a/crates/verbenaring-core/src/node.rs
+++ b/crates/verbenaring-core/src/node.rs
@@ -15,6 +15,7 @@
 use tokio_util::task::TaskTracker;
 use verbenaring_policy::dispatch::call::RouteTable;
 use verbenaring_policy::dispatch::presence::VmState;
+use verbenaring_policy::dispatch::relay::RelayPlan;
 use verbenaring_policy::dispatch::server::ServerKey;
 use verbenaring_policy::id::{DataCentre, VmId};
 use verbenaring_policy::time::Moment;
@@ -45,6 +46,8 @@
 const STOP_ANNOUNCEMENT_TIME: Duration = Duration::from_millis(2_900);
 /// Safety margin between the end of the last call and the kill.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
+/// Time after its start by which a VM that hears no other one counts as alone.
+const SOLITUDE_TIME: Duration = Duration::from_millis(1_500);
 /// Limit on log lines per second about refusals and failed attempts.
 const FAILURE_LINES_PER_S: u32 = 200;
 
@@ -75,6 +78,8 @@
     operator_status: ScopeStatus,
     servers_status: ScopeStatus,
     state: Mutex<FrontState>,
+    is_relayed: AtomicBool,
+    is_relay: AtomicBool,
     failure_lines: Mutex<crate::observe::logger::LogRateLimiter>,
     shutdown_phase: watch::Sender<ShutdownPhase>,
     exit_deadline: OnceLock<Instant>,
@@ -98,6 +103,8 @@
             operator_status: ScopeStatus::default(),
             servers_status: ScopeStatus::default(),
             state: Mutex::new(FrontState::new(&settings)),
+            is_relayed: AtomicBool::new(false),
+            is_relay: AtomicBool::new(false),
             failure_lines: Mutex::default(),
             shutdown_phase: watch::channel(ShutdownPhase::Serving).0,
             exit_deadline: OnceLock::new(),
@@ -144,6 +151,37 @@
         watched(&self.operator_status) && watched(&self.servers_status)
     }
 
+    /// Whether this VM keeps itself announced, so that others find it: relays do,
+    /// and every VM where there are no relays.
+    pub(crate) fn is_announced(&self) -> bool {
+        !self.is_relayed.load(Ordering::Relaxed) || self.is_relay()
+    }
+
+    /// Whether this VM passes on the reports of others.
+    pub fn is_relay(&self) -> bool {
+        self.is_relay.load(Ordering::Relaxed)
+    }
+
+    /// Records whether reports go through relays and whether this VM is one.
+    pub(crate) fn set_relay_duty(&self, plan: &RelayPlan) {
+        self.is_relayed.store(plan.relayed, Ordering::Relaxed);
+        self.is_relay.store(plan.is_relay, Ordering::Relaxed);
+    }
+
+    /// Whether this VM hears another one, or has run for so long that there is none.
+    pub(crate) fn has_heard_others(&self) -> bool {
+        let now = self.clock.now();
+        now.since(Moment::default()) >= SOLITUDE_TIME || self.lock().vms.live(now).next().is_some()
+    }
+
+    /// Whether this VM hears another one of its data centre.
+    pub(crate) fn hears_centre(&self) -> bool {
+        let now = self.clock.now();
+        let state = self.lock();
+        let mut live = state.vms.live(now);
+        live.any(|(_, record)| record.centre == self.location)
+    }
+
     /// Whether this VM should watch the configuration source itself.
     pub(crate) fn should_watch(&self) -> bool {
         let now = self.clock.now();
@@ -152,7 +190,7 @@
 
     /// Highest revision of the servers that has been applied.
     pub fn servers_revision(&self) -> u64 {
-        self.lock().servers.revision()
+        self.lock().servers.applied_revision()
     }
 
     /// Whether another VM sends reports.
@@ -244,9 +282,10 @@
         let state = self.lock();
         let waits = state.servers.waits(routes.services(), now);
         for (service, model) in state.servers.first_event_models() {
-            let (base_ms, ktoken_ms) = model.learned_ms();
+            let times = model.learned();
             let wait = waits.iter().find(|wait| wait.service == *service);
-            log::info!(service:% = service, base_ms = base_ms, ktoken_ms = ktoken_ms,
+            log::info!(service:% = service, base_ms = times.base_ms, ktoken_ms = times.own_ktoken_ms,
+                ahead_ktoken_ms = times.ahead_ktoken_ms,
                 wait_ms = wait.map_or(0, |wait| wait.wait_ms),
                 busy_percent = wait.map_or(0, |wait| wait.busy_percent),
                 servers = wait.map_or(0, |wait| wait.servers); "engine times learned");
--- a/crates/verbenaring-core/src/path/choose.rs
+++ b/crates/verbenaring-core/src/path/choose.rs
@@ -25,6 +25,8 @@
 /// Time after its start by which a VM has received reports of all others in its
 /// region, even if their first datagrams were lost.
 const VM_DISCOVERY_TIME: Duration = Duration::from_millis(1_500);
+/// The same where relays describe the others, a few in each datagram.
+const RELAYED_DISCOVERY_TIME: Duration = Duration::from_millis(5_000);
 /// `Retry-After` when no server takes calls, in ms. Servers return within
 /// seconds; the random value spreads the callers that come back.
 const NO_SERVER_RETRY_AFTER_MS: std::ops::Range<u64> = 400..800;
@@ -71,10 +73,20 @@
     pub address: SocketAddr,
     /// Predicted time to the first event or the whole answer.
     pub forecast: Duration,
-    /// Fraction of time that the servers of its region spend reading prompts.
-    pub busy: f64,
-    /// Age of the report on which the prediction is based.
-    pub report_age: Duration,
+}
+
+/// What another region can do for a call.
+#[derive(Debug, Clone, PartialEq)]
+struct RegionOffer {
+    region: RegionName,
+    /// Predicted time to the first event or the whole answer.
+    forecast: Duration,
+    /// Fraction of time that the servers of the region spend reading prompts.
+    busy: f64,
+    /// Time that a server needs for the call.
+    work: Duration,
+    /// Age of the statement on which the prediction is based.
+    age: Duration,
 }
 
 impl<P: WireProtocol> FrontNode<P> {
@@ -88,39 +100,55 @@
         let mut state = self.lock();
         let state = &mut *state;
         let local = self.place_locally(call, tried, state, now);
-        let remote = match call.origin {
-            CallOrigin::Caller => self.best_remote_vm(call, tried, state, now),
-            CallOrigin::Vm => None,
-        };
-        let remaining = call.remaining();
-        let chosen = match (local, remote) {
-            (Ok(placement), Some((vm, work))) => {
-                let local_forecast = RegionForecast {
-                    first_event: placement.forecast,
-                    busy: placement.busy,
-                };
-                let remote_forecast = RegionForecast {
-                    first_event: vm.forecast,
-                    busy: vm.busy,
-                };
-                let session = call.session_hash(&self.location.region);
-                let times = TimeBudget {
-                    goal: call.route.goal,
-                    remaining,
+        let mut excluded = Vec::new();
+        loop {
+            let offer = match call.origin {
+                CallOrigin::Caller => self.best_region(call, tried, &excluded, state, now),
+                CallOrigin::Vm => None,
+            };
+            let Some(offer) = offer.filter(|offer| self.should_forward(call, &local, offer)) else {
+                let sent = local
+                    .as_ref()
+                    .map(|placement| self.send_to_server(call, tried, placement, state, now));
+                return match sent {
+                    Ok(Some(target)) => Ok(target),
+                    Ok(None) => Err(refusal_for(call, &PlacementError::NoServer)),
+                    Err(error) => Err(refusal_for(call, error)),
                 };
-                let settings = &self.settings.tuning.dispatch;
-                match should_spill(settings, local_forecast, remote_forecast, times, session) {
-                    true => Ok(self.forward_to_vm(call, vm, work, state, now)),
-                    false => Ok(self.send_to_server(call, tried, &placement, state, now)),
-                }
-            }
-            (Ok(placement), None) => Ok(self.send_to_server(call, tried, &placement, state, now)),
-            (Err(_), Some((vm, work))) if vm.forecast < remaining => {
-                Ok(self.forward_to_vm(call, vm, work, state, now))
+            };
+            match self.pick_vm(call, tried, &offer, state, now) {
+                Some(vm) => return Ok(self.forward_to_vm(call, vm, &offer, state, now)),
+                None => excluded.push(offer.region),
             }
-            (Err(error), _) => Err(refusal_for(call, &error)),
+        }
+    }
+
+    /// Whether a call is forwarded to another region instead of the local server.
+    fn should_forward(
+        &self,
+        call: &PendingCall,
+        local: &Result<Placement, PlacementError>,
+        offer: &RegionOffer,
+    ) -> bool {
+        let remaining = call.remaining();
+        let Ok(placement) = local else {
+            return offer.forecast < remaining;
+        };
+        let local_forecast = RegionForecast {
+            first_event: placement.forecast,
+            busy: placement.busy,
+        };
+        let remote_forecast = RegionForecast {
+            first_event: offer.forecast,
+            busy: offer.busy,
+        };
+        let session = call.session_hash(&self.location.region);
+        let times = TimeBudget {
+            goal: call.route.goal,
+            remaining,
         };
-        chosen.and_then(|target| target.ok_or_else(|| refusal_for(call, &PlacementError::NoServer)))
+        let settings = &self.settings.tuning.dispatch;
+        should_spill(settings, local_forecast, remote_forecast, times, session)
     }
 
     fn place_locally(
@@ -134,10 +162,14 @@
             return Err(PlacementError::NoServer);
         }
         let live = state.live_region_vms(now);
+        let discovery_time = match live.len() < self.settings.tuning.relay.direct_vms {
+            true => VM_DISCOVERY_TIME,
+            false => RELAYED_DISCOVERY_TIME,
+        };
         let vms = RegionVms {
             own: state.vm_hash(),
             live: &live,
-            peers_known: now.since(Moment::default()) >= VM_DISCOVERY_TIME,
+            peers_known: now.since(Moment::default()) >= discovery_time,
         };
         state
             .servers
@@ -178,68 +210,61 @@
         &self,
         call: &PendingCall,
         vm: ChosenVm,
-        work: (RegionName, Duration),
+        offer: &RegionOffer,
         state: &mut FrontState,
         now: Moment,
-    ) -> Option<CallTarget> {
+    ) -> CallTarget {
         state
             .spilled_calls
-            .record(&work.0, &call.service, work.1, now);
+            .record(&offer.region, &call.service, offer.work, now);
         let routine_lines = self.settings.tuning.routine_lines_per_s;
         if let Some(suppressed) = state.routine_lines.try_acquire(routine_lines, now) {
             log::info!(request = call.metadata.attempt_id.as_str(), route = call.route.name.as_str(),
-                routes_version = self.routes.load().version(), target:% = vm.vm, region:% = work.0,
-                busy = vm.busy, forecast_ms = vm.forecast.as_millis() as u64,
-                report_age_ms = vm.report_age.as_millis() as u64,
+                routes_version = self.routes.load().version(), target:% = vm.vm, region:% = offer.region,
+                busy = offer.busy, forecast_ms = vm.forecast.as_millis() as u64,
+                report_age_ms = offer.age.as_millis() as u64,
                 suppressed_lines = suppressed; "call forwarded");
         }
-        Some(CallTarget::Vm(vm))
+        CallTarget::Vm(vm)
     }
 
-    /// Random VM of the best other region, with that region and the work of the
-    /// call.
+    /// Other region that is best for a call.
     ///
     /// Among regions that meet the goal of the call the least busy one is best,
     /// otherwise the one with the earliest predicted answer.
-    fn best_remote_vm(
+    fn best_region(
         &self,
         call: &PendingCall,
         tried: &TriedTargets,
+        excluded: &[RegionName],
         state: &FrontState,
         now: Moment,
-    ) -> Option<(ChosenVm, (RegionName, Duration))> {
-        let eligible = |record: &&VmRecord| {
-            record.centre.region != self.location.region
-                && record.takes_calls(now)
-                && call.route.allows(&record.centre.region)
-                && !tried.vms.contains(&record.vm)
-                && state
-                    .servers
-                    .has_server(&record.centre.region, &call.service)
+    ) -> Option<RegionOffer> {
+        let eligible = |region: &RegionName| {
+            *region != self.location.region
+                && call.route.allows(region)
+                && !excluded.contains(region)
+                && state.servers.has_server(region, &call.service)
         };
-        let live = state.vms.live(now).map(|(_, record)| record);
-        let vms: Vec<&VmRecord> = live.filter(eligible).collect();
         let work = state
             .servers
             .uncached_read_time(&call.placement_request(&tried.servers));
         let busy_limit = self.settings.tuning.dispatch.busy_limit(call.route.rank);
-        let mut best: Option<(Duration, f64, &VmRecord)> = None;
-        for record in &vms {
-            let wait = record
-                .waits
-                .iter()
-                .find(|wait| wait.service == call.service);
-            let Some(wait) = wait else {
+        let mut best: Option<RegionOffer> = None;
+        for (region, stated) in state.vms.region_waits() {
+            let wait = stated.waits.iter();
+            let wait = wait.into_iter().find(|wait| wait.service == call.service);
+            let Some(wait) = wait.filter(|_| eligible(region)) else {
                 continue;
             };
-            let offer = RemoteRegion {
-                region: &record.centre.region,
+            let remote = RemoteRegion {
+                region,
                 wait: Duration::from_millis(u64::from(wait.wait_ms)),
                 servers: wait.servers,
             };
             let forecast = state
                 .spilled_calls
-                .predict(&offer, &call.service, work, now);
+                .predict(&remote, &call.service, work, now);
             let busy = f64::from(wait.busy_percent) / 100.0;
             if busy > busy_limit {
                 continue;
@@ -247,30 +272,52 @@
             // A region that meets the goal beats one that does not. If both meet
             // it, the less busy one wins; if neither does, the faster one.
             let meets_goal = forecast < call.route.goal;
-            let better = |(best_forecast, best_busy, _): (Duration, f64, _)| match meets_goal {
-                true => best_forecast >= call.route.goal || busy < best_busy,
-                false => forecast < best_forecast,
+            let better = |best: &RegionOffer| match meets_goal {
+                true => best.forecast >= call.route.goal || busy < best.busy,
+                false => forecast < best.forecast,
             };
-            if best.is_none_or(better) {
-                best = Some((forecast, busy, record));
+            if best.as_ref().is_none_or(better) {
+                best = Some(RegionOffer {
+                    region: region.clone(),
+                    forecast,
+                    busy,
+                    work,
+                    age: now.since(stated.stated_at),
+                });
             }
         }
-        let (forecast, busy, record) = best?;
-        let region = &record.centre.region;
-        // The VMs of a region report nearly the same wait, so any of them will do.
-        let region_vms: Vec<&&VmRecord> = vms
-            .iter()
-            .filter(|other| other.centre.region == *region)
+        best
+    }
+
+    /// Random VM of a region, weighted by capacity. `None` if no VM there takes
+    /// calls.
+    fn pick_vm(
+        &self,
+        call: &PendingCall,
+        tried: &TriedTargets,
+        offer: &RegionOffer,
+        state: &FrontState,
+        now: Moment,
+    ) -> Option<ChosenVm> {
+        debug_assert!(call.route.allows(&offer.region));
+        let vms: Vec<&VmRecord> = state
+            .vms
+            .live(now)
+            .filter(|(key, record)| {
+                record.centre.region == offer.region
+                    && state.vms.is_reachable(*key, now)
+                    && !tried.vms.contains(&record.vm)
+            })
+            .map(|(_, record)| record)
             .collect();
-        let record = region_vms.choose(&mut rand::rng())?;
-        let vm = ChosenVm {
+        let record = vms
+            .choose_weighted(&mut rand::rng(), |record| record.capacity.max(1))
+            .ok()?;
+        Some(ChosenVm {
             vm: record.vm.clone(),
             address: record.peer_address,
-            forecast,
-            busy,
-            report_age: now.since(record.received_at),
-        };
-        Some((vm, (region.clone(), work)))
+            forecast: offer.forecast,
+        })
     }
 }
 
--- a/crates/verbenaring-core/src/path/exchange.rs
+++ b/crates/verbenaring-core/src/path/exchange.rs
@@ -37,9 +37,6 @@
 /// Time added to that multiple, because predictions do not include calls that
 /// other VMs have just sent.
 const RESPONSE_TIMEOUT_SLACK: Duration = Duration::from_millis(400);
-/// Time between checks that the VM that runs a forwarded call still sends
-/// reports.
-const VM_LIVENESS_CHECK_PERIOD: Duration = Duration::from_millis(250);
 /// Engine priority of an urgent call, to which the rank of its route is added.
 /// Lower priorities run first.
 const URGENT_BASE_PRIORITY: u8 = 2;
@@ -186,9 +183,16 @@
             .await_answer(call, attempt, response_timeout.flatten())
             .await;
         let (outcome, result) = match sent {
-            Ok((answer, lease)) => self.read_answer(call, answer, lease, vm, guard).await,
+            Ok((answer, lease)) => {
+                self.read_answer(call, answer, lease, vm.clone(), guard)
+                    .await
+            }
             Err(SendError::NoConnection(reason)) => {
                 guard.set_end(CallOutcome::Refused);
+                if let Some(vm) = &vm {
+                    let now = self.clock.now();
+                    self.lock().vms.record_unreachable(vm, now);
+                }
                 let reached_server = false;
                 (
                     AttemptOutcome::NotRun {
@@ -224,17 +228,10 @@
         let timeout_at = response_timeout.map(|timeout| Instant::now() + timeout);
         let timed_out = tokio::time::sleep_until(timeout_at.unwrap_or(call.deadline));
         tokio::pin!(timed_out);
-        loop {
-            tokio::select! {
-                sent = sending.as_mut() => return sent,
-                () = timed_out.as_mut(), if timeout_at.is_some() => {
-                    return Err(SendError::Broken(format!("no answer within {response_timeout:?}")));
-                }
-                () = tokio::time::sleep(VM_LIVENESS_CHECK_PERIOD), if attempt.vm.is_some() => {
-                    if attempt.vm.as_ref().is_some_and(|vm| !self.is_vm_live(vm)) {
-                        return Err(SendError::Broken("the VM no longer reports".to_owned()));
-                    }
-                }
+        tokio::select! {
+            sent = sending.as_mut() => sent,
+            () = timed_out.as_mut(), if timeout_at.is_some() => {
+                Err(SendError::Broken(format!("no answer within {response_timeout:?}")))
             }
         }
     }
@@ -328,6 +325,7 @@
             options: ConnectOptions {
                 connect_timeout: Duration::from_millis(self.settings.tuning.connect_ms),
                 max_idle,
+                probe: false,
             },
             vm: None,
             forecast: server.forecast,
@@ -359,6 +357,7 @@
             options: ConnectOptions {
                 connect_timeout: Duration::from_millis(self.settings.tuning.far_connect_ms),
                 max_idle: MAX_IDLE,
+                probe: true,
             },
             vm: Some(vm.vm),
             forecast: vm.forecast,
--- a/crates/verbenaring-core/src/settings.rs
+++ b/crates/verbenaring-core/src/settings.rs
@@ -7,6 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 use verbenaring_policy::dispatch::pace::PaceLimits;
+use verbenaring_policy::dispatch::relay::RelaySettings;
 use verbenaring_policy::dispatch::settings::DispatchSettings;
 use verbenaring_policy::id::{CentreName, DataCentre, RegionName, VmId};
 use verbenaring_policy::retry::BudgetTerms;
@@ -43,6 +44,9 @@
     /// Limit on file descriptors of the process.
     #[serde(default = "default_descriptors")]
     pub max_descriptors: usize,
+    /// What the VM has of processor, memory and link.
+    #[serde(default)]
+    pub resources: ResourceSettings,
     /// Bounds that apply to the deployment as a whole.
     #[serde(default)]
     pub bounds: BoundSettings,
@@ -55,6 +59,52 @@
     1_024
 }
 
+/// What a VM has of processor, memory and link.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct ResourceSettings {
+    /// Share of a processor core.
+    pub cores: f64,
+    /// Memory, in MB.
+    pub memory_mb: f64,
+    /// Bandwidth of the link, in Mbit/s.
+    pub link_mbps: f64,
+}
+
+impl Default for ResourceSettings {
+    fn default() -> Self {
+        Self {
+            cores: 0.25,
+            memory_mb: 256.0,
+            link_mbps: 1_000.0,
+        }
+    }
+}
+
+impl ResourceSettings {
+    /// Resources of a VM with capacity 100, in the proportions in which calls use
+    /// them.
+    const REFERENCE: Self = Self {
+        cores: 0.25,
+        memory_mb: 256.0,
+        link_mbps: 100.0,
+    };
+    /// Descriptors of a VM with capacity 100.
+    const REFERENCE_DESCRIPTORS: f64 = 4_096.0;
+
+    /// Capacity relative to other VMs: that of the scarcest resource, at least 1.
+    pub fn capacity(&self, descriptors: usize) -> u32 {
+        let shares = [
+            self.cores / Self::REFERENCE.cores,
+            self.memory_mb / Self::REFERENCE.memory_mb,
+            self.link_mbps / Self::REFERENCE.link_mbps,
+            descriptors as f64 / Self::REFERENCE_DESCRIPTORS,
+        ];
+        let scarcest = shares.into_iter().fold(f64::INFINITY, f64::min);
+        (scarcest * 100.0).max(1.0) as u32
+    }
+}
+
 /// Bounds that the VMs of a deployment keep jointly.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
@@ -108,6 +158,14 @@
     pub fn grace(&self) -> Duration {
         Duration::from_secs_f64(self.grace_s)
     }
+
+    /// Pause of a watch that has just returned changes.
+    ///
+    /// A fifth of the time within which a change must apply leaves time for the
+    /// watch itself and for passing the change on to VMs that do not watch.
+    pub fn watch_pause(&self) -> Duration {
+        Duration::from_millis(self.drain_ms) / 5
+    }
 }
 
 /// Limits and intervals of one process.
@@ -136,6 +194,8 @@
     pub routine_lines_per_s: u32,
     /// Weights and limits for choosing a server and a region.
     pub dispatch: DispatchSettings,
+    /// When reports go through relays.
+    pub relay: RelaySettings,
 }
 
 impl Default for TuningSettings {
@@ -149,6 +209,7 @@
             watch_ms: 5_000,
             routine_lines_per_s: 20,
             dispatch: DispatchSettings::default(),
+            relay: RelaySettings::default(),
         }
     }
 }
@@ -179,6 +240,11 @@
         Ok(settings)
     }
 
+    /// Capacity of the VM relative to others.
+    pub fn capacity(&self) -> u32 {
+        self.resources.capacity(self.max_descriptors)
+    }
+
     /// Data centre of the VM with its region.
     pub fn location(&self) -> DataCentre {
         DataCentre {
--- a/crates/verbenaring-core/src/state.rs
+++ b/crates/verbenaring-core/src/state.rs
@@ -35,6 +35,7 @@
     budget_terms: BudgetTerms,
     region: RegionName,
     vm_hash: u64,
+    capacity: u32,
 }
 
 impl FrontState {
@@ -46,7 +47,8 @@
                 region.clone(),
                 settings.bounds.pace(),
                 settings.tuning.dispatch,
-            ),
+            )
+            .with_centre(settings.data_centre.clone()),
             vms: PresenceTable::default(),
             spilled_calls: SpillTracker::default(),
             operator_revision: 0,
@@ -55,6 +57,7 @@
             retry_budgets: HashMap::new(),
             budget_terms: settings.bounds.budget(),
             vm_hash: name_hash(settings.vm.as_str()),
+            capacity: settings.capacity(),
             region,
         }
     }
@@ -71,7 +74,7 @@
             .live(now)
             .filter(|(_, record)| record.centre.region == self.region);
         region_vms
-            .map(|(_, record)| name_hash(record.vm.as_str()))
+            .map(|(_, record)| record.name_hash)
             .chain([self.vm_hash])
             .collect()
     }
@@ -87,6 +90,7 @@
     pub fn should_watch(&mut self, watching: bool, now: Moment) -> bool {
         let own = WatchPeer {
             vm: self.vm_hash,
+            capacity: self.capacity,
             watching,
         };
         let region_vms = self.vms.live(now).filter(|(_, record)| {
@@ -94,7 +98,8 @@
         });
         let peers: Vec<WatchPeer> = region_vms
             .map(|(_, record)| WatchPeer {
-                vm: name_hash(record.vm.as_str()),
+                vm: record.name_hash,
+                capacity: record.capacity,
                 watching: record.watching,
             })
             .collect();
--- a/crates/verbenaring-core/src/upstream/pool.rs
+++ b/crates/verbenaring-core/src/upstream/pool.rs
@@ -16,6 +16,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{HeaderMap, Request, Response};
 use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
@@ -30,6 +31,10 @@
 const IDLE_MARGIN: Duration = Duration::from_millis(600);
 /// Upper limit on the idle timeout.
 const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+/// Silence after which the kernel probes a peer, and the interval of its probes.
+/// [`TCP_USER_TIMEOUT`](crate::caller::listener::TCP_USER_TIMEOUT) limits the time
+/// without an answer to them.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 /// Limit on the idle connections kept for one address.
 const MAX_IDLE_CONNECTIONS: usize = 64;
 
@@ -65,6 +70,9 @@
     pub connect_timeout: Duration,
     /// Longest idle time of a connection that is reused.
     pub max_idle: Duration,
+    /// Whether the kernel probes the peer while the connection is silent. Without
+    /// probes, an answer of a peer that vanished is awaited until the deadline.
+    pub probe: bool,
 }
 
 /// Connection in use; closed when dropped unless it is released.
@@ -128,7 +136,7 @@
                 Err((reason, None)) => return Err(SendError::Broken(reason)),
             }
         }
-        let mut lease = self.connect(address, options.connect_timeout).await?;
+        let mut lease = self.connect(address, options).await?;
         match lease.try_send(request).await {
             Ok(answer) => Ok((answer, lease)),
             Err((reason, Some(_))) => Err(SendError::NoConnection(reason)),
@@ -181,12 +189,19 @@
     async fn connect(
         self: &Arc<Self>,
         address: SocketAddr,
-        timeout: Duration,
+        options: ConnectOptions,
     ) -> Result<ConnectionLease, SendError> {
         let failed = |reason: String| SendError::NoConnection(reason);
+        let timeout = options.connect_timeout;
         let opened = async {
             let stream = TcpStream::connect(address).await?;
             set_socket_options(&stream)?;
+            if options.probe {
+                let probes = TcpKeepalive::new()
+                    .with_time(PROBE_INTERVAL)
+                    .with_interval(PROBE_INTERVAL);
+                SockRef::from(&stream).set_tcp_keepalive(&probes)?;
+            }
             Ok::<_, std::io::Error>(stream)
         };
         let stream = match tokio::time::timeout(timeout, opened).await {
--- a/crates/verbenaring-policy/src/dispatch/changes.rs
+++ b/crates/verbenaring-policy/src/dispatch/changes.rs
@@ -3,7 +3,8 @@
 //! Load pattern: most VMs do not watch the configuration source and ask others
 //! several times a second. The answer holds the changes after the revision that
 //! the asking VM has reached. If removals since then may be missing here, it
-//! lists all servers, so that the asking VM drops the rest.
+//! lists all servers, so that the asking VM drops the rest. Renewals of entries
+//! are not passed on: each server writes one about once a second.
 
 use std::time::Duration;
 
@@ -49,8 +50,12 @@
     /// missing here.
     pub fn changes_since(&self, after: u64, now: Moment) -> ServerChanges {
         let complete = after <= self.pruned_revision;
-        let entries = self.entries();
-        let entries = entries.filter(|entry| complete || entry.revision > after);
+        let listed = self
+            .servers
+            .values()
+            .filter(|record| record.use_until.is_none());
+        let changed = listed.filter(|record| complete || record.changed_revision > after);
+        let entries = changed.map(|record| &record.entry);
         let removed = self.removed.iter();
         let removed = removed.filter(|(_, (revision, _))| complete || *revision > after);
         let removed = removed.map(|(id, (revision, _))| RemovedServer {
--- a/crates/verbenaring-policy/src/dispatch/forecast.rs
+++ b/crates/verbenaring-policy/src/dispatch/forecast.rs
@@ -1,12 +1,16 @@
 //! Predicted time to the first event of a generation or to a plain answer.
 //!
 //! Load pattern: prompts are read one after another, so the time to the first
-//! event grows with the unread tokens ahead of a request. Base time and time per
-//! token are learned from the answers, because neither is configured and both
-//! change with the load. Many calls take longer than their tokens explain: they
-//! wait behind calls of other VMs that are not yet reported, or at a server that
-//! is slow or cold. The model therefore tracks the median: each answer moves it
-//! by a fixed step, no matter how late the answer was.
+//! event grows with the prompt of a request and with the unread tokens ahead of
+//! it. Base time and times per token are learned from the answers, because they
+//! are not configured and change with the load. The two times per token differ:
+//! the prompt is known, while the tokens ahead are an estimate, part of which the
+//! engine has read or finds in its cache. A common time made long prompts on idle
+//! engines look two to three times faster than they are. Many calls take longer
+//! than their tokens explain: they wait behind calls of other VMs that are not yet
+//! reported, or at a server that is slow or cold. The model therefore tracks the
+//! median: each answer moves it by a fixed step, no matter how late the answer
+//! was.
 
 use std::time::Duration;
 
@@ -31,53 +35,74 @@
 /// Measured time to the first event of one call.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct FirstEventSample {
-    /// Unread tokens ahead of the call and in its own prompt.
-    pub tokens: u64,
+    /// Unread tokens of the call's own prompt.
+    pub own_tokens: u64,
+    /// Unread tokens ahead of the call.
+    pub ahead_tokens: u64,
     /// Measured time from sending to the first event.
     pub observed: Duration,
     /// Whether the call was sent as urgent.
     pub urgent: bool,
 }
 
-/// Learned model of an engine's time to the first event: a base time and a time per
-/// unread token.
+/// Learned model of an engine's time to the first event.
 #[derive(Debug, Clone, Copy)]
 pub struct FirstEventModel {
-    base_ms: f64,
-    ktoken_ms: f64,
+    times: LearnedTimes,
     last_urgent_at: Option<Moment>,
 }
 
+/// Terms of a [`FirstEventModel`].
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct LearnedTimes {
+    /// Time to the first event of an empty prompt on an idle engine, in ms.
+    pub base_ms: f64,
+    /// Time per 1,000 unread tokens of the call's own prompt, in ms.
+    pub own_ktoken_ms: f64,
+    /// Time per 1,000 unread tokens ahead of the call, in ms.
+    pub ahead_ktoken_ms: f64,
+}
+
 impl Default for FirstEventModel {
     fn default() -> Self {
         Self {
-            base_ms: INITIAL_BASE_MS,
-            ktoken_ms: INITIAL_KTOKEN_MS,
+            times: LearnedTimes {
+                base_ms: INITIAL_BASE_MS,
+                own_ktoken_ms: INITIAL_KTOKEN_MS,
+                ahead_ktoken_ms: INITIAL_KTOKEN_MS,
+            },
             last_urgent_at: None,
         }
     }
 }
 
 impl FirstEventModel {
-    /// Learned base time and time per 1,000 unread tokens, in ms.
-    pub fn learned_ms(&self) -> (f64, f64) {
-        (self.base_ms, self.ktoken_ms)
+    /// Learned times.
+    pub fn learned(&self) -> LearnedTimes {
+        self.times
     }
 
-    /// Predicted time to the first event with `tokens` unread tokens, including those
-    /// of the call.
-    pub fn predict(&self, tokens: u64) -> Duration {
-        Duration::from_secs_f64(self.base_ms / 1_000.0) + self.read_time(tokens)
+    /// Predicted time to the first event of a call with `own_tokens` unread tokens
+    /// behind `ahead_tokens` others.
+    pub fn predict(&self, own_tokens: u64, ahead_tokens: u64) -> Duration {
+        duration_from_ms(self.times.base_ms)
+            + self.read_time(own_tokens)
+            + self.queue_time(ahead_tokens)
     }
 
-    /// Predicted time to read `tokens`.
+    /// Predicted time to read `tokens` of a prompt.
     pub fn read_time(&self, tokens: u64) -> Duration {
-        Duration::from_secs_f64(self.ktoken_ms * to_thousands(tokens) / 1_000.0)
+        duration_from_ms(self.times.own_ktoken_ms * to_thousands(tokens))
+    }
+
+    /// Predicted time until `tokens` that are estimated to be unread are read.
+    pub fn queue_time(&self, tokens: u64) -> Duration {
+        duration_from_ms(self.times.ahead_ktoken_ms * to_thousands(tokens))
     }
 
     /// Learns from the first event of a call.
     ///
-    /// Only the larger term of the prediction is corrected: short prompts say
+    /// Only the largest term of the prediction is corrected: short prompts say
     /// little about the read time, long ones little about the base time. Calls that
     /// are not urgent also wait for urgent ones that arrive later, so they count
     /// only while there are no urgent ones. If they never counted, a model that
@@ -89,21 +114,30 @@
             false if urgent_age.is_some_and(|age| age < URGENT_PREFERENCE_TIME) => return,
             false => {}
         }
-        let read_ms = self.ktoken_ms * to_thousands(sample.tokens);
-        let direction = match sample.observed > self.predict(sample.tokens) {
+        let predicted = self.predict(sample.own_tokens, sample.ahead_tokens);
+        let direction = match sample.observed > predicted {
             true => 0.5,
             false => -0.5,
         };
         let factor = 1.0 + LEARNING_STEP * direction;
-        if read_ms > self.base_ms {
-            self.ktoken_ms =
-                (self.ktoken_ms * factor).clamp(KTOKEN_MS_BOUNDS.0, KTOKEN_MS_BOUNDS.1);
+        let times = &mut self.times;
+        let own_ms = times.own_ktoken_ms * to_thousands(sample.own_tokens);
+        let ahead_ms = times.ahead_ktoken_ms * to_thousands(sample.ahead_tokens);
+        let (term, bounds) = if ahead_ms > own_ms.max(times.base_ms) {
+            (&mut times.ahead_ktoken_ms, KTOKEN_MS_BOUNDS)
+        } else if own_ms > times.base_ms {
+            (&mut times.own_ktoken_ms, KTOKEN_MS_BOUNDS)
         } else {
-            self.base_ms = (self.base_ms * factor).clamp(BASE_MS_BOUNDS.0, BASE_MS_BOUNDS.1);
-        }
+            (&mut times.base_ms, BASE_MS_BOUNDS)
+        };
+        *term = (*term * factor).clamp(bounds.0, bounds.1);
     }
 }
 
+fn duration_from_ms(ms: f64) -> Duration {
+    Duration::from_secs_f64(ms / 1_000.0)
+}
+
 fn to_thousands(tokens: u64) -> f64 {
     tokens as f64 / 1_000.0
 }
--- a/crates/verbenaring-policy/src/dispatch/mod.rs
+++ b/crates/verbenaring-policy/src/dispatch/mod.rs
@@ -5,8 +5,9 @@
 //! predicted time to its first event ([`forecast`]) and by its health in earlier
 //! calls ([`health`]). Calls to cold servers are rate-limited ([`pace`]). Another
 //! region is used if it answers sooner or is much less busy ([`spill`]).
-//! [`presence`] tracks the other VMs, [`watcher`] decides which VMs watch the
-//! configuration source, and [`changes`] passes their view of the servers on.
+//! [`presence`] tracks the other VMs, [`relay`] decides to which of them a VM
+//! reports, [`watcher`] decides which VMs watch the configuration source, and
+//! [`changes`] passes their view of the servers on.
 
 pub mod call;
 pub mod changes;
@@ -17,6 +18,7 @@
 pub mod presence;
 pub mod prompt;
 pub mod rate;
+pub mod relay;
 pub mod server;
 pub mod settings;
 pub mod spill;
--- a/crates/verbenaring-policy/src/dispatch/place.rs
+++ b/crates/verbenaring-policy/src/dispatch/place.rs
@@ -2,8 +2,9 @@
 //!
 //! Load patterns: prompts queue at some engines while others are idle, shared
 //! parts of prompts are read repeatedly, several VMs choose at the same time,
-//! and bursts exceed what can be answered in time. A call goes to the server
-//! with the lowest predicted cost among those that can answer it in time. The
+//! and bursts exceed what can be answered in time. Traffic between data centres is
+//! billed, so calls that share little with others stay in theirs. A call goes to
+//! the server with the lowest predicted cost among those that can answer it in time. The
 //! prediction includes the unread tokens that all VMs of the region have
 //! outstanding there. Calls that can still meet their goal are urgent. The
 //! others use the capacity that urgent calls leave, so that a burst does not
@@ -39,6 +40,13 @@
 /// comparison all VMs would send to the servers that were last reported idle.
 const SAMPLED_SERVERS: usize = 2;
 
+/// Shared tokens up to which a call stays in the data centre of this VM if a server
+/// there answers in time. Reading them again takes a few milliseconds, while every
+/// call to another data centre adds to the billed traffic.
+const MAX_LOCAL_SHARED_TOKENS: u32 = 500;
+/// Cost of sending a call to another data centre of the region: the round trip.
+const CROSSING_COST: Duration = Duration::from_millis(2);
+
 /// Most of a server's penalty that enters the wait suggested to a refused call.
 /// The penalty keeps calls away for longer than the server may need to recover.
 const MAX_SUGGESTED_PENALTY: Duration = Duration::from_millis(1_000);
@@ -186,8 +194,16 @@
         // Calls without a prompt use the time as their session, so that they spread.
         let arrival_time = || now.since(Moment::default()).as_micros() as u64;
         let session = request.session().unwrap_or_else(arrival_time);
-        let order =
-            |key: &ServerKey| Reverse(rendezvous_score(session, self.servers[*key].name_hash));
+        let prompt_record = request.prompt_record(0);
+        let stays_local = prompt_record.shared <= MAX_LOCAL_SHARED_TOKENS;
+        let order = |key: &ServerKey| {
+            let record = &self.servers[*key];
+            let crosses = stays_local && !self.is_in_own_centre(record);
+            (
+                crosses,
+                Reverse(rendezvous_score(session, record.name_hash)),
+            )
+        };
         let cache_source = self.cache_source(request, now);
         let compared = match vms.live.len() {
             0..=FULL_COMPARISON_VMS => usable.len(),
@@ -273,7 +289,12 @@
         let (queued_ahead, first) =
             self.forecast(record, request.settings, unread_tokens, true, now);
         let first = first + penalty;
-        let cost = first + self.extra_cost(record, request, unread_tokens, queued_ahead, now);
+        let crossing = match self.is_in_own_centre(record) {
+            true => Duration::ZERO,
+            false => CROSSING_COST,
+        };
+        let cost =
+            first + crossing + self.extra_cost(record, request, unread_tokens, queued_ahead, now);
         let urgent = request.elapsed + first <= request.goal.mul_f64(self.settings.goal_margin);
         let (queued_ahead, forecast) = match urgent {
             true => (queued_ahead, first),
--- a/crates/verbenaring-policy/src/dispatch/presence.rs
+++ b/crates/verbenaring-policy/src/dispatch/presence.rs
@@ -1,15 +1,16 @@
 //! Other VMs and their state, as known from their reports.
 //!
-//! Every VM sends reports to the others at an interval that grows with their
-//! number. A VM is live while its reports arrive. A report of a newer boot
+//! VMs report to each other directly or through relays. A VM is live while its
+//! reports arrive, or while others state that they do. A report of a newer boot
 //! replaces that of an older one; late datagrams of an older boot are dropped.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use slotmap::{SlotMap, new_key_type};
 
-use crate::id::{DataCentre, ServiceName, VmId};
+use crate::id::{DataCentre, RegionName, ServiceName, VmId};
 use crate::time::Moment;
 
 new_key_type! {
@@ -22,6 +23,9 @@
 /// Minimum silence before a VM is no longer live. Datagrams get lost, and
 /// processes with a small share of a core pause for a few hundred milliseconds.
 const MIN_SILENCE: Duration = Duration::from_millis(900);
+/// Time for which a VM gets no calls after it could not be reached. Its reports
+/// may still arrive by another way.
+const UNREACHABLE_TIME: Duration = Duration::from_secs(1);
 /// Silence after which the record of a VM is dropped.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
 
@@ -38,6 +42,13 @@
     Closing,
 }
 
+impl VmState {
+    /// Whether the VM has its configuration and is not about to stop.
+    pub fn is_serving(self) -> bool {
+        self == Self::Ready
+    }
+}
+
 /// Expected wait of a new call for a service in the VM's region.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct ServiceWait {
@@ -78,14 +89,36 @@
     pub servers_revision: u64,
     /// Whether the VM watches the configuration source.
     pub watching: bool,
-    /// Expected waits in the VM's region, by service.
-    pub waits: Vec<ServiceWait>,
-    /// Interval of the VM's reports to this VM.
+    /// Capacity of the VM relative to others.
+    pub capacity: u32,
+    /// Hash of `vm`.
+    pub name_hash: u64,
+    /// Interval at which news of the VM arrive.
     pub interval: Duration,
-    /// Time at which the report arrived.
+    /// Time at which the report arrived, or would have arrived without relays.
     pub received_at: Moment,
 }
 
+/// News that a VM still reports, as other VMs pass it on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct VmNews {
+    /// Lower 32 bits of the hash of the VM name.
+    pub vm: u32,
+    /// Lower 8 bits of the boot number.
+    pub boot: u8,
+    /// Sequence number of the newest report.
+    pub sequence: u32,
+}
+
+/// Expected waits of a region.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RegionWaits {
+    /// Expected waits, by service.
+    pub waits: Vec<ServiceWait>,
+    /// Time at which a VM of the region stated them.
+    pub stated_at: Moment,
+}
+
 impl VmRecord {
     /// Whether reports of the VM still arrive.
     pub fn is_live(&self, now: Moment) -> bool {
@@ -98,10 +131,22 @@
     }
 }
 
-/// Newest report of each known VM.
+/// Newest report of each known VM, and the waits of the regions.
 #[derive(Debug, Default)]
 pub struct PresenceTable {
-    vms: SlotMap<VmKey, VmRecord>,
+    vms: SlotMap<VmKey, KnownVm>,
+    by_hash: HashMap<u64, VmKey>,
+    by_short_hash: HashMap<u32, VmKey>,
+    regions: HashMap<RegionName, RegionWaits>,
+}
+
+#[derive(Debug)]
+struct KnownVm {
+    record: VmRecord,
+    /// Time at which the VM was first heard, or at which its boot, state or watch
+    /// last changed.
+    changed_at: Moment,
+    unreachable_at: Option<Moment>,
 }
 
 impl PresenceTable {
@@ -110,54 +155,147 @@
     /// Boot numbers come from the time of day, which may jump back, so a VM that
     /// is no longer live may return with a lower number.
     pub fn record(&mut self, report: VmRecord, now: Moment) -> bool {
-        let known = self.vms.values_mut().find(|record| record.vm == report.vm);
-        match known {
+        let known = self.by_hash.get(&report.name_hash).copied();
+        let Some(known) = known.and_then(|key| self.vms.get_mut(key)) else {
+            let hash = report.name_hash;
+            let key = self.vms.insert(KnownVm {
+                record: report,
+                changed_at: now,
+                unreachable_at: None,
+            });
+            self.by_hash.insert(hash, key);
+            self.by_short_hash.insert(hash as u32, key);
+            return true;
+        };
+        let record = &mut known.record;
+        let newer = (report.boot, report.sequence) > (record.boot, record.sequence);
+        let returned = report.boot != record.boot && !record.is_live(now);
+        if !newer && !returned {
+            return false;
+        }
+        let changed = report.boot != record.boot
+            || report.state != record.state
+            || report.watching != record.watching;
+        if changed {
+            known.changed_at = now;
+        }
+        *record = report;
+        true
+    }
+
+    /// Records news of a VM that another one passed on. Ignored unless it is newer
+    /// than what is known, so that news cannot circulate.
+    pub fn record_news(&mut self, news: VmNews, now: Moment) {
+        let known = self.by_short_hash.get(&news.vm).copied();
+        let Some(known) = known.and_then(|key| self.vms.get_mut(key)) else {
+            return;
+        };
+        let record = &mut known.record;
+        if record.boot as u8 == news.boot && news.sequence > record.sequence {
+            record.sequence = news.sequence;
+            record.received_at = now;
+        }
+    }
+
+    /// Newest news of a VM, to be passed on.
+    pub fn news_of(&self, key: VmKey) -> Option<VmNews> {
+        let record = self.get(key)?;
+        Some(VmNews {
+            vm: record.name_hash as u32,
+            boot: record.boot as u8,
+            sequence: record.sequence,
+        })
+    }
+
+    /// Records that no connection to a VM could be opened.
+    pub fn record_unreachable(&mut self, vm: &VmId, now: Moment) {
+        let known = self.vms.values_mut();
+        let mut known = known.filter(|known| known.record.vm == *vm);
+        if let Some(known) = known.next() {
+            known.unreachable_at = Some(now);
+        }
+    }
+
+    /// Whether calls may be forwarded to a VM.
+    pub fn is_reachable(&self, key: VmKey, now: Moment) -> bool {
+        self.vms.get(key).is_some_and(|known| {
+            let failed = known
+                .unreachable_at
+                .is_some_and(|at| now.since(at) < UNREACHABLE_TIME);
+            known.record.takes_calls(now) && !failed
+        })
+    }
+
+    /// Records the waits of a region unless newer ones are known.
+    pub fn record_waits(&mut self, region: &RegionName, waits: RegionWaits) {
+        match self.regions.get_mut(region) {
+            Some(known) if known.stated_at >= waits.stated_at => {}
+            Some(known) => *known = waits,
             None => {
-                self.vms.insert(report);
-                true
+                self.regions.insert(region.clone(), waits);
             }
-            Some(known)
-                if (report.boot, report.sequence) > (known.boot, known.sequence)
-                    || (report.boot != known.boot && !known.is_live(now)) =>
-            {
-                *known = report;
-                true
-            }
-            Some(_) => false,
         }
     }
 
+    /// Waits of all regions that are known.
+    pub fn region_waits(&self) -> impl Iterator<Item = (&RegionName, &RegionWaits)> {
+        self.regions.iter()
+    }
+
+    /// Key of a VM by name.
+    pub fn key_of(&self, vm: &VmId) -> Option<VmKey> {
+        let key = *self.by_hash.get(&super::prompt::name_hash(vm.as_str()))?;
+        self.get(key).filter(|record| record.vm == *vm)?;
+        Some(key)
+    }
+
     /// Record of a VM by name.
     pub fn find(&self, vm: &VmId) -> Option<&VmRecord> {
-        self.vms.values().find(|record| record.vm == *vm)
+        let key = self.by_hash.get(&super::prompt::name_hash(vm.as_str()))?;
+        self.get(*key).filter(|record| record.vm == *vm)
     }
 
     /// VMs that are live at `now`.
     pub fn live(&self, now: Moment) -> impl Iterator<Item = (VmKey, &VmRecord)> {
-        self.vms
-            .iter()
-            .filter(move |(_, record)| record.is_live(now))
+        let vms = self.vms.iter().map(|(key, known)| (key, &known.record));
+        vms.filter(move |(_, record)| record.is_live(now))
+    }
+
+    /// Live VMs that changed or were first heard after `since`.
+    pub fn changed_since(&self, since: Moment, now: Moment) -> impl Iterator<Item = VmKey> {
+        let changed = self.vms.iter();
+        changed
+            .filter(move |(_, known)| known.changed_at > since && known.record.is_live(now))
+            .map(|(key, _)| key)
     }
 
     /// Records of all known VMs, live or not.
     pub fn iter(&self) -> impl Iterator<Item = &VmRecord> {
-        self.vms.values()
+        self.vms.values().map(|known| &known.record)
     }
 
     /// Whether a known VM receives reports at `address`.
     pub fn contains_address(&self, address: &SocketAddr) -> bool {
-        let mut vms = self.vms.values();
+        let mut vms = self.iter();
         vms.any(|record| record.report_address == *address)
     }
 
     /// Record of a VM by key; `None` once it has been dropped.
     pub fn get(&self, key: VmKey) -> Option<&VmRecord> {
-        self.vms.get(key)
+        self.vms.get(key).map(|known| &known.record)
     }
 
     /// Drops VMs that have been silent for a minute.
     pub fn expire(&mut self, now: Moment) {
-        self.vms
-            .retain(|_, record| now.since(record.received_at) < FORGET_AFTER);
+        let by_hash = &mut self.by_hash;
+        let by_short_hash = &mut self.by_short_hash;
+        self.vms.retain(|_, known| {
+            let keep = now.since(known.record.received_at) < FORGET_AFTER;
+            if !keep {
+                by_hash.remove(&known.record.name_hash);
+                by_short_hash.remove(&(known.record.name_hash as u32));
+            }
+            keep
+        });
     }
 }
--- a/crates/verbenaring-policy/src/dispatch/server.rs
+++ b/crates/verbenaring-policy/src/dispatch/server.rs
@@ -22,6 +22,10 @@
 /// Age from which the load reported by another VM is ignored.
 const PEER_LOAD_TTL: Duration = Duration::from_millis(1_500);
 
+/// Difference up to which the end of a cold time counts as unchanged. Entries
+/// arrive with different delays.
+const COLD_TOLERANCE: Duration = Duration::from_millis(500);
+
 /// Published entry of a backend server.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerEntry {
@@ -63,7 +67,7 @@
 }
 
 impl LoadShare {
-    fn add(self, other: Self) -> Self {
+    pub(super) fn add(self, other: Self) -> Self {
         Self {
             urgent_tokens: self.urgent_tokens.saturating_add(other.urgent_tokens),
             late_tokens: self.late_tokens.saturating_add(other.late_tokens),
@@ -72,6 +76,21 @@
             token_rate: self.token_rate.saturating_add(other.token_rate),
         }
     }
+
+    /// What remains without the part `other`.
+    pub fn without(self, other: Self) -> Self {
+        Self {
+            urgent_tokens: self.urgent_tokens.saturating_sub(other.urgent_tokens),
+            late_tokens: self.late_tokens.saturating_sub(other.late_tokens),
+            memory_tokens: self.memory_tokens.saturating_sub(other.memory_tokens),
+            calls: self.calls.saturating_sub(other.calls),
+            token_rate: self.token_rate.saturating_sub(other.token_rate),
+        }
+    }
+
+    pub(super) fn is_idle(&self) -> bool {
+        self.calls == 0 && self.token_rate == 0
+    }
 }
 
 /// Call that was sent to a server and has not ended.
@@ -110,10 +129,16 @@
 #[derive(Debug)]
 pub(super) struct ServerRecord {
     pub(super) entry: ServerEntry,
+    /// Revision of the last change of the entry that was not a renewal.
+    pub(super) changed_revision: u64,
     pub(super) name_hash: u64,
     pub(super) own_share: LoadShare,
     pub(super) rate: WorkRate,
+    /// Loads by other VMs, or by the groups of other relays.
     pub(super) peer_loads: Vec<(u64, LoadShare, Moment)>,
+    /// Load by all other VMs of the region, as stated by the relay of this VM; it
+    /// replaces `peer_loads`.
+    pub(super) region_load: Option<(LoadShare, Moment)>,
     pub(super) health: ServerHealth,
     pub(super) cache: PromptCache,
     pub(super) cold_until: Moment,
@@ -129,17 +154,37 @@
             own_share: LoadShare::default(),
             rate: WorkRate::default(),
             peer_loads: Vec::new(),
+            region_load: None,
             health: ServerHealth::default(),
             cache: PromptCache::default(),
             cold_until: now + entry.cold_left,
             pace: PaceWindow::default(),
             use_until: None,
+            changed_revision: entry.revision,
             entry,
         }
     }
 
+    /// Whether `entry` only renews the current one. The remaining cold time shrinks
+    /// with every renewal; a server that is cold for longer has become cold again.
+    pub(super) fn is_renewed_by(&self, entry: &ServerEntry, now: Moment) -> bool {
+        let same_fields = ServerEntry {
+            revision: self.entry.revision,
+            cold_left: self.entry.cold_left,
+            ..entry.clone()
+        } == self.entry;
+        let no_colder = now + entry.cold_left <= self.cold_until + COLD_TOLERANCE;
+        same_fields && (entry.cold_left.is_zero() || no_colder) && self.use_until.is_none()
+    }
+
     /// Load by all VMs of the region, from reports younger than [`PEER_LOAD_TTL`].
     pub(super) fn load(&self, now: Moment) -> LoadShare {
+        let stated = self
+            .region_load
+            .filter(|(_, at)| now.since(*at) < PEER_LOAD_TTL);
+        if let Some((others, _)) = stated {
+            return self.own_load(now).add(others);
+        }
         let fresh = self
             .peer_loads
             .iter()
@@ -147,6 +192,16 @@
         fresh.fold(self.own_load(now), |sum, (_, share, _)| sum.add(*share))
     }
 
+    /// Load by this VM and by the VMs that report to it; `others` are the relays
+    /// whose groups do not count.
+    pub(super) fn group_load(&self, others: &[u64], now: Moment) -> LoadShare {
+        let members = self
+            .peer_loads
+            .iter()
+            .filter(|(vm, _, at)| now.since(*at) < PEER_LOAD_TTL && !others.contains(vm));
+        members.fold(self.own_load(now), |sum, (_, share, _)| sum.add(*share))
+    }
+
     pub(super) fn own_load(&self, now: Moment) -> LoadShare {
         LoadShare {
             token_rate: self.rate.per_second(now) as u32,
--- a/crates/verbenaring-policy/src/dispatch/table.rs
+++ b/crates/verbenaring-policy/src/dispatch/table.rs
@@ -27,7 +27,7 @@
 pub(super) const REMOTE_PROMPT_TTL: Duration = Duration::from_secs(8);
 /// Shared tokens from which a prompt is reported to other regions: copying fewer
 /// saves less than the bytes of the report cost.
-const MIN_REMOTE_TOKENS: u32 = 1_000;
+pub const MIN_REMOTE_TOKENS: u32 = 1_000;
 /// Prompts kept for the next report; only an overloaded VM sends more.
 const MAX_QUEUED_PROMPTS: usize = 24;
 
@@ -40,8 +40,10 @@
     Restarted,
     /// The server began to drain.
     Draining,
-    /// Other fields changed, or only the revision.
+    /// Other fields changed.
     Updated,
+    /// The server only renewed its entry; nothing that matters to calls changed.
+    Renewed,
     /// The entry is not newer than the known state and was ignored.
     Outdated,
 }
@@ -50,6 +52,7 @@
 #[derive(Debug)]
 pub struct ServerTable {
     pub(super) region: RegionName,
+    centre: Option<CentreName>,
     pub(super) pace: PaceLimits,
     pub(super) settings: DispatchSettings,
     pub(super) servers: SlotMap<ServerKey, ServerRecord>,
@@ -71,6 +74,7 @@
     pub fn new(region: RegionName, pace: PaceLimits, settings: DispatchSettings) -> Self {
         Self {
             region,
+            centre: None,
             pace,
             settings,
             servers: SlotMap::with_key(),
@@ -87,11 +91,33 @@
         }
     }
 
-    /// Highest revision that this table has reached.
+    /// Sets the data centre of the VM, whose servers are preferred.
+    pub fn with_centre(self, centre: CentreName) -> Self {
+        Self {
+            centre: Some(centre),
+            ..self
+        }
+    }
+
+    /// Whether a server is in the data centre of this VM.
+    pub(super) fn is_in_own_centre(&self, record: &ServerRecord) -> bool {
+        let own = self.centre.as_ref();
+        own.is_none_or(|own| record.entry.centre.name == *own)
+    }
+
+    /// Revision of the newest change that this table has reached. Renewals do not
+    /// count: VMs ask each other for changes whenever this revision differs, and
+    /// each server renews its entry about once a second.
     pub fn revision(&self) -> u64 {
         self.revision
     }
 
+    /// Highest revision of an entry or a removal that was applied, renewals included.
+    pub fn applied_revision(&self) -> u64 {
+        let entries = self.entries().map(|entry| entry.revision).max();
+        entries.unwrap_or_default().max(self.revision)
+    }
+
     /// Raises the revision to `revision` unless it is already higher.
     pub fn advance_revision(&mut self, revision: u64) {
         self.revision = self.revision.max(revision);
@@ -99,13 +125,13 @@
 
     /// Applies a published entry; a restarted server is cold for at least `cold`.
     pub fn apply(&mut self, entry: ServerEntry, cold: Duration, now: Moment) -> EntryChange {
-        self.advance_revision(entry.revision);
         let removed = self.removed.get(&entry.id);
         if removed.is_some_and(|(revision, _)| *revision >= entry.revision) {
             return EntryChange::Outdated;
         }
         self.removed.remove(&entry.id);
         let Some(key) = self.by_id.get(&entry.id).copied() else {
+            self.advance_revision(entry.revision);
             self.insert(entry, now);
             return EntryChange::Added;
         };
@@ -113,6 +139,12 @@
         if record.entry.revision >= entry.revision {
             return EntryChange::Outdated;
         }
+        if record.is_renewed_by(&entry, now) {
+            record.entry = entry;
+            return EntryChange::Renewed;
+        }
+        record.changed_revision = entry.revision;
+        self.revision = self.revision.max(entry.revision);
         let restarted = record.entry.born != entry.born || record.entry.address != entry.address;
         let cold_left = match restarted {
             true => entry.cold_left.max(cold),
@@ -303,13 +335,43 @@
         }
     }
 
+    /// Replaces the outstanding work of all other VMs of the region, as stated by a
+    /// relay, by hash of the server name.
+    pub fn record_region_loads(&mut self, loads: &[(u32, LoadShare)], now: Moment) {
+        let loads: HashMap<u32, LoadShare> = loads.iter().copied().collect();
+        for record in self.servers.values_mut() {
+            let share = loads.get(&(record.name_hash as u32));
+            record.region_load = Some((share.copied().unwrap_or_default(), now));
+        }
+    }
+
+    /// Forgets what a relay stated, so that the reports of single VMs count.
+    pub fn clear_region_loads(&mut self) {
+        for record in self.servers.values_mut() {
+            record.region_load = None;
+        }
+    }
+
     /// Outstanding work of this VM, by hash of the server name.
     pub fn own_loads(&self, now: Moment) -> Vec<(u32, LoadShare)> {
+        self.loads(|record| record.own_load(now))
+    }
+
+    /// Outstanding work of this VM and of those that report to it. `relays` are the
+    /// name hashes of the other relays of the region, whose groups do not count.
+    pub fn group_loads(&self, relays: &[u64], now: Moment) -> Vec<(u32, LoadShare)> {
+        self.loads(|record| record.group_load(relays, now))
+    }
+
+    /// Outstanding work of all VMs of the region.
+    pub fn region_loads(&self, now: Moment) -> Vec<(u32, LoadShare)> {
+        self.loads(|record| record.load(now))
+    }
+
+    fn loads(&self, load: impl Fn(&ServerRecord) -> LoadShare) -> Vec<(u32, LoadShare)> {
         let loads = self.servers.values();
-        let loads = loads.map(|record| (record.name_hash as u32, record.own_load(now)));
-        loads
-            .filter(|(_, share)| share.calls > 0 || share.token_rate > 0)
-            .collect()
+        let loads = loads.map(|record| (record.name_hash as u32, load(record)));
+        loads.filter(|(_, share)| !share.is_idle()).collect()
     }
 
     /// Expected waits of urgent calls in the own region; none without usable servers.
@@ -348,10 +410,9 @@
     /// Time to read the prompt without cached parts; zero for plain services.
     pub fn uncached_read_time(&self, request: &PlacementRequest<'_>) -> Duration {
         let tokens = u64::from(request.prompt_tokens());
-        match self.engine_models.get(request.service) {
-            _ if request.settings.cache_tokens.is_none() => Duration::ZERO,
-            Some(model) => model.read_time(tokens),
-            None => FirstEventModel::default().read_time(tokens),
+        match request.settings.cache_tokens {
+            None => Duration::ZERO,
+            Some(_) => self.model_of(request.service).read_time(tokens),
         }
     }
 
@@ -410,7 +471,8 @@
         } else {
             let model = self.engine_models.entry(service).or_default();
             let sample = FirstEventSample {
-                tokens: u64::from(call.queued_ahead) + u64::from(call.unread_tokens),
+                own_tokens: u64::from(call.unread_tokens),
+                ahead_tokens: u64::from(call.queued_ahead),
                 observed,
                 urgent: call.urgent,
             };
@@ -458,7 +520,7 @@
         }
         let rate = u64::from(record.load(now).token_rate);
         let model = self.model_of(&record.entry.service);
-        model.read_time(rate).as_secs_f64()
+        model.queue_time(rate).as_secs_f64()
     }
 
     pub(super) fn model_of(&self, service: &ServiceName) -> FirstEventModel {
@@ -489,11 +551,8 @@
             true => load.urgent_tokens,
             false => load.urgent_tokens.saturating_add(load.late_tokens),
         };
-        let tokens = u64::from(queued_ahead) + u64::from(unread_tokens);
-        let forecast = match self.engine_models.get(service) {
-            Some(model) => model.predict(tokens),
-            None => FirstEventModel::default().predict(tokens),
-        };
+        let (own, ahead) = (u64::from(unread_tokens), u64::from(queued_ahead));
+        let forecast = self.model_of(service).predict(own, ahead);
         (queued_ahead, forecast)
     }
 }
--- a/crates/verbenaring-policy/src/dispatch/watcher.rs
+++ b/crates/verbenaring-policy/src/dispatch/watcher.rs
@@ -31,6 +31,8 @@
 pub struct WatchPeer {
     /// Hash of the VM name.
     pub vm: u64,
+    /// Capacity of the VM; VMs with more of it watch first.
+    pub capacity: u32,
     /// Whether the VM's watches are open and answered.
     pub watching: bool,
 }
@@ -65,8 +67,8 @@
                 Duration::ZERO
             }
         };
-        let rank = |vm: u64| rendezvous_score(RANK_SEED, vm);
-        let ranks_higher = |peer: &&WatchPeer| rank(peer.vm) > rank(own.vm);
+        let rank = |peer: &WatchPeer| (peer.capacity, rendezvous_score(RANK_SEED, peer.vm));
+        let ranks_higher = |peer: &&WatchPeer| rank(peer) > rank(&own);
         let watching_above = peers
             .iter()
             .filter(ranks_higher)
--- a/crates/verbenaring-policy/tests/dispatch/main.rs
+++ b/crates/verbenaring-policy/tests/dispatch/main.rs
@@ -6,6 +6,7 @@
 mod place;
 mod presence;
 mod regions;
+mod relay;
 mod routes;
 mod servers;
 mod stale_reports;
--- a/crates/verbenaring-policy/tests/dispatch/place.rs
+++ b/crates/verbenaring-policy/tests/dispatch/place.rs
@@ -6,6 +6,7 @@
 use verbenaring_policy::dispatch::prompt::PromptRecord;
 use verbenaring_policy::dispatch::server::CallOutcome;
 use verbenaring_policy::dispatch::table::EntryChange;
+use verbenaring_policy::id::CentreName;
 
 use super::fixture::*;
 
@@ -237,3 +238,39 @@
         other => panic!("{other:?}"),
     }
 }
+
+/// Load: thousands of calls whose prompts share little, in a region of two data
+/// centres between which traffic is billed.
+#[test]
+fn calls_that_share_little_stay_in_their_data_centre() {
+    let names = ["s0", "s1", "s2", "s3", "s4", "s5", "s6", "s7"];
+    let mut table = table(&[]).with_centre(CentreName::new("north-a").unwrap());
+    for (index, name) in names.iter().enumerate() {
+        let mut server = entry(name, index as u64 + 1);
+        if index % 2 == 1 {
+            server.centre.name = CentreName::new("north-b").unwrap();
+        }
+        table.apply(server, ms(0), at(0));
+    }
+    let live: Vec<u64> = (0..20).collect();
+    let vms = RegionVms {
+        own: 0,
+        live: &live,
+        peers_known: true,
+    };
+    let mut crossed = |shared: u32| {
+        let placed = (0..200).map(|session| {
+            let call = TestCall::new(session, shared, 300);
+            table.place(&call.request(), &vms, at(0)).unwrap().key
+        });
+        let placed: Vec<_> = placed.collect();
+        let crossing = placed.into_iter().filter(|key| {
+            let centre = &table.entry(*key).unwrap().centre;
+            centre.name.as_str() == "north-b"
+        });
+        crossing.count()
+    };
+    assert_eq!(crossed(90), 0, "short shared parts");
+    // Of two servers compared, both are in the other data centre in 6 of 28 cases.
+    assert!(crossed(5_000) > 20, "long shared parts go by session");
+}
--- a/crates/verbenaring-policy/tests/dispatch/watcher.rs
+++ b/crates/verbenaring-policy/tests/dispatch/watcher.rs
@@ -58,6 +58,7 @@
 fn peer((vm, watching): (usize, &bool)) -> WatchPeer {
     WatchPeer {
         vm: vm as u64,
+        capacity: 100,
         watching: *watching,
     }
 }
@@ -122,6 +123,7 @@
 fn a_vm_alone_watches() {
     let own = WatchPeer {
         vm: 1,
+        capacity: 100,
         watching: false,
     };
     assert!(WatcherElection::default().should_watch(own, &[], at(0)));
