Bound stalls, refusals and answers without end, and keep background tasks alive

Further read: 8 MB for each answer without end, an event without end scanned again for every piece, a panic that ends a background task for good, and connections accepted between the last call and the exit of a stop.

Change: refusals are drained beside the call within 500 ms; progress of a stream is a whole event within the time that callers wait (two seconds, four goals or eight pauses); long answers share an eighth of the memory; each byte of an event is looked at once; background tasks are supervised; listeners close before the last wait. A call is refused as saturated only if its first event would be late: after the power-off of all, a burst raised the averages while queues were short. Where few VMs share the store, watches pause 300 ms as before.

--- a/crates/verbenaring-core/src/caller/listener.rs
+++ b/crates/verbenaring-core/src/caller/listener.rs
@@ -1,8 +1,9 @@
 //! HTTP listeners of a VM.
 //!
-//! A shutdown has two phases. While it is announced, every answer closes its
+//! A shutdown has three phases. While it is announced, every answer closes its
 //! connection, and idle connections stay open for callers that do not know of
-//! the shutdown yet. Then idle connections are closed and open calls finish.
+//! the shutdown yet. Then idle connections are closed and open calls finish. Last,
+//! no connection is accepted any more.
 
 use std::convert::Infallible;
 use std::future::Future;
@@ -45,6 +46,8 @@
     Announced,
     /// Idle connections are closed, and open calls finish.
     Closing,
+    /// No connection is accepted any more.
+    Closed,
 }
 
 /// Options and limits of a listener.
@@ -106,14 +109,18 @@
     })
 }
 
-/// Accepts connections and serves their requests until the process ends.
-pub async fn serve<H, F>(listener: TcpListener, options: ListenerOptions, handler: H)
+/// Accepts connections and serves their requests until the VM is closed.
+pub async fn serve<H, F>(listener: TcpListener, mut options: ListenerOptions, handler: H)
 where
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<AnswerBody>> + Send + 'static,
 {
     loop {
-        let (stream, _) = match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = options.shutdown_phase.wait_for(|phase| *phase == ShutdownPhase::Closed) => return,
+        };
+        let (stream, _) = match accepted {
             Ok(accepted) => accepted,
             Err(error) => {
                 log::warn!(error:% = error; "failed to accept connection");
@@ -173,7 +180,7 @@
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     // A connection that is accepted in the closing phase still serves one request.
-    let mut closing = *options.shutdown_phase.borrow_and_update() == ShutdownPhase::Closing;
+    let mut closing = *options.shutdown_phase.borrow_and_update() >= ShutdownPhase::Closing;
     loop {
         tokio::select! {
             ended = connection.as_mut() => {
@@ -183,7 +190,7 @@
                 return;
             }
             changed = options.shutdown_phase.changed(), if !closing => {
-                if changed.is_err() || *options.shutdown_phase.borrow() == ShutdownPhase::Closing {
+                if changed.is_err() || *options.shutdown_phase.borrow() >= ShutdownPhase::Closing {
                     closing = true;
                     connection.as_mut().graceful_shutdown();
                 }
--- a/crates/verbenaring-core/src/cluster/report.rs
+++ b/crates/verbenaring-core/src/cluster/report.rs
@@ -11,6 +11,7 @@
 
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -104,7 +105,7 @@
 }
 
 /// Sends and receives reports until the process ends.
-pub async fn exchange_reports<P: WireProtocol>(node: Arc<FrontNode<P>>, socket: UdpSocket) {
+pub async fn exchange_reports<P: WireProtocol>(node: Arc<FrontNode<P>>, socket: Arc<UdpSocket>) {
     let mut reporter = Reporter::new(node);
     let tick = Duration::from_millis(reporter.node.settings.tuning.near_report_ms);
     let mut ticks = tokio::time::interval(tick);
@@ -184,9 +185,9 @@
     fn new(node: Arc<FrontNode<P>>) -> Self {
         Self {
             own: node.location.clone(),
-            node,
             plan: RelayPlan::default(),
-            sequence: 0,
+            sequence: node.report_sequence.load(Ordering::Relaxed),
+            node,
             near_schedule: Schedule::new(),
             far_schedule: Schedule::new(),
             member_schedule: Schedule::new(),
@@ -337,6 +338,7 @@
     fn describe(&mut self) -> VmDescription {
         self.sequence += 1;
         let node = &self.node;
+        node.report_sequence.store(self.sequence, Ordering::Relaxed);
         let settings = &node.settings;
         let (operator_revision, servers_revision) = {
             let state = node.lock();
--- a/crates/verbenaring-core/src/cluster/snapshot.rs
+++ b/crates/verbenaring-core/src/cluster/snapshot.rs
@@ -90,7 +90,6 @@
 /// Requests snapshots from VMs that report newer state until the process ends.
 pub async fn poll_snapshots<P: WireProtocol>(node: Arc<FrontNode<P>>) {
     let mut behind_since: Option<Instant> = None;
-    let max_lag = MAX_WATCH_LAG + node.settings.bounds.watch_pause();
     loop {
         let period = match node.is_configured() {
             true => CHECK_PERIOD,
@@ -102,7 +101,10 @@
             continue;
         };
         let since = *behind_since.get_or_insert_with(Instant::now);
-        if since.elapsed() < max_lag && node.is_configured() && node.is_watching() {
+        if since.elapsed() < MAX_WATCH_LAG + node.watch_pause()
+            && node.is_configured()
+            && node.is_watching()
+        {
             continue;
         }
         behind_since = None;
--- a/crates/verbenaring-core/src/config/sync.rs
+++ b/crates/verbenaring-core/src/config/sync.rs
@@ -30,6 +30,10 @@
 /// Longest pause after failed calls. The time limits for applying changes start
 /// when the source returns; the pause is short compared to the smallest, 3 s.
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(800);
+/// Pause of a watch that has just returned changes, where few VMs share the source.
+/// Each server writes about once a second; without the pause every renewal would
+/// need a request of its own.
+const WATCH_PAUSE: Duration = Duration::from_millis(300);
 /// Time between checks whether this VM should watch.
 const WATCH_CHECK_PERIOD: Duration = Duration::from_millis(100);
 /// Pause after a failed announcement. Announcements are needed only for VMs to
@@ -149,9 +153,6 @@
     grace_until: Instant,
 ) -> WatchOutcome {
     let hold = Duration::from_millis(node.settings.tuning.watch_ms);
-    // Servers renew their entries about once a second; without a pause, every
-    // renewal would need a request of its own.
-    let pause = node.settings.bounds.watch_pause();
     while node.should_watch() {
         match source.watch(scope, after, hold).await {
             Ok(batch) => {
@@ -160,7 +161,7 @@
                 let grace = grace_until.saturating_duration_since(Instant::now());
                 node.apply_changes(scope, batch, grace);
                 if paused {
-                    tokio::time::sleep(pause).await;
+                    tokio::time::sleep(node.watch_pause()).await;
                 }
             }
             Err(error) => return WatchOutcome::Error(error),
@@ -223,6 +224,14 @@
 }
 
 impl<P: WireProtocol> FrontNode<P> {
+    /// Pause of a watch that has just returned changes.
+    pub(crate) fn watch_pause(&self) -> Duration {
+        match self.is_relayed() {
+            true => self.settings.bounds.watch_pause(),
+            false => WATCH_PAUSE,
+        }
+    }
+
     /// Replaces the state of a scope by a listing.
     ///
     /// Servers that are not listed are removed; they are still used for `grace`.
--- a/crates/verbenaring-core/src/lib.rs
+++ b/crates/verbenaring-core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod path;
 pub mod settings;
 pub mod state;
+pub mod supervisor;
 pub mod upstream;
 pub mod wire;
 
--- a/crates/verbenaring-core/src/node.rs
+++ b/crates/verbenaring-core/src/node.rs
@@ -2,7 +2,7 @@
 
 use std::marker::PhantomData;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
@@ -32,6 +32,7 @@
 use crate::path::call::{CallOrigin, PendingCall};
 use crate::settings::FrontSettings;
 use crate::state::FrontState;
+use crate::supervisor::supervise;
 use crate::upstream::pool::ConnectionPool;
 use crate::wire::WireProtocol;
 
@@ -73,11 +74,15 @@
     pub reports: ReportTargets,
     /// Tasks that relay streams.
     pub stream_tasks: TaskTracker,
+    /// Memory for long answers that are buffered as a whole: a permit per byte.
+    pub(crate) answer_memory: Semaphore,
     /// Idle timeout of connections from callers.
     pub(crate) caller_idle_timeout: Arc<IdleTimeout>,
     operator_status: ScopeStatus,
     servers_status: ScopeStatus,
     state: Mutex<FrontState>,
+    /// Sequence number of the newest report; it must not start again within a boot.
+    pub(crate) report_sequence: AtomicU32,
     is_relayed: AtomicBool,
     is_relay: AtomicBool,
     failure_lines: Mutex<crate::observe::logger::LogRateLimiter>,
@@ -99,10 +104,12 @@
             metrics: Arc::default(),
             reports: ReportTargets::default(),
             stream_tasks: TaskTracker::new(),
+            answer_memory: Semaphore::new(settings.resources.answer_memory_bytes()),
             caller_idle_timeout: Arc::default(),
             operator_status: ScopeStatus::default(),
             servers_status: ScopeStatus::default(),
             state: Mutex::new(FrontState::new(&settings)),
+            report_sequence: AtomicU32::new(0),
             is_relayed: AtomicBool::new(false),
             is_relay: AtomicBool::new(false),
             failure_lines: Mutex::default(),
@@ -141,7 +148,7 @@
             (ShutdownPhase::Serving, true) => VmState::Ready,
             (ShutdownPhase::Serving, false) => VmState::Starting,
             (ShutdownPhase::Announced, _) => VmState::Leaving,
-            (ShutdownPhase::Closing, _) => VmState::Closing,
+            (ShutdownPhase::Closing | ShutdownPhase::Closed, _) => VmState::Closing,
         }
     }
 
@@ -154,7 +161,12 @@
     /// Whether this VM keeps itself announced, so that others find it: relays do,
     /// and every VM where there are no relays.
     pub(crate) fn is_announced(&self) -> bool {
-        !self.is_relayed.load(Ordering::Relaxed) || self.is_relay()
+        !self.is_relayed() || self.is_relay()
+    }
+
+    /// Whether reports go through relays.
+    pub(crate) fn is_relayed(&self) -> bool {
+        self.is_relayed.load(Ordering::Relaxed)
     }
 
     /// Whether this VM passes on the reports of others.
@@ -224,7 +236,7 @@
     /// Whether a call that may last until `deadline` is accepted now. While the
     /// VM closes, it must be able to end before the process does.
     pub fn can_finish(&self, deadline: Instant) -> bool {
-        let closing = *self.shutdown_phase.borrow() == ShutdownPhase::Closing;
+        let closing = *self.shutdown_phase.borrow() >= ShutdownPhase::Closing;
         !closing
             || self
                 .exit_deadline
@@ -428,18 +440,39 @@
             };
             tokio::spawn(serve(listener, options, answer));
         }
-        tokio::spawn(exchange_reports(node.clone(), self.reports));
-        tokio::spawn(poll_snapshots(node.clone()));
-        tokio::spawn(node.clone().run_cleanup());
+        let reports = Arc::new(self.reports);
+        supervise("reports", {
+            let node = node.clone();
+            move || exchange_reports(node.clone(), reports.clone())
+        });
+        supervise("snapshots", {
+            let node = node.clone();
+            move || poll_snapshots(node.clone())
+        });
+        supervise("cleanup", {
+            let node = node.clone();
+            move || node.clone().run_cleanup()
+        });
         for scope in [ConfigScope::Operator, ConfigScope::Servers] {
-            tokio::spawn(sync_scope(node.clone(), source.clone(), scope));
+            let (node, source) = (node.clone(), source.clone());
+            supervise(scope.name(), move || {
+                sync_scope(node.clone(), source.clone(), scope)
+            });
         }
-        tokio::spawn(run_announcements(node.clone(), source));
+        supervise("announcements", {
+            let node = node.clone();
+            move || run_announcements(node.clone(), source.clone())
+        });
         RunningNode { node, connections }
     }
 }
 
 impl<P: WireProtocol> RunningNode<P> {
+    async fn wait_for_calls(&self) {
+        self.connections.wait().await;
+        self.node.stream_tasks.wait().await;
+    }
+
     /// Shuts down gracefully: announces the stop, then waits for open calls
     /// until shortly before the end of the grace period.
     pub async fn stop(self) {
@@ -460,9 +493,12 @@
                 .shutdown_phase
                 .send_replace(ShutdownPhase::Closing);
             self.connections.close();
-            self.connections.wait().await;
             self.node.stream_tasks.close();
-            self.node.stream_tasks.wait().await;
+            self.wait_for_calls().await;
+            // Connections that were accepted meanwhile still get an answer; those
+            // that were not are reset, which tells callers that nothing was read.
+            self.node.shutdown_phase.send_replace(ShutdownPhase::Closed);
+            self.wait_for_calls().await;
         };
         if tokio::time::timeout(grace, ended).await.is_err() {
             log::warn!(open_connections = self.connections.len(), streams = self.node.stream_tasks.len();
--- a/crates/verbenaring-core/src/path/event.rs
+++ b/crates/verbenaring-core/src/path/event.rs
@@ -13,6 +13,7 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     incomplete: BytesMut,
+    progress: EventProgress,
     last_id: Option<String>,
 }
 
@@ -24,14 +25,15 @@
 impl EventSplitter {
     /// Adds received bytes and returns the events that are now complete, if any.
     pub fn push(&mut self, bytes: &Bytes) -> Result<Option<Bytes>, EventTooLarge> {
+        let known = self.incomplete.len();
         self.incomplete.extend_from_slice(bytes);
-        let Some(end) = end_of_events(&self.incomplete) else {
+        let Some(end) = self.progress.push(bytes) else {
             if self.incomplete.len() > MAX_EVENT_BYTES {
                 return Err(EventTooLarge);
             }
             return Ok(None);
         };
-        let whole = self.incomplete.split_to(end).freeze();
+        let whole = self.incomplete.split_to(known + end).freeze();
         if let Some(id) = find_last_id(&whole) {
             self.last_id = Some(id);
         }
@@ -45,18 +47,53 @@
 
     /// Removes and returns the bytes of the incomplete event.
     pub fn take_incomplete(&mut self) -> Bytes {
+        self.progress = EventProgress::default();
         self.incomplete.split().freeze()
     }
 }
 
-/// Position after the last blank line, which ends an event.
-fn end_of_events(bytes: &[u8]) -> Option<usize> {
-    let newline = (0..bytes.len()).rev().filter(|&at| bytes[at] == b'\n');
-    let mut ends = newline.filter(|&at| {
-        let before = &bytes[..at];
-        before.ends_with(b"\n") || before.ends_with(b"\n\r")
-    });
-    ends.next().map(|at| at + 1)
+/// Finds the ends of events in a stream, looking at each byte once.
+///
+/// An event ends with a blank line. A stream makes progress only when an event
+/// ends: a server in trouble may send bytes that never complete one.
+#[derive(Debug, Default)]
+pub struct EventProgress {
+    line: LineState,
+    has_data: bool,
+}
+
+/// What the current line holds so far.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum LineState {
+    #[default]
+    Empty,
+    CarriageReturn,
+    Text,
+}
+
+impl EventProgress {
+    /// Looks at further bytes; returns the position after the last event that ends
+    /// in them, if one does.
+    pub fn push(&mut self, bytes: &[u8]) -> Option<usize> {
+        let mut end = None;
+        for (at, byte) in bytes.iter().enumerate() {
+            self.line = match (byte, self.line) {
+                (b'\n', LineState::Text) => LineState::Empty,
+                (b'\n', _) => {
+                    if std::mem::take(&mut self.has_data) {
+                        end = Some(at + 1);
+                    }
+                    LineState::Empty
+                }
+                (b'\r', LineState::Empty) => LineState::CarriageReturn,
+                _ => {
+                    self.has_data = true;
+                    LineState::Text
+                }
+            };
+        }
+        end
+    }
 }
 
 fn find_last_id(events: &[u8]) -> Option<String> {
--- a/crates/verbenaring-core/src/path/exchange.rs
+++ b/crates/verbenaring-core/src/path/exchange.rs
@@ -4,12 +4,13 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, HeaderValue};
 use hyper::http::response::Parts;
 use hyper::{Request, Response};
+use tokio::sync::Semaphore;
 use tokio::time::Instant;
 use verbenaring_policy::dispatch::server::{CallOutcome, InFlightCall, ServerKey};
 use verbenaring_policy::id::VmId;
@@ -26,6 +27,9 @@
 
 /// Largest answer that is not a stream; it is buffered as a whole.
 const MAX_WHOLE_BYTES: usize = 8 * 1024 * 1024;
+/// Bytes of an answer that are buffered without a part of the node's memory for
+/// answers; nearly all answers are smaller.
+const FREE_WHOLE_BYTES: usize = 64 * 1024;
 /// Idle time after which a connection is not reused for a call that must not be
 /// repeated: the server may have closed it without this VM knowing.
 const UNREPEATABLE_MAX_IDLE: Duration = Duration::from_millis(500);
@@ -248,7 +252,7 @@
         if let Some(outcome) = vm_outcome(&head) {
             let reason = format!("the VM answered {} {outcome:?}", head.status);
             let reached_server = head.headers.contains_key(REACHED_SERVER_HEADER);
-            drain(body, lease).await;
+            drain(body, lease);
             return match outcome {
                 RunOutcome::NotRun => (
                     AttemptOutcome::NotRun {
@@ -268,7 +272,7 @@
                     _ => CallOutcome::Refused,
                 });
                 let reason = format!("the server answered {} not run", head.status);
-                drain(body, lease).await;
+                drain(body, lease);
                 let reached_server = true;
                 (
                     AttemptOutcome::NotRun {
@@ -390,17 +394,56 @@
 }
 
 /// Reads and discards a body so that the connection can be reused.
-async fn drain(body: Incoming, lease: ConnectionLease) {
+///
+/// The call goes on meanwhile: a refusal whose body stalls must not use up its
+/// time.
+fn drain(body: Incoming, lease: ConnectionLease) {
     /// Limit on the body that is read. Refusals are short, and reading a longer
     /// body costs more than opening a new connection.
     const MAX_REFUSAL_BYTES: usize = 16 * 1024;
-    if Limited::new(body, MAX_REFUSAL_BYTES)
-        .collect()
-        .await
-        .is_ok()
-    {
-        lease.release();
+    /// Time limit for reading it.
+    const DRAIN_TIMEOUT: Duration = Duration::from_millis(500);
+    tokio::spawn(async move {
+        let discarded = Limited::new(body, MAX_REFUSAL_BYTES).collect();
+        if let Ok(Ok(_)) = tokio::time::timeout(DRAIN_TIMEOUT, discarded).await {
+            lease.release();
+        }
+    });
+}
+
+/// Why a whole answer was not read.
+#[derive(Debug, thiserror::Error)]
+enum CollectError {
+    /// The connection failed or the answer is malformed.
+    #[error("{0}")]
+    Connection(#[from] hyper::Error),
+    /// The answer is larger than the limit.
+    #[error("longer than {MAX_WHOLE_BYTES} bytes")]
+    TooLong,
+    /// Other long answers take up the memory.
+    #[error("no memory is left for long answers")]
+    NoMemory,
+}
+
+/// Collects a body. Beyond [`FREE_WHOLE_BYTES`], it takes its part of `memory`, so
+/// that servers that send without end cannot exhaust the memory of the process.
+async fn collect_answer(mut body: Incoming, memory: &Semaphore) -> Result<Bytes, CollectError> {
+    let mut collected = BytesMut::new();
+    let mut permits = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame?.into_data() else {
+            continue;
+        };
+        if collected.len() + data.len() > MAX_WHOLE_BYTES {
+            return Err(CollectError::TooLong);
+        }
+        if collected.len() + data.len() > FREE_WHOLE_BYTES {
+            let permit = memory.try_acquire_many(data.len() as u32);
+            permits.push(permit.map_err(|_| CollectError::NoMemory)?);
+        }
+        collected.extend_from_slice(&data);
     }
+    Ok(collected.freeze())
 }
 
 async fn read_whole_answer<P: WireProtocol>(
@@ -409,8 +452,8 @@
     lease: ConnectionLease,
     mut guard: WorkGuard<P>,
 ) -> (AttemptOutcome<P>, &'static str) {
-    let body = match Limited::new(body, MAX_WHOLE_BYTES).collect().await {
-        Ok(body) => body.to_bytes(),
+    let body = match collect_answer(body, &guard.node.answer_memory).await {
+        Ok(body) => body,
         Err(error) => {
             guard.set_end(CallOutcome::Broken);
             let reason = format!("the answer broke off: {error}");
--- a/crates/verbenaring-core/src/path/relay.rs
+++ b/crates/verbenaring-core/src/path/relay.rs
@@ -1,6 +1,8 @@
 //! Relays a stream to its caller.
 //!
-//! A stream that breaks is resumed at another server if its route allows it.
+//! A stream that breaks is resumed at another server if its route allows it. A
+//! stream that completes no event for longer than callers wait counts as broken,
+//! whatever bytes arrive.
 //! Otherwise the connection to the caller is closed without the final chunk, so
 //! that a partial answer never looks complete.
 
@@ -11,13 +13,13 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::Response;
-use tokio::time::{Instant, sleep_until, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 use verbenaring_policy::dispatch::call::CallKind;
 use verbenaring_policy::dispatch::server::CallOutcome;
 
 use super::call::{PendingCall, TriedTargets, strip_connection_headers};
 use super::controller::UpstreamAnswer;
-use super::event::EventSplitter;
+use super::event::{EventProgress, EventSplitter};
 use super::exchange::UpstreamStream;
 use crate::caller::body::{AbortedAnswer, AnswerBody, PartSender};
 use crate::node::FrontNode;
@@ -31,6 +33,8 @@
     CallerGone,
     /// The deadline of the call has passed.
     TimedOut,
+    /// No event has ended for longer than callers wait.
+    Stalled,
     /// The server or the connection to it failed.
     Broken(String),
 }
@@ -42,6 +46,7 @@
     tried: TriedTargets,
     sender: PartSender,
     splitter: Option<EventSplitter>,
+    progress: EventProgress,
     first_part_at: Option<Instant>,
     last_part_at: Instant,
     longest_pause: Duration,
@@ -68,6 +73,7 @@
             tried,
             sender,
             splitter: resumable.then(EventSplitter::default),
+            progress: EventProgress::default(),
             first_part_at: None,
             last_part_at: Instant::now(),
             longest_pause: Duration::ZERO,
@@ -96,6 +102,7 @@
                     self.abort("deadline exceeded").await;
                     return;
                 }
+                RelayOutcome::Stalled => "no event within the longest pause".to_owned(),
                 RelayOutcome::Broken(reason) => reason,
             };
             stream.guard.set_end(CallOutcome::Broken);
@@ -118,9 +125,14 @@
     async fn relay_stream(&mut self, stream: &mut UpstreamStream<P>) -> RelayOutcome {
         let deadline = sleep_until(self.call.deadline);
         tokio::pin!(deadline);
+        let max_pause = self.call.route.max_pause();
+        let stall = sleep(max_pause);
+        tokio::pin!(stall);
+        self.progress = EventProgress::default();
         loop {
             let frame = tokio::select! {
                 biased;
+                () = stall.as_mut() => return RelayOutcome::Stalled,
                 frame = stream.body.frame() => frame,
                 () = self.sender.closed() => return RelayOutcome::CallerGone,
                 () = deadline.as_mut() => return RelayOutcome::TimedOut,
@@ -134,7 +146,10 @@
                 },
             };
             self.record_part();
-            stream.guard.record_first_event();
+            if self.progress.push(&data).is_some() {
+                stream.guard.record_first_event();
+                stall.as_mut().reset(Instant::now() + max_pause);
+            }
             let whole = match &mut self.splitter {
                 None => Some(data),
                 Some(splitter) => match splitter.push(&data) {
--- a/crates/verbenaring-core/src/settings.rs
+++ b/crates/verbenaring-core/src/settings.rs
@@ -92,6 +92,12 @@
     /// Descriptors of a VM with capacity 100.
     const REFERENCE_DESCRIPTORS: f64 = 4_096.0;
 
+    /// Memory for long answers that are buffered as a whole, in bytes: an eighth of
+    /// all, so that streams and state keep theirs.
+    pub fn answer_memory_bytes(&self) -> usize {
+        (self.memory_mb.max(0.0) * 1024.0 * 1024.0 / 8.0) as usize
+    }
+
     /// Capacity relative to other VMs: that of the scarcest resource, at least 1.
     pub fn capacity(&self, descriptors: usize) -> u32 {
         let shares = [
@@ -159,7 +165,8 @@
         Duration::from_secs_f64(self.grace_s)
     }
 
-    /// Pause of a watch that has just returned changes.
+    /// Pause of a watch that has just returned changes, where many VMs share the
+    /// source.
     ///
     /// A fifth of the time within which a change must apply leaves time for the
     /// watch itself and for passing the change on to VMs that do not watch.
--- a/crates/verbenaring-policy/src/dispatch/call.rs
+++ b/crates/verbenaring-policy/src/dispatch/call.rs
@@ -69,9 +69,27 @@
     pub services: Vec<ServiceWeight>,
     /// Regions in which the calls may run; all if empty.
     pub residency: Vec<RegionName>,
+    /// Longest pause between two events of an answer that is in time; zero if the
+    /// route states none.
+    pub pause_goal: Duration,
 }
 
+/// Shortest time without an event after which callers give a stream up.
+const MIN_GIVE_UP_PAUSE: Duration = Duration::from_secs(2);
+/// The same as a multiple of the target time of the route.
+const GIVE_UP_GOALS: u32 = 4;
+/// The same as a multiple of the longest pause of an answer in time.
+const GIVE_UP_PAUSES: u32 = 8;
+
 impl CallRoute {
+    /// Time without an event after which callers give a stream up, and nobody waits
+    /// for the rest of it.
+    pub fn max_pause(&self) -> Duration {
+        MIN_GIVE_UP_PAUSE
+            .max(self.goal * GIVE_UP_GOALS)
+            .max(self.pause_goal * GIVE_UP_PAUSES)
+    }
+
     /// Whether a call may run in `region`.
     pub fn allows(&self, region: &RegionName) -> bool {
         self.residency.is_empty() || self.residency.contains(region)
--- a/crates/verbenaring-policy/src/dispatch/place.rs
+++ b/crates/verbenaring-policy/src/dispatch/place.rs
@@ -249,12 +249,14 @@
         let pace_limit = self.pace.calls_per_owner(request.settings.cold_rate);
         let busy_limit = self.settings.busy_limit(request.rank);
         let mut usable = Vec::new();
+        let mut busy_servers = Vec::new();
         let mut paced = false;
         let mut least_busy: Option<f64> = None;
         for key in self.eligible_servers(request, now) {
             let busy = self.busy(&self.servers[key], request.settings, now);
             if busy > busy_limit {
                 least_busy = Some(least_busy.map_or(busy, |least| least.min(busy)));
+                busy_servers.push(key);
                 continue;
             }
             let record = &mut self.servers[key];
@@ -265,6 +267,12 @@
                 usable.push(key);
             }
         }
+        if usable.is_empty() {
+            // The rate of work is an average; a burst after a pause raises it before
+            // queues are long.
+            busy_servers.retain(|key| self.is_in_time_although_busy(*key, request, now));
+            usable = busy_servers;
+        }
         match (usable.is_empty(), least_busy, paced) {
             (false, ..) => Ok(usable),
             (true, Some(busy), _) => Err(PlacementError::Saturated {
@@ -275,6 +283,18 @@
         }
     }
 
+    fn is_in_time_although_busy(
+        &self,
+        key: ServerKey,
+        request: &PlacementRequest<'_>,
+        now: Moment,
+    ) -> bool {
+        let record = &self.servers[key];
+        let prompt = request.prompt_tokens();
+        let (_, first) = self.forecast(record, request.settings, prompt, true, now);
+        !record.is_paced(request.settings, now) && request.elapsed + first <= request.goal
+    }
+
     fn candidate(
         &self,
         key: ServerKey,
--- a/crates/verbenaring-policy/tests/dispatch/routes.rs
+++ b/crates/verbenaring-policy/tests/dispatch/routes.rs
@@ -23,6 +23,7 @@
             })
             .to_vec(),
         residency: residency.iter().map(|name| region(name)).collect(),
+        pause_goal: ms(0),
     }
 }
 
