Split the reports into sending, relaying and receiving, and mend a suggested wait

Change: cluster/report.rs sends, relay.rs passes on, receive.rs applies, peers.rs says what a VM knows of others; dispatch/region_load.rs holds the loads. Moved without edits but for visibility. While no other VM of the region takes calls, a stopping VM suggests the directory's time to live.

--- a/crates/verbenaring-core/src/cluster/mod.rs
+++ b/crates/verbenaring-core/src/cluster/mod.rs
@@ -2,5 +2,8 @@
 
 pub mod directory;
 pub mod message;
+mod peers;
+mod receive;
+mod relay;
 pub mod report;
 pub mod snapshot;
--- /dev/null
+++ b/crates/verbenaring-core/src/cluster/peers.rs
@@ -0,0 +1,86 @@
+//! What a VM knows of the others and of its duties towards them.
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use verbenaring_policy::dispatch::presence::VmState;
+use verbenaring_policy::dispatch::relay::RelayPlan;
+use verbenaring_policy::id::VmId;
+use verbenaring_policy::time::Moment;
+
+use crate::node::FrontNode;
+use crate::wire::WireProtocol;
+
+/// Time after its start by which a VM that hears no other one counts as alone.
+const SOLITUDE_TIME: Duration = Duration::from_millis(1_500);
+
+impl<P: WireProtocol> FrontNode<P> {
+    /// Whether another VM sends reports.
+    pub fn is_vm_live(&self, vm: &VmId) -> bool {
+        let now = self.clock.now();
+        let state = self.lock();
+        state.vms.find(vm).is_some_and(|record| record.is_live(now))
+    }
+
+    /// Whether another VM accepts calls according to its reports.
+    pub fn vm_takes_calls(&self, vm: &VmId) -> bool {
+        let now = self.clock.now();
+        let state = self.lock();
+        let record = state.vms.find(vm);
+        record.is_some_and(|record| record.takes_calls(now))
+    }
+
+    /// Reported state of another VM; `None` if it sends no reports.
+    pub fn vm_state_of(&self, vm: &VmId) -> Option<VmState> {
+        let now = self.clock.now();
+        let state = self.lock();
+        let record = state.vms.find(vm).filter(|record| record.is_live(now))?;
+        Some(record.state)
+    }
+
+    /// Whether this VM keeps itself announced, so that others find it: relays do,
+    /// and every VM where there are no relays.
+    pub(crate) fn is_announced(&self) -> bool {
+        !self.is_relayed() || self.is_relay()
+    }
+
+    /// Whether reports go through relays.
+    pub(crate) fn is_relayed(&self) -> bool {
+        self.is_relayed.load(Ordering::Relaxed)
+    }
+
+    /// Whether this VM passes on the reports of others.
+    pub fn is_relay(&self) -> bool {
+        self.is_relay.load(Ordering::Relaxed)
+    }
+
+    /// Records whether reports go through relays and whether this VM is one.
+    pub(crate) fn set_relay_duty(&self, plan: &RelayPlan) {
+        self.is_relayed.store(plan.relayed, Ordering::Relaxed);
+        self.is_relay.store(plan.is_relay, Ordering::Relaxed);
+    }
+
+    /// Whether this VM hears another one, or has run for so long that there is none.
+    pub(crate) fn has_heard_others(&self) -> bool {
+        let now = self.clock.now();
+        now.since(Moment::default()) >= SOLITUDE_TIME || self.lock().vms.live(now).next().is_some()
+    }
+
+    /// Whether this VM hears another one of its data centre.
+    pub(crate) fn hears_centre(&self) -> bool {
+        let now = self.clock.now();
+        let state = self.lock();
+        let mut live = state.vms.live(now);
+        live.any(|(_, record)| record.centre == self.location)
+    }
+
+    /// Whether another VM of this region takes calls.
+    pub(crate) fn region_has_ready_vm(&self) -> bool {
+        let now = self.clock.now();
+        let state = self.lock();
+        let mut live = state.vms.live(now);
+        live.any(|(_, record)| {
+            record.centre.region == self.location.region && record.takes_calls(now)
+        })
+    }
+}
--- a/crates/verbenaring-core/src/node.rs
+++ b/crates/verbenaring-core/src/node.rs
@@ -15,9 +15,8 @@
 use tokio_util::task::TaskTracker;
 use verbenaring_policy::dispatch::call::RouteTable;
 use verbenaring_policy::dispatch::presence::VmState;
-use verbenaring_policy::dispatch::relay::RelayPlan;
 use verbenaring_policy::dispatch::server::ServerKey;
-use verbenaring_policy::id::{DataCentre, VmId};
+use verbenaring_policy::id::DataCentre;
 use verbenaring_policy::time::Moment;
 
 use crate::caller::body::AnswerBody;
@@ -47,8 +46,6 @@
 const STOP_ANNOUNCEMENT_TIME: Duration = Duration::from_millis(2_900);
 /// Safety margin between the end of the last call and the kill.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
-/// Time after its start by which a VM that hears no other one counts as alone.
-const SOLITUDE_TIME: Duration = Duration::from_millis(1_500);
 /// Limit on log lines per second about refusals and failed attempts.
 const FAILURE_LINES_PER_S: u32 = 200;
 
@@ -83,8 +80,8 @@
     state: Mutex<FrontState>,
     /// Sequence number of the newest report; it must not start again within a boot.
     pub(crate) report_sequence: AtomicU32,
-    is_relayed: AtomicBool,
-    is_relay: AtomicBool,
+    pub(crate) is_relayed: AtomicBool,
+    pub(crate) is_relay: AtomicBool,
     failure_lines: Mutex<crate::observe::logger::LogRateLimiter>,
     shutdown_phase: watch::Sender<ShutdownPhase>,
     exit_deadline: OnceLock<Instant>,
@@ -158,42 +155,6 @@
         watched(&self.operator_status) && watched(&self.servers_status)
     }
 
-    /// Whether this VM keeps itself announced, so that others find it: relays do,
-    /// and every VM where there are no relays.
-    pub(crate) fn is_announced(&self) -> bool {
-        !self.is_relayed() || self.is_relay()
-    }
-
-    /// Whether reports go through relays.
-    pub(crate) fn is_relayed(&self) -> bool {
-        self.is_relayed.load(Ordering::Relaxed)
-    }
-
-    /// Whether this VM passes on the reports of others.
-    pub fn is_relay(&self) -> bool {
-        self.is_relay.load(Ordering::Relaxed)
-    }
-
-    /// Records whether reports go through relays and whether this VM is one.
-    pub(crate) fn set_relay_duty(&self, plan: &RelayPlan) {
-        self.is_relayed.store(plan.relayed, Ordering::Relaxed);
-        self.is_relay.store(plan.is_relay, Ordering::Relaxed);
-    }
-
-    /// Whether this VM hears another one, or has run for so long that there is none.
-    pub(crate) fn has_heard_others(&self) -> bool {
-        let now = self.clock.now();
-        now.since(Moment::default()) >= SOLITUDE_TIME || self.lock().vms.live(now).next().is_some()
-    }
-
-    /// Whether this VM hears another one of its data centre.
-    pub(crate) fn hears_centre(&self) -> bool {
-        let now = self.clock.now();
-        let state = self.lock();
-        let mut live = state.vms.live(now);
-        live.any(|(_, record)| record.centre == self.location)
-    }
-
     /// Whether this VM should watch the configuration source itself.
     pub(crate) fn should_watch(&self) -> bool {
         let now = self.clock.now();
@@ -205,29 +166,6 @@
         self.lock().servers.applied_revision()
     }
 
-    /// Whether another VM sends reports.
-    pub fn is_vm_live(&self, vm: &VmId) -> bool {
-        let now = self.clock.now();
-        let state = self.lock();
-        state.vms.find(vm).is_some_and(|record| record.is_live(now))
-    }
-
-    /// Whether another VM accepts calls according to its reports.
-    pub fn vm_takes_calls(&self, vm: &VmId) -> bool {
-        let now = self.clock.now();
-        let state = self.lock();
-        let record = state.vms.find(vm);
-        record.is_some_and(|record| record.takes_calls(now))
-    }
-
-    /// Reported state of another VM; `None` if it sends no reports.
-    pub fn vm_state_of(&self, vm: &VmId) -> Option<VmState> {
-        let now = self.clock.now();
-        let state = self.lock();
-        let record = state.vms.find(vm).filter(|record| record.is_live(now))?;
-        Some(record.state)
-    }
-
     /// Whether the shutdown of this VM has begun.
     pub fn is_stopping(&self) -> bool {
         *self.shutdown_phase.borrow() != ShutdownPhase::Serving
--- a/crates/verbenaring-core/src/path/controller.rs
+++ b/crates/verbenaring-core/src/path/controller.rs
@@ -37,8 +37,8 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// `Retry-After` while this VM lacks the configuration for a call.
 const STARTING_RETRY_AFTER: Duration = Duration::from_millis(300);
-/// `Retry-After` of a VM that is stopping. Short, because other VMs serve the
-/// call.
+/// `Retry-After` of a VM that is stopping. Short, because other VMs of the region
+/// serve the call.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(20);
 /// `Retry-After` for a call that was not sent before its deadline, or for which
 /// no further attempt is allowed.
@@ -123,7 +123,7 @@
         let timeout = metadata.timeout.unwrap_or(route.timeout);
         let deadline = (started + timeout).min(started + route.timeout.saturating_sub(elapsed));
         if !self.can_finish(deadline) {
-            return Err(CallRefusal::busy("stopping", STOPPING_RETRY_AFTER));
+            return Err(CallRefusal::busy("stopping", self.stopping_retry_after()));
         }
         let max_attempts =
             header_number(ATTEMPTS_HEADER).map_or(route.attempts, |attempts| attempts as u32);
@@ -155,6 +155,15 @@
         Ok(call)
     }
 
+    /// Suggested wait while this VM stops. If no other VM of the region takes calls,
+    /// callers must look up those of another region first.
+    fn stopping_retry_after(&self) -> Duration {
+        match self.region_has_ready_vm() {
+            true => STOPPING_RETRY_AFTER,
+            false => Duration::from_secs(self.settings.tuning.directory_ttl_s),
+        }
+    }
+
     async fn run(self: &Arc<Self>, call: PendingCall) -> Response<AnswerBody> {
         let call = Arc::new(call);
         let mut tried = TriedTargets::default();
--- a/crates/verbenaring-policy/src/dispatch/mod.rs
+++ b/crates/verbenaring-policy/src/dispatch/mod.rs
@@ -18,6 +18,7 @@
 pub mod presence;
 pub mod prompt;
 pub mod rate;
+pub mod region_load;
 pub mod relay;
 pub mod server;
 pub mod settings;
