--- a/crates/verbenaring-policy/src/dispatch/call.rs
+++ b/crates/verbenaring-policy/src/dispatch/call.rs
@@ -80,14 +80,18 @@
 const GIVE_UP_GOALS: u32 = 4;
 /// The same as a multiple of the longest pause of an answer in time.
 const GIVE_UP_PAUSES: u32 = 8;
+/// Multiple of that time after which a stream is ended here: a caller that still
+/// waits must not lose a server that is only silent.
+const STALL_FACTOR: u32 = 2;
 
 impl CallRoute {
-    /// Time without an event after which callers give a stream up, and nobody waits
-    /// for the rest of it.
+    /// Time without an event after which a stream is ended: callers have given it up
+    /// long before.
     pub fn max_pause(&self) -> Duration {
-        MIN_GIVE_UP_PAUSE
+        let given_up = MIN_GIVE_UP_PAUSE
             .max(self.goal * GIVE_UP_GOALS)
-            .max(self.pause_goal * GIVE_UP_PAUSES)
+            .max(self.pause_goal * GIVE_UP_PAUSES);
+        given_up * STALL_FACTOR
     }
 
     /// Whether a call may run in `region`.
