Log how streams end: framing, and position among the events

The line "stream ended" said "complete" for answers that servers had broken off, and did not tell whether the server had marked the end, nor whether bytes of an event were left. Both are in the line now, and the counter verbenaring_stream_ends_total counts ends without a connection error.

--- a/crates/verbenaring-core/src/observe/metrics.rs
+++ b/crates/verbenaring-core/src/observe/metrics.rs
@@ -19,6 +19,9 @@
     pub refusals: IntCounterVec,
     /// Attempts by target (`server` or `vm`) and result.
     pub attempts: IntCounterVec,
+    /// Streams that ended without an error of the connection, by framing and by the
+    /// position at which they ended.
+    pub stream_ends: IntCounterVec,
     /// Seconds from acceptance to the first event or the whole answer, by kind
     /// (`stream` or `plain`).
     pub first_event: HistogramVec,
@@ -74,6 +77,11 @@
                 "Attempts by target (server, vm) and result",
                 &["target", "result"],
             ),
+            stream_ends: counters(
+                "verbenaring_stream_ends_total",
+                "Streams that ended without a connection error, by framing and position",
+                &["framing", "position"],
+            ),
             first_event: register(
                 &registry,
                 HistogramVec::new(first_event, &["kind"]).expect("valid metric"),
--- a/crates/verbenaring-core/src/path/event.rs
+++ b/crates/verbenaring-core/src/path/event.rs
@@ -60,6 +60,29 @@
 pub struct EventProgress {
     line: LineState,
     has_data: bool,
+    has_event: bool,
+}
+
+/// Where a stream stands after the bytes that have arrived.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StreamPosition {
+    /// No event has ended yet, and none has begun.
+    BeforeEvents,
+    /// An event has begun and not ended.
+    InsideEvent,
+    /// The last event has ended.
+    BetweenEvents,
+}
+
+impl StreamPosition {
+    /// Name in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::BeforeEvents => "before_events",
+            Self::InsideEvent => "inside_event",
+            Self::BetweenEvents => "between_events",
+        }
+    }
 }
 
 /// What the current line holds so far.
@@ -81,6 +104,7 @@
                 (b'\n', LineState::Text) => LineState::Empty,
                 (b'\n', _) => {
                     if std::mem::take(&mut self.has_data) {
+                        self.has_event = true;
                         end = Some(at + 1);
                     }
                     LineState::Empty
@@ -94,6 +118,15 @@
         }
         end
     }
+
+    /// Position after the bytes looked at so far.
+    pub fn position(&self) -> StreamPosition {
+        match (self.has_data, self.has_event) {
+            (true, _) => StreamPosition::InsideEvent,
+            (false, true) => StreamPosition::BetweenEvents,
+            (false, false) => StreamPosition::BeforeEvents,
+        }
+    }
 }
 
 fn find_last_id(events: &[u8]) -> Option<String> {
--- a/crates/verbenaring-core/src/path/exchange.rs
+++ b/crates/verbenaring-core/src/path/exchange.rs
@@ -21,6 +21,7 @@
     ATTEMPTS_HEADER, ELAPSED_HEADER, PendingCall, REACHED_SERVER_HEADER, strip_connection_headers,
 };
 use super::choose::{CallTarget, ChosenServer, ChosenVm};
+use super::framing::AnswerFraming;
 use crate::node::FrontNode;
 use crate::upstream::pool::{ConnectOptions, ConnectionLease, SendError};
 use crate::wire::{AnswerKind, AttemptMetadata, WireProtocol};
@@ -77,6 +78,8 @@
     pub head: Parts,
     /// Body, whose events have not been read yet.
     pub body: Incoming,
+    /// Framing of the body.
+    pub framing: AnswerFraming,
     /// Accounts for the work at the server; empty for a stream from another VM.
     pub guard: WorkGuard<P>,
     /// Connection, to be released after the last event.
@@ -289,6 +292,7 @@
             }
             AnswerKind::Ran if head.status.is_success() && call.route.kind.is_stream() => {
                 let stream = UpstreamStream {
+                    framing: AnswerFraming::of(&head.headers),
                     head,
                     body,
                     guard,
--- /dev/null
+++ b/crates/verbenaring-core/src/path/framing.rs
@@ -0,0 +1,37 @@
+//! How the end of an answer is marked (RFC 9112, section 6).
+
+use hyper::HeaderMap;
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+
+/// Framing of an answer's body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AnswerFraming {
+    /// The last chunk marks the end.
+    Chunks,
+    /// `Content-Length` states it.
+    Length,
+    /// The body ends with its connection, whether or not the server has sent all of it.
+    Connection,
+}
+
+impl AnswerFraming {
+    /// Framing that the headers of an answer state.
+    pub fn of(headers: &HeaderMap) -> Self {
+        if headers.contains_key(TRANSFER_ENCODING) {
+            Self::Chunks
+        } else if headers.contains_key(CONTENT_LENGTH) {
+            Self::Length
+        } else {
+            Self::Connection
+        }
+    }
+
+    /// Name in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Chunks => "chunks",
+            Self::Length => "length",
+            Self::Connection => "connection",
+        }
+    }
+}
--- a/crates/verbenaring-core/src/path/mod.rs
+++ b/crates/verbenaring-core/src/path/mod.rs
@@ -6,5 +6,6 @@
 pub mod controller;
 pub mod event;
 pub mod exchange;
+pub mod framing;
 pub mod refusal;
 pub mod relay;
--- a/crates/verbenaring-core/src/path/relay.rs
+++ b/crates/verbenaring-core/src/path/relay.rs
@@ -21,6 +21,7 @@
 use super::controller::UpstreamAnswer;
 use super::event::{EventProgress, EventSplitter};
 use super::exchange::UpstreamStream;
+use super::framing::AnswerFraming;
 use crate::caller::body::{AbortedAnswer, AnswerBody, PartSender};
 use crate::node::FrontNode;
 use crate::wire::WireProtocol;
@@ -47,6 +48,7 @@
     sender: PartSender,
     splitter: Option<EventSplitter>,
     progress: EventProgress,
+    framing: AnswerFraming,
     first_part_at: Option<Instant>,
     last_part_at: Instant,
     longest_pause: Duration,
@@ -74,6 +76,7 @@
             sender,
             splitter: resumable.then(EventSplitter::default),
             progress: EventProgress::default(),
+            framing: stream.framing,
             first_part_at: None,
             last_part_at: Instant::now(),
             longest_pause: Duration::ZERO,
@@ -129,6 +132,7 @@
         let stall = sleep(max_pause);
         tokio::pin!(stall);
         self.progress = EventProgress::default();
+        self.framing = stream.framing;
         loop {
             let frame = tokio::select! {
                 biased;
@@ -138,7 +142,10 @@
                 () = deadline.as_mut() => return RelayOutcome::TimedOut,
             };
             let data = match frame {
-                None => return self.finish().await,
+                None => {
+                    self.observe_end();
+                    return self.finish().await;
+                }
                 Some(Err(error)) => return RelayOutcome::Broken(error.to_string()),
                 Some(Ok(frame)) => match frame.into_data() {
                     Ok(data) if !data.is_empty() => data,
@@ -180,6 +187,13 @@
         self.last_part_at = now;
     }
 
+    fn observe_end(&self) {
+        let ends = &self.node.metrics.stream_ends;
+        let position = self.progress.position();
+        ends.with_label_values(&[self.framing.as_str(), position.as_str()])
+            .inc();
+    }
+
     /// Passes on the bytes after the last event at the end of the stream.
     async fn finish(&mut self) -> RelayOutcome {
         let incomplete = self.splitter.as_mut().map(EventSplitter::take_incomplete);
@@ -265,6 +279,7 @@
             .map(|first| first.saturating_duration_since(self.call.received_at));
         log::info!(request = self.call.metadata.attempt_id.as_str(), route = self.call.route.name.as_str(),
             outcome = outcome, reason = reason, parts = self.parts,
+            framing = self.framing.as_str(), position = self.progress.position().as_str(),
             first_ms = first.map_or(0, |first| first.as_millis() as u64),
             longest_pause_ms = self.longest_pause.as_millis() as u64,
             prompt_tokens = self.call.placement_request(&[]).prompt_tokens(),
