End a stream that stops inside an event as broken

Cause: the relay took the end of the server's body for the end of the stream. If an answer has neither a length nor chunks, its body also ends without an error when the server closes the connection early. The bytes of the incomplete event were then passed on and the caller's answer got its last chunk; the VM of another region did the same, as the first one had made the end look regular. Class: completeness inferred from the absence of an error.

Change: a stream is complete only if its events are (StreamPosition::completes). One that ends inside an event, or before any event without a marked end, is broken: resumed elsewhere if its route allows, else cut off. A stream that ends between events is still complete, since events carry no end marker.

Ruled out: a cut answer with a length or chunks, which hyper reports as an error and the tests of answers.rs cover. Not this cause, looked at next: a relay task that stops without reporting an error.

--- a/crates/verbenaring-core/src/path/event.rs
+++ b/crates/verbenaring-core/src/path/event.rs
@@ -6,6 +6,8 @@
 
 use bytes::{Bytes, BytesMut};
 
+use super::framing::AnswerFraming;
+
 /// Largest incomplete event that is buffered; a longer one ends the stream.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
@@ -75,6 +77,18 @@
 }
 
 impl StreamPosition {
+    /// Whether a stream that ends here, without an error of its connection, is complete.
+    ///
+    /// The end of a connection alone does not show that the server has sent an answer.
+    /// A stream that is resumed after its last event has no events, but marks its end.
+    pub fn completes(self, framing: AnswerFraming) -> bool {
+        match self {
+            Self::InsideEvent => false,
+            Self::BetweenEvents => true,
+            Self::BeforeEvents => framing != AnswerFraming::Connection,
+        }
+    }
+
     /// Name in logs and metrics.
     pub fn as_str(self) -> &'static str {
         match self {
--- a/crates/verbenaring-core/src/path/relay.rs
+++ b/crates/verbenaring-core/src/path/relay.rs
@@ -2,7 +2,8 @@
 //!
 //! A stream that breaks is resumed at another server if its route allows it. A
 //! stream that completes no event for longer than callers wait counts as broken,
-//! whatever bytes arrive.
+//! whatever bytes arrive, and so does one that ends inside an event, however its
+//! end is marked.
 //! Otherwise the connection to the caller is closed without the final chunk, so
 //! that a partial answer never looks complete.
 
@@ -28,7 +29,7 @@
 
 /// Why relaying a stream ended.
 enum RelayOutcome {
-    /// The last event was passed on.
+    /// The whole stream was passed on.
     Complete,
     /// The caller closed its connection.
     CallerGone,
@@ -142,10 +143,7 @@
                 () = deadline.as_mut() => return RelayOutcome::TimedOut,
             };
             let data = match frame {
-                None => {
-                    self.observe_end();
-                    return self.finish().await;
-                }
+                None => return self.finish().await,
                 Some(Err(error)) => return RelayOutcome::Broken(error.to_string()),
                 Some(Ok(frame)) => match frame.into_data() {
                     Ok(data) if !data.is_empty() => data,
@@ -187,17 +185,21 @@
         self.last_part_at = now;
     }
 
-    fn observe_end(&self) {
-        let ends = &self.node.metrics.stream_ends;
+    /// Ends a stream whose connection reported no error. Blank lines after the last event
+    /// belong to the answer and are passed on.
+    async fn finish(&mut self) -> RelayOutcome {
         let position = self.progress.position();
+        let ends = &self.node.metrics.stream_ends;
         ends.with_label_values(&[self.framing.as_str(), position.as_str()])
             .inc();
-    }
-
-    /// Passes on the bytes after the last event at the end of the stream.
-    async fn finish(&mut self) -> RelayOutcome {
-        let incomplete = self.splitter.as_mut().map(EventSplitter::take_incomplete);
-        match incomplete {
+        if !position.completes(self.framing) {
+            return RelayOutcome::Broken(format!(
+                "the stream ended at position {}",
+                position.as_str()
+            ));
+        }
+        let rest = self.splitter.as_mut().map(EventSplitter::take_incomplete);
+        match rest {
             Some(rest) if !rest.is_empty() => match self.send(rest).await {
                 true => RelayOutcome::Complete,
                 false => RelayOutcome::CallerGone,
--- a/crates/verbenaring-core/tests/event.rs
+++ b/crates/verbenaring-core/tests/event.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use verbenaring_core::path::event::{EventProgress, EventSplitter};
+use verbenaring_core::path::framing::AnswerFraming;
 
 const STREAM: &str = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\nid: 4\nda";
 
@@ -46,3 +47,28 @@
     assert_eq!(progress.push(b"data: a\n\n\n\n"), Some(9));
     assert_eq!(progress.push(b"\n\n"), None);
 }
+
+/// Guards against a stream that is taken for complete at any end of its connection.
+#[test]
+fn only_a_stream_between_events_is_complete() {
+    let ends = |stream: &str, framing| {
+        let mut progress = EventProgress::default();
+        progress.push(stream.as_bytes());
+        progress.position().completes(framing)
+    };
+    for framing in [
+        AnswerFraming::Chunks,
+        AnswerFraming::Length,
+        AnswerFraming::Connection,
+    ] {
+        let marked = framing != AnswerFraming::Connection;
+        assert!(ends("data: a\n\n", framing));
+        assert!(ends("data: a\r\n\r\n\r\n", framing));
+        for cut in ["d", "data: a\n", "data: a\r\n\r", "data: a\n\ndata: b"] {
+            assert!(!ends(cut, framing), "{cut:?} {framing:?}");
+        }
+        for empty in ["", "\n", "\r\n\r\n"] {
+            assert_eq!(ends(empty, framing), marked, "{empty:?} {framing:?}");
+        }
+    }
+}
