State the regular end of a relayed answer explicitly

A caller that read a stream too slowly until its deadline received a short answer with a regular end.

Cause: the body of an answer ended regularly when the task that fed it went away, for whatever reason: the deadline while the caller does not read, or a panic. Class: completeness inferred from the absence of an error.

Change: AnswerPart::End marks the regular end. A sender that is dropped without it leaves the answer incomplete, and the connection is closed without the last chunk. Aborting a stream no longer waits for a caller that does not read, and the server's work is accounted for before the end is sent.

a_stream_given_up_at_the_deadline_is_not_complete failed before (the answer of 500 events of 100 kB ended regularly after a part of them) and passes now. All tests of verbenaring-core and verbenaring-platform pass.

--- a/crates/verbenaring-core/src/caller/body.rs
+++ b/crates/verbenaring-core/src/caller/body.rs
@@ -7,18 +7,27 @@
 use http_body::{Body, Frame, SizeHint};
 use tokio::sync::mpsc;
 
-/// The answer cannot be completed, for the given reason. The connection is
-/// closed without the final chunk.
+/// The answer was not completed. The connection is closed without the last chunk.
 #[derive(Debug, Clone, Copy, thiserror::Error)]
-#[error("answer is incomplete: {0}")]
-pub struct AbortedAnswer(pub &'static str);
+#[error("answer is incomplete")]
+pub struct IncompleteAnswer;
+
+/// Part of an answer that is sent as it arrives.
+#[derive(Debug, Clone)]
+pub enum AnswerPart {
+    /// Some bytes of the body.
+    Data(Bytes),
+    /// Regular end of the body. Without it, the answer is incomplete.
+    End,
+}
 
 /// Parts of an answer that are buffered for the caller. Few, so that a caller
 /// that does not read slows the server down instead of filling the VM's memory.
 const MAX_BUFFERED_PARTS: usize = 4;
 
-/// Sends the parts of an answer to its body; an error aborts the answer.
-pub type PartSender = mpsc::Sender<Result<Bytes, AbortedAnswer>>;
+/// Sends the parts of an answer to its body. A sender that is dropped before
+/// [`AnswerPart::End`] leaves the answer incomplete, for whatever reason it is dropped.
+pub type PartSender = mpsc::Sender<AnswerPart>;
 
 /// Body of an answer to a caller or to another VM.
 #[derive(Debug)]
@@ -26,7 +35,7 @@
     /// Whole body; `None` if it is empty or was sent.
     Whole(Option<Bytes>),
     /// Parts, sent as they arrive.
-    Parts(mpsc::Receiver<Result<Bytes, AbortedAnswer>>),
+    Parts(mpsc::Receiver<AnswerPart>),
 }
 
 impl AnswerBody {
@@ -45,18 +54,19 @@
 
 impl Body for AnswerBody {
     type Data = Bytes;
-    type Error = AbortedAnswer;
+    type Error = IncompleteAnswer;
 
     fn poll_frame(
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, AbortedAnswer>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, IncompleteAnswer>>> {
         match self.get_mut() {
             Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Self::Parts(receiver) => {
-                let part = ready!(receiver.poll_recv(context));
-                Poll::Ready(part.map(|part| part.map(Frame::data)))
-            }
+            Self::Parts(receiver) => Poll::Ready(match ready!(receiver.poll_recv(context)) {
+                Some(AnswerPart::Data(bytes)) => Some(Ok(Frame::data(bytes))),
+                Some(AnswerPart::End) => None,
+                None => Some(Err(IncompleteAnswer)),
+            }),
         }
     }
 
--- a/crates/verbenaring-core/src/path/relay.rs
+++ b/crates/verbenaring-core/src/path/relay.rs
@@ -1,11 +1,11 @@
 //! Relays a stream to its caller.
 //!
-//! A stream that breaks is resumed at another server if its route allows it. A
-//! stream that completes no event for longer than callers wait counts as broken,
-//! whatever bytes arrive, and so does one that ends inside an event, however its
-//! end is marked.
-//! Otherwise the connection to the caller is closed without the final chunk, so
-//! that a partial answer never looks complete.
+//! A stream that completes no event for longer than callers wait counts as broken,
+//! whatever bytes arrive, and so does one that ends inside an event, however its end
+//! is marked. A broken stream is resumed at another server if its route allows it.
+//! Otherwise the connection to the caller is closed without the last chunk, so that a
+//! partial answer never looks complete. The relay states a regular end explicitly; if
+//! it stops for any other reason, the answer is incomplete.
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -23,7 +23,7 @@
 use super::event::{EventProgress, EventSplitter};
 use super::exchange::UpstreamStream;
 use super::framing::AnswerFraming;
-use crate::caller::body::{AbortedAnswer, AnswerBody, PartSender};
+use crate::caller::body::{AnswerBody, AnswerPart, PartSender};
 use crate::node::FrontNode;
 use crate::wire::WireProtocol;
 
@@ -94,7 +94,11 @@
                 RelayOutcome::Complete => {
                     stream.guard.set_end(CallOutcome::Good);
                     stream.lease.release();
-                    self.log_end("complete", "");
+                    drop(stream.guard);
+                    match self.send(AnswerPart::End).await {
+                        true => self.log_end("complete", ""),
+                        false => self.log_end("caller_gone", ""),
+                    }
                     return;
                 }
                 RelayOutcome::CallerGone => {
@@ -103,7 +107,6 @@
                 }
                 RelayOutcome::TimedOut => {
                     self.log_end("timed_out", "");
-                    self.abort("deadline exceeded").await;
                     return;
                 }
                 RelayOutcome::Stalled => "no event within the longest pause".to_owned(),
@@ -119,7 +122,6 @@
                 Some(stream) => stream,
                 None => {
                     self.log_end("broken", &reason);
-                    self.abort("stream broke and was not resumed").await;
                     return;
                 }
             };
@@ -163,7 +165,7 @@
                 },
             };
             if let Some(whole) = whole
-                && !self.send(whole).await
+                && !self.send_data(whole).await
             {
                 return RelayOutcome::CallerGone;
             }
@@ -200,7 +202,7 @@
         }
         let rest = self.splitter.as_mut().map(EventSplitter::take_incomplete);
         match rest {
-            Some(rest) if !rest.is_empty() => match self.send(rest).await {
+            Some(rest) if !rest.is_empty() => match self.send_data(rest).await {
                 true => RelayOutcome::Complete,
                 false => RelayOutcome::CallerGone,
             },
@@ -208,9 +210,13 @@
         }
     }
 
-    async fn send(&mut self, part: Bytes) -> bool {
+    async fn send_data(&mut self, data: Bytes) -> bool {
         self.parts += 1;
-        let sending = self.sender.send(Ok(part));
+        self.send(AnswerPart::Data(data)).await
+    }
+
+    async fn send(&mut self, part: AnswerPart) -> bool {
+        let sending = self.sender.send(part);
         // A caller that does not read is disconnected at the deadline.
         matches!(timeout_at(self.call.deadline, sending).await, Ok(Ok(())))
     }
@@ -264,12 +270,6 @@
         }
     }
 
-    /// Closes the connection to the caller without the final chunk.
-    async fn abort(&mut self, reason: &'static str) {
-        // Fails only if the caller has already disconnected.
-        let _ = self.sender.send(Err(AbortedAnswer(reason))).await;
-    }
-
     fn log_end(&self, outcome: &'static str, reason: &str) {
         self.node.count_call(outcome);
         let failed = !matches!(outcome, "complete" | "caller_gone");
