Do not state the length of a stream that may be resumed

A stream whose first server stated a length was cut at it, with a regular end, when another server continued it with more bytes.

Cause: the head of the first server is passed on when the stream begins, with its Content-Length; hyper then ends the body at that length. Class: completeness inferred from something other than the events.

Change: relayed streams go out in chunks, whatever their servers use.

a_resumed_stream_is_not_cut_at_the_stated_length failed before (4 of 6 events, complete) and passes now.

--- a/crates/verbenaring-core/src/path/relay.rs
+++ b/crates/verbenaring-core/src/path/relay.rs
@@ -14,6 +14,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::Response;
+use hyper::header::CONTENT_LENGTH;
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 use verbenaring_policy::dispatch::call::CallKind;
 use verbenaring_policy::dispatch::server::CallOutcome;
@@ -66,6 +67,8 @@
     ) -> Response<AnswerBody> {
         let (sender, body) = AnswerBody::parts();
         strip_connection_headers(&mut stream.head.headers);
+        // A resumed stream may have another length than its first server stated.
+        stream.head.headers.remove(CONTENT_LENGTH);
         let mut answer = Response::new(body);
         *answer.status_mut() = stream.head.status;
         *answer.headers_mut() = stream.head.headers.clone();
