Notice that a server has ended, and log which prompts it was answering

A VM now remembers the calls that servers of its region answer. When the connection of one whose answer had begun breaks, the VM opens a connection to the server once: nothing listens at the address of a server that has ended. It then logs "server ended while it answered" with the shared parts of the prompts that were being answered, and counts it. A connection that can be opened is kept for later calls. No decision depends on this yet.

--- a/crates/verbenaring-core/src/node.rs
+++ b/crates/verbenaring-core/src/node.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::{Notify, Semaphore, watch};
 use tokio::time::Instant;
 use tokio_util::task::TaskTracker;
 use verbenaring_policy::dispatch::call::RouteTable;
@@ -32,6 +32,7 @@
 use crate::settings::FrontSettings;
 use crate::state::FrontState;
 use crate::supervisor::supervise;
+use crate::upstream::check::check_servers;
 use crate::upstream::pool::ConnectionPool;
 use crate::wire::WireProtocol;
 
@@ -75,6 +76,8 @@
     pub(crate) answer_memory: Semaphore,
     /// Idle timeout of connections from callers.
     pub(crate) caller_idle_timeout: Arc<IdleTimeout>,
+    /// Notified when servers are to be checked.
+    pub(crate) server_check: Notify,
     operator_status: ScopeStatus,
     servers_status: ScopeStatus,
     state: Mutex<FrontState>,
@@ -103,6 +106,7 @@
             stream_tasks: TaskTracker::new(),
             answer_memory: Semaphore::new(settings.resources.answer_memory_bytes()),
             caller_idle_timeout: Arc::default(),
+            server_check: Notify::new(),
             operator_status: ScopeStatus::default(),
             servers_status: ScopeStatus::default(),
             state: Mutex::new(FrontState::new(&settings)),
@@ -387,6 +391,10 @@
             let node = node.clone();
             move || poll_snapshots(node.clone())
         });
+        supervise("server checks", {
+            let node = node.clone();
+            move || check_servers(node.clone())
+        });
         supervise("cleanup", {
             let node = node.clone();
             move || node.clone().run_cleanup()
--- a/crates/verbenaring-core/src/observe/metrics.rs
+++ b/crates/verbenaring-core/src/observe/metrics.rs
@@ -22,6 +22,8 @@
     /// Streams that ended without an error of the connection, by framing and by the
     /// position at which they ended.
     pub stream_ends: IntCounterVec,
+    /// Servers that ended while they answered a call of this VM.
+    pub ended_servers: IntCounter,
     /// Seconds from acceptance to the first event or the whole answer, by kind
     /// (`stream` or `plain`).
     pub first_event: HistogramVec,
@@ -61,6 +63,10 @@
             "verbenaring_forecast_error_seconds",
             "Absolute difference between predicted and seen time to the first event",
         );
+        let ended_servers = IntCounter::new(
+            "verbenaring_servers_ended_total",
+            "Servers that ended while they answered a call",
+        );
         let connections = IntCounter::new(
             "verbenaring_connections_total",
             "New connections to servers and VMs",
@@ -82,6 +88,7 @@
                 "Streams that ended without a connection error, by framing and position",
                 &["framing", "position"],
             ),
+            ended_servers: register(&registry, ended_servers.expect("valid metric")),
             first_event: register(
                 &registry,
                 HistogramVec::new(first_event, &["kind"]).expect("valid metric"),
--- a/crates/verbenaring-core/src/path/exchange.rs
+++ b/crates/verbenaring-core/src/path/exchange.rs
@@ -12,7 +12,7 @@
 use hyper::{Request, Response};
 use tokio::sync::Semaphore;
 use tokio::time::Instant;
-use verbenaring_policy::dispatch::server::{CallOutcome, InFlightCall, ServerKey};
+use verbenaring_policy::dispatch::server::CallOutcome;
 use verbenaring_policy::id::VmId;
 use verbenaring_policy::outcome::RunOutcome;
 use verbenaring_protocol::header;
@@ -22,6 +22,7 @@
 };
 use super::choose::{CallTarget, ChosenServer, ChosenVm};
 use super::framing::AnswerFraming;
+use super::work::WorkGuard;
 use crate::node::FrontNode;
 use crate::upstream::pool::{ConnectOptions, ConnectionLease, SendError};
 use crate::wire::{AnswerKind, AttemptMetadata, WireProtocol};
@@ -88,67 +89,6 @@
     pub vm: Option<VmId>,
 }
 
-/// Removes the work of an attempt from the load of its server when dropped.
-pub struct WorkGuard<P: WireProtocol> {
-    node: Arc<FrontNode<P>>,
-    work: Option<InFlightCall>,
-    sent: Instant,
-    forecast: Duration,
-    answered: bool,
-    end: CallOutcome,
-}
-
-impl<P: WireProtocol> WorkGuard<P> {
-    fn new(node: &Arc<FrontNode<P>>, work: Option<InFlightCall>, forecast: Duration) -> Self {
-        Self {
-            node: node.clone(),
-            work,
-            sent: Instant::now(),
-            forecast,
-            answered: false,
-            end: CallOutcome::Abandoned,
-        }
-    }
-
-    /// Records that the first event or the whole answer has arrived. Later calls
-    /// have no effect.
-    pub fn record_first_event(&mut self) {
-        if self.answered {
-            return;
-        }
-        self.answered = true;
-        let Some(work) = &self.work else {
-            return;
-        };
-        let now = self.node.clock.now();
-        self.node.lock().servers.record_first_event(work, now);
-        let error = self.sent.elapsed().abs_diff(self.forecast);
-        let metrics = &self.node.metrics;
-        metrics.forecast_error.observe(error.as_secs_f64());
-    }
-
-    /// Sets the result that is recorded for the server on drop;
-    /// [`CallOutcome::Abandoned`] if it is never set.
-    pub fn set_end(&mut self, end: CallOutcome) {
-        self.end = end;
-    }
-
-    /// Server that does the work; `None` for a call forwarded to a VM.
-    pub fn server(&self) -> Option<ServerKey> {
-        self.work.map(|work| work.key)
-    }
-}
-
-impl<P: WireProtocol> Drop for WorkGuard<P> {
-    fn drop(&mut self) {
-        if let Some(work) = &self.work {
-            let now = self.node.clock.now();
-            let mut state = self.node.lock();
-            state.servers.record_end(work, self.answered, self.end, now);
-        }
-    }
-}
-
 /// Request of an attempt with its destination.
 struct AttemptRequest {
     request: Request<Full<Bytes>>,
@@ -170,11 +110,10 @@
         let (attempt, mut guard) = match target {
             CallTarget::Server(server) => {
                 let attempt = self.server_request(call, &server, last_event_id);
-                let guard = WorkGuard::new(self, Some(server.work), server.forecast);
-                (attempt, guard)
+                (attempt, WorkGuard::at_server(self, call, &server))
             }
             CallTarget::Vm(vm) => {
-                let guard = WorkGuard::new(self, None, vm.forecast);
+                let guard = WorkGuard::at_vm(self, vm.forecast);
                 (self.vm_request(call, vm, last_event_id), guard)
             }
         };
@@ -268,6 +207,9 @@
             };
         }
         let kind = P::classify_answer(head.status, &head.headers, &call.metadata.attempt_id);
+        if kind == AnswerKind::Ran {
+            guard.record_begun();
+        }
         match kind {
             AnswerKind::NotRun | AnswerKind::WrongServer => {
                 guard.set_end(match kind {
@@ -301,7 +243,9 @@
                 };
                 (AttemptOutcome::Stream(Box::new(stream)), "stream")
             }
-            AnswerKind::Ran => read_whole_answer(head, body, lease, guard).await,
+            AnswerKind::Ran => {
+                read_whole_answer(head, body, lease, guard, &self.answer_memory).await
+            }
         }
     }
 
@@ -455,8 +399,9 @@
     body: Incoming,
     lease: ConnectionLease,
     mut guard: WorkGuard<P>,
+    memory: &Semaphore,
 ) -> (AttemptOutcome<P>, &'static str) {
-    let body = match collect_answer(body, &guard.node.answer_memory).await {
+    let body = match collect_answer(body, memory).await {
         Ok(body) => body,
         Err(error) => {
             guard.set_end(CallOutcome::Broken);
--- a/crates/verbenaring-core/src/path/mod.rs
+++ b/crates/verbenaring-core/src/path/mod.rs
@@ -9,3 +9,4 @@
 pub mod framing;
 pub mod refusal;
 pub mod relay;
+pub mod work;
--- /dev/null
+++ b/crates/verbenaring-core/src/path/work.rs
@@ -0,0 +1,110 @@
+//! Accounts for the work of one attempt.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+use verbenaring_policy::dispatch::run::RunKey;
+use verbenaring_policy::dispatch::server::{CallOutcome, InFlightCall, ServerKey};
+
+use super::call::PendingCall;
+use super::choose::ChosenServer;
+use crate::node::FrontNode;
+use crate::wire::WireProtocol;
+
+/// Removes the work of an attempt from the load of its server when dropped.
+pub struct WorkGuard<P: WireProtocol> {
+    node: Arc<FrontNode<P>>,
+    work: Option<InFlightCall>,
+    run: Option<RunKey>,
+    sent: Instant,
+    forecast: Duration,
+    answered: bool,
+    end: CallOutcome,
+}
+
+impl<P: WireProtocol> WorkGuard<P> {
+    /// Guard of a call that is sent to a server.
+    pub(super) fn at_server(
+        node: &Arc<FrontNode<P>>,
+        call: &PendingCall,
+        server: &ChosenServer,
+    ) -> Self {
+        let parts: Vec<u32> = call.shared_parts().collect();
+        let mut guard = Self::at_vm(node, server.forecast);
+        guard.work = Some(server.work);
+        if !parts.is_empty() {
+            guard.run = Some(node.lock().runs.record_sent(server.work.key, parts));
+        }
+        guard
+    }
+
+    /// Guard of a call that is forwarded to a VM, which accounts for the work itself.
+    pub(super) fn at_vm(node: &Arc<FrontNode<P>>, forecast: Duration) -> Self {
+        Self {
+            node: node.clone(),
+            work: None,
+            run: None,
+            sent: Instant::now(),
+            forecast,
+            answered: false,
+            end: CallOutcome::Abandoned,
+        }
+    }
+
+    /// Records that the server has begun to answer.
+    pub(super) fn record_begun(&self) {
+        if let Some(run) = self.run {
+            let now = self.node.clock.now();
+            self.node.lock().runs.record_begun(run, now);
+        }
+    }
+
+    /// Records that the first event or the whole answer has arrived. Later calls
+    /// have no effect.
+    pub fn record_first_event(&mut self) {
+        if self.answered {
+            return;
+        }
+        self.answered = true;
+        let Some(work) = &self.work else {
+            return;
+        };
+        let now = self.node.clock.now();
+        self.node.lock().servers.record_first_event(work, now);
+        let error = self.sent.elapsed().abs_diff(self.forecast);
+        let metrics = &self.node.metrics;
+        metrics.forecast_error.observe(error.as_secs_f64());
+    }
+
+    /// Sets the result that is recorded for the server on drop;
+    /// [`CallOutcome::Abandoned`] if it is never set.
+    pub fn set_end(&mut self, end: CallOutcome) {
+        self.end = end;
+    }
+
+    /// Server that does the work; `None` for a call forwarded to a VM.
+    pub fn server(&self) -> Option<ServerKey> {
+        self.work.map(|work| work.key)
+    }
+}
+
+impl<P: WireProtocol> Drop for WorkGuard<P> {
+    fn drop(&mut self) {
+        let now = self.node.clock.now();
+        let mut state = self.node.lock();
+        if let Some(work) = &self.work {
+            state.servers.record_end(work, self.answered, self.end, now);
+        }
+        match (self.run, self.end) {
+            (Some(run), CallOutcome::Broken) => {
+                state.runs.record_break(run);
+                self.node.server_check.notify_one();
+            }
+            (Some(run), _) => {
+                state.runs.record_end(run);
+            }
+            (None, _) => {}
+        }
+    }
+}
--- a/crates/verbenaring-core/src/state.rs
+++ b/crates/verbenaring-core/src/state.rs
@@ -7,6 +7,7 @@
 
 use verbenaring_policy::dispatch::presence::{PresenceTable, VmState};
 use verbenaring_policy::dispatch::prompt::name_hash;
+use verbenaring_policy::dispatch::run::RunTable;
 use verbenaring_policy::dispatch::spill::SpillTracker;
 use verbenaring_policy::dispatch::table::ServerTable;
 use verbenaring_policy::dispatch::watcher::{WatchPeer, WatcherElection};
@@ -22,6 +23,8 @@
 pub struct FrontState {
     /// Backend servers with their load and learned times.
     pub servers: ServerTable,
+    /// Calls that servers of the own region answer.
+    pub runs: RunTable,
     /// Other VMs, as their reports describe them.
     pub vms: PresenceTable,
     /// Calls recently forwarded to other regions.
@@ -49,6 +52,7 @@
                 settings.tuning.dispatch,
             )
             .with_centre(settings.data_centre.clone()),
+            runs: RunTable::default(),
             vms: PresenceTable::default(),
             spilled_calls: SpillTracker::default(),
             operator_revision: 0,
--- /dev/null
+++ b/crates/verbenaring-core/src/upstream/check.rs
@@ -0,0 +1,53 @@
+//! Checks whether a server has ended after an answer of it broke off.
+//!
+//! A broken connection alone does not tell a server that has ended from one that failed
+//! a single call. Nothing listens at the address of one that has ended.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use verbenaring_policy::dispatch::server::ServerKey;
+
+use super::pool::ConnectOptions;
+use crate::node::FrontNode;
+use crate::wire::WireProtocol;
+
+/// Time limit for the connection by which a server is checked.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Checks servers whenever answers have broken off, until the process ends.
+pub(crate) async fn check_servers<P: WireProtocol>(node: Arc<FrontNode<P>>) {
+    loop {
+        node.server_check.notified().await;
+        let unchecked = node.lock().runs.take_unchecked();
+        for server in unchecked {
+            tokio::spawn(check_server(node.clone(), server));
+        }
+    }
+}
+
+async fn check_server<P: WireProtocol>(node: Arc<FrontNode<P>>, server: ServerKey) {
+    let options = ConnectOptions {
+        connect_timeout: CHECK_TIMEOUT,
+        max_idle: Duration::ZERO,
+        probe: false,
+    };
+    let address = node.lock().servers.entry(server).map(|entry| entry.address);
+    let ended = match address {
+        Some(address) => node.pool.is_refused(address, options).await,
+        None => false,
+    };
+    let broken = node.lock().runs.take_break(server);
+    if ended {
+        node.metrics.ended_servers.inc();
+        let prompts: Vec<String> = broken.prompts.iter().map(|parts| hex_ids(parts)).collect();
+        log::warn!(server = node.server_name(server), prompts = prompts.join(" ");
+            "server ended while it answered");
+    }
+}
+
+/// Ids of prompt parts in hexadecimal, as logs show them.
+fn hex_ids(parts: &[u32]) -> String {
+    let ids: Vec<String> = parts.iter().map(|part| format!("{part:08x}")).collect();
+    ids.join(",")
+}
--- a/crates/verbenaring-core/src/upstream/mod.rs
+++ b/crates/verbenaring-core/src/upstream/mod.rs
@@ -1,3 +1,4 @@
 //! Pooled connections to backend servers and to other VMs.
 
+pub mod check;
 pub mod pool;
--- a/crates/verbenaring-core/src/upstream/pool.rs
+++ b/crates/verbenaring-core/src/upstream/pool.rs
@@ -5,6 +5,7 @@
 //! for that of the next call, and the server stops work that nobody waits for.
 
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -49,6 +50,20 @@
     Broken(String),
 }
 
+/// Why no connection was opened.
+#[derive(Debug, thiserror::Error)]
+enum ConnectError {
+    /// The system reported an error.
+    #[error("{0}")]
+    Failed(#[from] std::io::Error),
+    /// The peer did not answer in time.
+    #[error("no answer within {0:?}")]
+    TimedOut(Duration),
+    /// The connection failed before a request was sent.
+    #[error("{0}")]
+    Handshake(#[from] hyper::Error),
+}
+
 struct IdleConnection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
@@ -136,7 +151,10 @@
                 Err((reason, None)) => return Err(SendError::Broken(reason)),
             }
         }
-        let mut lease = self.connect(address, options).await?;
+        let mut lease = self
+            .connect(address, options)
+            .await
+            .map_err(|error| SendError::NoConnection(error.to_string()))?;
         match lease.try_send(request).await {
             Ok(answer) => Ok((answer, lease)),
             Err((reason, Some(_))) => Err(SendError::NoConnection(reason)),
@@ -144,6 +162,24 @@
         }
     }
 
+    /// Whether connections to an address are refused because nothing listens there. A
+    /// connection that can be opened is kept for later calls.
+    pub async fn is_refused(
+        self: &Arc<Self>,
+        address: SocketAddr,
+        options: ConnectOptions,
+    ) -> bool {
+        match self.connect(address, options).await {
+            Ok(lease) => {
+                lease.release();
+                false
+            }
+            Err(error) => {
+                matches!(error, ConnectError::Failed(error) if error.kind() == ErrorKind::ConnectionRefused)
+            }
+        }
+    }
+
     /// Number of connections opened since the start.
     pub fn opened_connections(&self) -> u64 {
         self.opened_connections
@@ -190,8 +226,7 @@
         self: &Arc<Self>,
         address: SocketAddr,
         options: ConnectOptions,
-    ) -> Result<ConnectionLease, SendError> {
-        let failed = |reason: String| SendError::NoConnection(reason);
+    ) -> Result<ConnectionLease, ConnectError> {
         let timeout = options.connect_timeout;
         let opened = async {
             let stream = TcpStream::connect(address).await?;
@@ -206,12 +241,10 @@
         };
         let stream = match tokio::time::timeout(timeout, opened).await {
             Ok(Ok(stream)) => stream,
-            Ok(Err(error)) => return Err(failed(error.to_string())),
-            Err(_) => return Err(failed(format!("no answer within {timeout:?}"))),
+            Ok(Err(error)) => return Err(error.into()),
+            Err(_) => return Err(ConnectError::TimedOut(timeout)),
         };
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
-            .await
-            .map_err(|error| failed(error.to_string()))?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
         let task = tokio::spawn(async move {
             if let Err(error) = connection.await {
                 log::debug!(error:% = error; "server connection ended");
--- a/crates/verbenaring-policy/src/dispatch/mod.rs
+++ b/crates/verbenaring-policy/src/dispatch/mod.rs
@@ -3,7 +3,7 @@
 //! A call may arrive at any VM. Its route states how often and where it may run
 //! ([`call`]). A server of the VM's own region is chosen ([`place`]) by the
 //! predicted time to its first event ([`forecast`]) and by its health in earlier
-//! calls ([`health`]). Calls to cold servers are rate-limited ([`pace`]). Another
+//! calls ([`health`]). [`run`] tells which calls a server that ended was answering. Calls to cold servers are rate-limited ([`pace`]). Another
 //! region is used if it answers sooner or is much less busy ([`spill`]).
 //! [`presence`] tracks the other VMs, [`relay`] decides to which of them a VM
 //! reports, [`watcher`] decides which VMs watch the configuration source, and
@@ -20,6 +20,7 @@
 pub mod rate;
 pub mod region_load;
 pub mod relay;
+pub mod run;
 pub mod server;
 pub mod settings;
 pub mod spill;
--- a/crates/verbenaring-policy/tests/dispatch/main.rs
+++ b/crates/verbenaring-policy/tests/dispatch/main.rs
@@ -8,6 +8,7 @@
 mod regions;
 mod relay;
 mod routes;
+mod run;
 mod servers;
 mod stale_reports;
 mod watcher;
