Quarantine parts of prompts that crash servers

Callers saw broken answers of all requests that ran there, and most size-queries were refused meanwhile.

Cause: VMs judged each request by itself. Nothing remembered what servers had been answering when they ended, and a request whose answer broke was sent to the next server, which ended as well. Class: a failure caused by the work itself is treated as a failure of the place that does it.

Change: an end of a server implicates the shared parts of the prompts that it was answering. A part under which three servers ended, and that was never answered, is quarantined; five if it was answered before, and only ends since the last complete answer count. Ends that one part explains do not count against others; of parts that explain the same ends, the one answered longest ago, or else the last in prompts, is blamed. Servers that end within 250 ms count once. VMs tell each other the evidence at once, through relays where they use them, and VMs that start later are told what is quarantined. Calls with such a part get 503 "prompt_quarantined" without reaching a server. One VM tries a part twice in ten minutes, so that a wrong quarantine ends.

--- a/crates/verbenaring-core/src/cluster/message.rs
+++ b/crates/verbenaring-core/src/cluster/message.rs
@@ -10,6 +10,7 @@
 use verbenaring_policy::dispatch::presence::{ServiceWait, VmNews, VmRecord, VmState};
 use verbenaring_policy::dispatch::prompt::{PromptRecord, name_hash};
 use verbenaring_policy::dispatch::server::LoadShare;
+use verbenaring_policy::dispatch::suspect::SuspectNews;
 use verbenaring_policy::id::{CentreName, DataCentre, RegionName, VmId};
 use verbenaring_policy::time::Moment;
 
@@ -22,6 +23,7 @@
 const LOADS: u8 = 2;
 const MEMBERS: u8 = 3;
 const READS: u8 = 4;
+const SUSPECTS: u8 = 5;
 
 /// What a VM states about itself.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -191,6 +193,8 @@
     Members(MemberDigest),
     /// Prompts given to servers.
     Reads(ReadDigest),
+    /// Parts of prompts under which servers ended.
+    Suspects(Vec<SuspectNews>),
 }
 
 /// Encodes the report of a VM.
@@ -208,6 +212,11 @@
     postcard::to_extend(digest, vec![READS])
 }
 
+/// Encodes evidence about parts of prompts.
+pub fn encode_suspects(news: &[SuspectNews]) -> Result<Vec<u8>, postcard::Error> {
+    postcard::to_extend(news, vec![SUSPECTS])
+}
+
 /// Encodes loads for a receiver whose report `included` they include.
 ///
 /// `digest` is the encoded digest, which is the same for all receivers.
@@ -232,6 +241,7 @@
         }
         MEMBERS => Ok(VmMessage::Members(postcard::from_bytes(body)?)),
         READS => Ok(VmMessage::Reads(postcard::from_bytes(body)?)),
+        SUSPECTS => Ok(VmMessage::Suspects(postcard::from_bytes(body)?)),
         _ => Err(postcard::Error::DeserializeBadEnum),
     }
 }
--- a/crates/verbenaring-core/src/cluster/mod.rs
+++ b/crates/verbenaring-core/src/cluster/mod.rs
@@ -7,3 +7,4 @@
 mod relay;
 pub mod report;
 pub mod snapshot;
+pub mod suspects;
--- a/crates/verbenaring-core/src/cluster/receive.rs
+++ b/crates/verbenaring-core/src/cluster/receive.rs
@@ -25,6 +25,7 @@
             Ok(VmMessage::Loads(included, digest)) => self.apply_loads(included, digest),
             Ok(VmMessage::Members(digest)) => self.apply_members(digest),
             Ok(VmMessage::Reads(digest)) => self.apply_reads(digest),
+            Ok(VmMessage::Suspects(news)) => self.apply_suspects(&news),
             Err(error) => {
                 if let Some(suppressed) = self.node.allow_log_line(true) {
                     log::warn!(from:% = from, bytes = datagram.len(), error:% = error,
--- a/crates/verbenaring-core/src/cluster/relay.rs
+++ b/crates/verbenaring-core/src/cluster/relay.rs
@@ -225,6 +225,9 @@
     /// those of their own data centre.
     pub(super) fn introduce(&mut self, datagrams: &mut Datagrams) {
         let introductions = std::mem::take(&mut self.introductions);
+        let newcomers: Vec<SocketAddr> =
+            introductions.iter().map(|(address, _)| *address).collect();
+        self.introduce_suspects(&newcomers, datagrams);
         for (address, centre) in introductions {
             let mut digest = self.member_digest(MEMBERS_PER_INTRODUCTION);
             let now = self.node.clock.now();
--- a/crates/verbenaring-core/src/cluster/report.rs
+++ b/crates/verbenaring-core/src/cluster/report.rs
@@ -140,6 +140,8 @@
     pub(super) member_schedule: Schedule,
     pub(super) contact_schedule: Schedule,
     pub(super) plan_schedule: Schedule,
+    pub(super) suspect_schedule: Schedule,
+    pub(super) quarantine_schedule: Schedule,
     /// Own loads of the newest reports, by sequence number.
     pub(super) reported: VecDeque<(u32, HashMap<u32, LoadShare>)>,
     /// Sequence number of the newest report of each VM that reports to this one.
@@ -168,6 +170,8 @@
             member_schedule: Schedule::new(),
             contact_schedule: Schedule::new(),
             plan_schedule: Schedule::new(),
+            suspect_schedule: Schedule::new(),
+            quarantine_schedule: Schedule::new(),
             reported: VecDeque::new(),
             included: HashMap::new(),
             group_reads: Vec::new(),
@@ -196,6 +200,7 @@
             self.contact_unknown(&mut datagrams);
         }
         self.introduce(&mut datagrams);
+        self.report_suspects(&mut datagrams);
         datagrams
     }
 
@@ -359,7 +364,7 @@
         }
     }
 
-    fn known_addresses(&self) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+    pub(super) fn known_addresses(&self) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
         let state = self.node.lock();
         let mut near = Vec::new();
         let mut far = Vec::new();
--- a/crates/verbenaring-core/src/node.rs
+++ b/crates/verbenaring-core/src/node.rs
@@ -262,6 +262,7 @@
                 .live_vms
                 .set(state.vms.live(now).count() as i64);
             drop(state);
+            self.log_quarantines();
             let opened = self.pool.opened_connections();
             let counted = self.metrics.connections.get();
             self.metrics
--- a/crates/verbenaring-core/src/observe/metrics.rs
+++ b/crates/verbenaring-core/src/observe/metrics.rs
@@ -24,6 +24,8 @@
     pub stream_ends: IntCounterVec,
     /// Servers that ended while they answered a call of this VM.
     pub ended_servers: IntCounter,
+    /// Parts of prompts whose calls are refused.
+    pub quarantined_parts: IntGauge,
     /// Seconds from acceptance to the first event or the whole answer, by kind
     /// (`stream` or `plain`).
     pub first_event: HistogramVec,
@@ -89,6 +91,10 @@
                 &["framing", "position"],
             ),
             ended_servers: register(&registry, ended_servers.expect("valid metric")),
+            quarantined_parts: gauge(
+                "verbenaring_quarantined_parts",
+                "Parts of prompts whose calls are refused",
+            ),
             first_event: register(
                 &registry,
                 HistogramVec::new(first_event, &["kind"]).expect("valid metric"),
--- a/crates/verbenaring-core/src/path/controller.rs
+++ b/crates/verbenaring-core/src/path/controller.rs
@@ -16,6 +16,7 @@
 use hyper::{Request, Response, StatusCode};
 use tokio::time::{Instant, timeout, timeout_at};
 use verbenaring_policy::dispatch::prompt::name_hash;
+use verbenaring_policy::dispatch::suspect::PartVerdict;
 
 use super::call::{
     ATTEMPTS_HEADER, CallOrigin, ELAPSED_HEADER, PendingCall, TriedTargets,
@@ -214,10 +215,20 @@
                 let refusal = CallRefusal::busy("repeat_budget", UNSENT_RETRY_AFTER);
                 return final_answer(call, failed, refusal);
             }
+            let verdict = self
+                .lock()
+                .judge_parts(call.shared_parts(), call.origin, now);
+            if let PartVerdict::Refused { wait } = verdict {
+                let refusal = CallRefusal::busy("prompt_quarantined", wait);
+                return final_answer(call, failed, refusal);
+            }
             let target = match self.choose_target(call, tried) {
                 Ok(target) => target,
                 Err(refusal) => return final_answer(call, failed, refusal),
             };
+            if let (PartVerdict::Trial { part }, CallTarget::Server(_)) = (verdict, &target) {
+                self.lock().suspects.record_trial(part, now);
+            }
             let name = target_name(&target);
             let target_id = TargetId::of(&target);
             let reason = match self.attempt(call, target, last_event_id).await {
--- a/crates/verbenaring-core/src/path/exchange.rs
+++ b/crates/verbenaring-core/src/path/exchange.rs
@@ -207,8 +207,9 @@
             };
         }
         let kind = P::classify_answer(head.status, &head.headers, &call.metadata.attempt_id);
+        let framing = AnswerFraming::of(&head.headers);
         if kind == AnswerKind::Ran {
-            guard.record_begun();
+            guard.record_begun(framing);
         }
         match kind {
             AnswerKind::NotRun | AnswerKind::WrongServer => {
@@ -234,7 +235,7 @@
             }
             AnswerKind::Ran if head.status.is_success() && call.route.kind.is_stream() => {
                 let stream = UpstreamStream {
-                    framing: AnswerFraming::of(&head.headers),
+                    framing,
                     head,
                     body,
                     guard,
--- a/crates/verbenaring-core/src/path/work.rs
+++ b/crates/verbenaring-core/src/path/work.rs
@@ -9,6 +9,7 @@
 
 use super::call::PendingCall;
 use super::choose::ChosenServer;
+use super::framing::AnswerFraming;
 use crate::node::FrontNode;
 use crate::wire::WireProtocol;
 
@@ -20,6 +21,7 @@
     sent: Instant,
     forecast: Duration,
     answered: bool,
+    framing: Option<AnswerFraming>,
     end: CallOutcome,
 }
 
@@ -48,12 +50,14 @@
             sent: Instant::now(),
             forecast,
             answered: false,
+            framing: None,
             end: CallOutcome::Abandoned,
         }
     }
 
-    /// Records that the server has begun to answer.
-    pub(super) fn record_begun(&self) {
+    /// Records that the server has begun an answer with this framing.
+    pub(super) fn record_begun(&mut self, framing: AnswerFraming) {
+        self.framing = Some(framing);
         if let Some(run) = self.run {
             let now = self.node.clock.now();
             self.node.lock().runs.record_begun(run, now);
@@ -101,8 +105,14 @@
                 state.runs.record_break(run);
                 self.node.server_check.notify_one();
             }
-            (Some(run), _) => {
-                state.runs.record_end(run);
+            (Some(run), end) => {
+                let parts = state.runs.record_end(run);
+                // An answer without a marked end may have been cut between two events.
+                let complete =
+                    end == CallOutcome::Good && self.framing != Some(AnswerFraming::Connection);
+                if complete {
+                    state.suspects.record_complete(&parts, now);
+                }
             }
             (None, _) => {}
         }
--- a/crates/verbenaring-core/src/state.rs
+++ b/crates/verbenaring-core/src/state.rs
@@ -6,9 +6,10 @@
 use std::collections::HashMap;
 
 use verbenaring_policy::dispatch::presence::{PresenceTable, VmState};
-use verbenaring_policy::dispatch::prompt::name_hash;
+use verbenaring_policy::dispatch::prompt::{name_hash, rendezvous_score};
 use verbenaring_policy::dispatch::run::RunTable;
 use verbenaring_policy::dispatch::spill::SpillTracker;
+use verbenaring_policy::dispatch::suspect::{PartVerdict, SuspectTable};
 use verbenaring_policy::dispatch::table::ServerTable;
 use verbenaring_policy::dispatch::watcher::{WatchPeer, WatcherElection};
 use verbenaring_policy::id::{RegionName, ServiceName};
@@ -16,6 +17,7 @@
 use verbenaring_policy::time::Moment;
 
 use crate::observe::logger::LogRateLimiter;
+use crate::path::call::CallOrigin;
 use crate::settings::FrontSettings;
 
 /// State that placement and retry decisions read and update.
@@ -25,6 +27,8 @@
     pub servers: ServerTable,
     /// Calls that servers of the own region answer.
     pub runs: RunTable,
+    /// Parts of prompts that crash servers.
+    pub suspects: SuspectTable,
     /// Other VMs, as their reports describe them.
     pub vms: PresenceTable,
     /// Calls recently forwarded to other regions.
@@ -53,6 +57,7 @@
             )
             .with_centre(settings.data_centre.clone()),
             runs: RunTable::default(),
+            suspects: SuspectTable::default(),
             vms: PresenceTable::default(),
             spilled_calls: SpillTracker::default(),
             operator_revision: 0,
@@ -131,6 +136,26 @@
         allowed
     }
 
+    /// Decides on a call by the shared parts of its prompt. A VM that forwards a call
+    /// has decided already whether it is the one that tries a part.
+    pub fn judge_parts(
+        &self,
+        parts: impl Iterator<Item = u32>,
+        origin: CallOrigin,
+        now: Moment,
+    ) -> PartVerdict {
+        let is_trier = |part: u32| {
+            let score = |vm: u64| rendezvous_score(u64::from(part), vm);
+            let own = score(self.vm_hash);
+            origin == CallOrigin::Vm
+                || self
+                    .vms
+                    .live(now)
+                    .all(|(_, record)| score(record.name_hash) <= own)
+        };
+        self.suspects.judge(parts, is_trier, now)
+    }
+
     fn retry_budget(&mut self, service: &ServiceName) -> &mut RetryBudget {
         if !self.retry_budgets.contains_key(service) {
             self.retry_budgets
@@ -142,6 +167,7 @@
     /// Removes expired entries.
     pub fn expire(&mut self, now: Moment) {
         self.servers.expire(now);
+        self.suspects.expire(now);
         self.vms.expire(now);
         self.retry_budgets.retain(|_, budget| !budget.is_idle(now));
     }
--- a/crates/verbenaring-core/src/upstream/check.rs
+++ b/crates/verbenaring-core/src/upstream/check.rs
@@ -32,18 +32,28 @@
         max_idle: Duration::ZERO,
         probe: false,
     };
-    let address = node.lock().servers.entry(server).map(|entry| entry.address);
-    let ended = match address {
-        Some(address) => node.pool.is_refused(address, options).await,
+    let known = {
+        let state = node.lock();
+        let address = state.servers.entry(server).map(|entry| entry.address);
+        address.zip(state.servers.boot_hash(server))
+    };
+    let ended = match known {
+        Some((address, _)) => node.pool.is_refused(address, options).await,
         None => false,
     };
-    let broken = node.lock().runs.take_break(server);
-    if ended {
-        node.metrics.ended_servers.inc();
-        let prompts: Vec<String> = broken.prompts.iter().map(|parts| hex_ids(parts)).collect();
-        log::warn!(server = node.server_name(server), prompts = prompts.join(" ");
-            "server ended while it answered");
-    }
+    let mut state = node.lock();
+    let broken = state.runs.take_break(server);
+    let Some((_, boot)) = known.filter(|_| ended) else {
+        return;
+    };
+    let now = node.clock.now();
+    state.suspects.record_crash(boot, &broken.prompts, now);
+    drop(state);
+    node.metrics.ended_servers.inc();
+    let prompts: Vec<String> = broken.prompts.iter().map(|parts| hex_ids(parts)).collect();
+    log::warn!(server = node.server_name(server), prompts = prompts.join(" ");
+        "server ended while it answered");
+    node.log_quarantines();
 }
 
 /// Ids of prompt parts in hexadecimal, as logs show them.
--- a/crates/verbenaring-core/tests/message.rs
+++ b/crates/verbenaring-core/tests/message.rs
@@ -3,9 +3,12 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use verbenaring_core::cluster::message::{
-    MemberDigest, VmDescription, VmMessage, VmReport, decode, encode_members, encode_report,
+    MAX_DATAGRAM_BYTES, MemberDigest, VmDescription, VmMessage, VmReport, decode, encode_members,
+    encode_report, encode_suspects,
 };
+use verbenaring_core::cluster::suspects::NEWS_PER_DATAGRAM;
 use verbenaring_policy::dispatch::presence::{VmNews, VmState};
+use verbenaring_policy::dispatch::suspect::{CrashNews, SuspectNews};
 use verbenaring_policy::id::{CentreName, VmId};
 
 fn description() -> VmDescription {
@@ -27,7 +30,23 @@
     }
 }
 
-fn datagrams() -> [Vec<u8>; 2] {
+/// Evidence about a part that takes the most bytes.
+fn suspect_news() -> SuspectNews {
+    let crash = CrashNews {
+        server: u32::MAX,
+        age_ms: u32::MAX,
+    };
+    SuspectNews {
+        part: u32::MAX,
+        depth: u8::MAX,
+        crashes: vec![crash; 8],
+        sound_age_ms: Some(u32::MAX),
+        quarantine_age_ms: Some(u32::MAX),
+        trials: u8::MAX,
+    }
+}
+
+fn datagrams() -> [Vec<u8>; 3] {
     let report = VmReport {
         vm: description(),
         interval_ms: 100,
@@ -51,18 +70,26 @@
     [
         encode_report(&report).unwrap(),
         encode_members(&digest).unwrap(),
+        encode_suspects(&[suspect_news(), suspect_news()]).unwrap(),
     ]
 }
 
 #[test]
 fn a_report_is_read_as_it_was_sent() {
-    let [report, _] = datagrams();
+    let [report, ..] = datagrams();
     let Ok(VmMessage::Report(read)) = decode(&report) else {
         panic!("no report");
     };
     assert_eq!(read.vm, description());
 }
 
+/// Guards against evidence that is dropped because its datagram is too long.
+#[test]
+fn evidence_about_many_parts_fits_into_a_datagram() {
+    let news = vec![suspect_news(); NEWS_PER_DATAGRAM];
+    assert!(encode_suspects(&news).unwrap().len() <= MAX_DATAGRAM_BYTES);
+}
+
 /// Load: datagrams that are cut, changed, random or empty. None may panic.
 #[test]
 fn odd_datagrams_are_refused() {
--- a/crates/verbenaring-policy/src/dispatch/mod.rs
+++ b/crates/verbenaring-policy/src/dispatch/mod.rs
@@ -3,11 +3,12 @@
 //! A call may arrive at any VM. Its route states how often and where it may run
 //! ([`call`]). A server of the VM's own region is chosen ([`place`]) by the
 //! predicted time to its first event ([`forecast`]) and by its health in earlier
-//! calls ([`health`]). [`run`] tells which calls a server that ended was answering. Calls to cold servers are rate-limited ([`pace`]). Another
-//! region is used if it answers sooner or is much less busy ([`spill`]).
-//! [`presence`] tracks the other VMs, [`relay`] decides to which of them a VM
-//! reports, [`watcher`] decides which VMs watch the configuration source, and
-//! [`changes`] passes their view of the servers on.
+//! calls ([`health`]). Calls to cold servers are rate-limited ([`pace`]). Calls whose
+//! prompts crash servers are refused ([`suspect`]), as far as the calls that servers
+//! leave behind when they end ([`run`]) show it. Another region is used if it answers
+//! sooner or is much less busy ([`spill`]). [`presence`] tracks the other VMs,
+//! [`relay`] decides to which of them a VM reports, [`watcher`] decides which VMs watch
+//! the configuration source, and [`changes`] passes their view of the servers on.
 
 pub mod call;
 pub mod changes;
@@ -24,5 +25,6 @@
 pub mod server;
 pub mod settings;
 pub mod spill;
+pub mod suspect;
 pub mod table;
 pub mod watcher;
--- /dev/null
+++ b/crates/verbenaring-policy/src/dispatch/suspect.rs
@@ -0,0 +1,450 @@
+//! Parts of prompts that crash servers.
+//!
+//! Load pattern: requests that are all different share a part of their prompts, and
+//! each server that begins to answer one ends. All other answers of that server break
+//! off too, and callers repeat the requests at any VM, so the servers end one after the
+//! other as they return.
+//!
+//! Every end of a server implicates the shared parts of the prompts that it was
+//! answering. A part is quarantined when servers ended under it several times and no
+//! call with it was answered completely meanwhile. Most parts that are implicated by
+//! chance are soon answered completely elsewhere. Ends that a quarantined part explains
+//! do not count against others, and of several parts that explain the same ends, the
+//! one that was answered longest ago is quarantined, or else the one that stands last in
+//! prompts, as fewer requests share it.
+//!
+//! VMs tell each other their evidence, as ages, because their clocks differ. A
+//! quarantined part is tried again a few times by a single VM, so that a wrong decision
+//! is corrected.
+
+use std::cmp::Reverse;
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::time::Moment;
+
+/// Ends after which a part is quarantined with which no call was ever answered.
+pub const MAX_CRASHES: usize = 3;
+/// The same for a part with which calls were answered before.
+pub const MAX_CRASHES_OF_SOUND: usize = 5;
+/// Servers that end within this time count as one end: they may have a common cause,
+/// such as a loss of power.
+const COMMON_CAUSE_TIME: Duration = Duration::from_millis(250);
+/// Time for which a part is quarantined after its last end, and for which ends count.
+pub const QUARANTINE_TIME: Duration = Duration::from_secs(600);
+/// Times after the start of a quarantine at which a call with the part is tried.
+const TRIAL_DELAYS: [Duration; 2] = [Duration::from_secs(30), Duration::from_secs(300)];
+/// Ends that are remembered of a part: the latest ones.
+const MAX_REMEMBERED_CRASHES: usize = 8;
+/// Parts with ends that are remembered.
+const MAX_SUSPECTS: usize = 1_024;
+/// Parts that are remembered as answered; those answered last stay.
+const MAX_SOUND_PARTS: usize = 8_192;
+/// Time for which a change is told to other VMs, again and again because datagrams get
+/// lost.
+const NEWS_TIME: Duration = Duration::from_millis(500);
+
+/// End of a server, as told to other VMs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashNews {
+    /// Short hash of the server and its start.
+    pub server: u32,
+    /// Time since the server ended, in ms.
+    pub age_ms: u32,
+}
+
+/// Evidence about one part, as told to other VMs.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectNews {
+    /// Short ID of the part.
+    pub part: u32,
+    /// Position of the part in prompts, from their beginning.
+    pub depth: u8,
+    /// Ends of servers that were answering calls with the part.
+    pub crashes: Vec<CrashNews>,
+    /// Time since the last complete answer to a call with the part, in ms; `None` if
+    /// there was none.
+    pub sound_age_ms: Option<u32>,
+    /// Time since the part was quarantined, in ms; `None` if it is not.
+    pub quarantine_age_ms: Option<u32>,
+    /// Calls by which it was tried since then.
+    pub trials: u8,
+}
+
+/// Change of a quarantine, for logs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum QuarantineChange {
+    /// Calls with the part are refused from now on.
+    Quarantined {
+        /// Short ID of the part.
+        part: u32,
+        /// Ends of servers under it that are known here.
+        crashes: usize,
+    },
+    /// A call with the part was answered completely after all.
+    Cleared {
+        /// Short ID of the part.
+        part: u32,
+    },
+}
+
+/// Decision on a call, by the parts of its prompt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PartVerdict {
+    /// No part is quarantined.
+    Free,
+    /// The call may be sent to a server, to try a quarantined part.
+    Trial {
+        /// Short ID of the part.
+        part: u32,
+    },
+    /// The call would crash its server.
+    Refused {
+        /// Time until the part is tried again or its quarantine ends.
+        wait: Duration,
+    },
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Crash {
+    at: Moment,
+    server: u32,
+}
+
+/// Evidence about a part under which servers ended.
+#[derive(Debug, Clone, Default)]
+struct Suspect {
+    /// Position in prompts, from their beginning.
+    depth: u8,
+    crashes: Vec<Crash>,
+    sound_at: Option<Moment>,
+    quarantined_at: Option<Moment>,
+    trials: u8,
+    changed_at: Moment,
+}
+
+impl Suspect {
+    /// Adds the end of a server unless it is known; returns whether it was added.
+    fn add(&mut self, crash: Crash) -> bool {
+        let known = self
+            .crashes
+            .iter()
+            .any(|known| known.server == crash.server);
+        if known {
+            return false;
+        }
+        self.crashes.push(crash);
+        self.crashes.sort_unstable();
+        if self.crashes.len() > MAX_REMEMBERED_CRASHES {
+            self.crashes.remove(0);
+        }
+        true
+    }
+
+    /// Number of ends after the last complete answer, without those in `explained`.
+    fn unexplained(&self, explained: &HashSet<u32>) -> usize {
+        let mut last: Option<Moment> = None;
+        let mut count = 0;
+        for crash in &self.crashes {
+            let counts = self.sound_at.is_none_or(|sound| crash.at > sound)
+                && !explained.contains(&crash.server);
+            let separate = last.is_none_or(|last| crash.at.since(last) >= COMMON_CAUSE_TIME);
+            if counts && separate {
+                last = Some(crash.at);
+                count += 1;
+            }
+        }
+        count
+    }
+
+    fn max_crashes(&self) -> usize {
+        match self.sound_at {
+            Some(_) => MAX_CRASHES_OF_SOUND,
+            None => MAX_CRASHES,
+        }
+    }
+
+    fn last_crash(&self) -> Moment {
+        self.crashes
+            .last()
+            .map_or(Moment::default(), |crash| crash.at)
+    }
+
+    /// When a call with the quarantined part is tried next; the end of the quarantine
+    /// if none is.
+    fn next_trial(&self, quarantined_at: Moment) -> Moment {
+        match TRIAL_DELAYS.get(usize::from(self.trials)) {
+            Some(delay) => quarantined_at + *delay,
+            None => self.last_crash().max(quarantined_at) + QUARANTINE_TIME,
+        }
+    }
+
+    fn news(&self, part: u32, now: Moment) -> SuspectNews {
+        let age_ms = |at: Moment| now.since(at).as_millis() as u32;
+        let crashes = self.crashes.iter().map(|crash| CrashNews {
+            server: crash.server,
+            age_ms: age_ms(crash.at),
+        });
+        SuspectNews {
+            part,
+            depth: self.depth,
+            crashes: crashes.collect(),
+            sound_age_ms: self.sound_at.map(age_ms),
+            quarantine_age_ms: self.quarantined_at.map(age_ms),
+            trials: self.trials,
+        }
+    }
+}
+
+/// Parts under which servers ended, and parts known to be sound.
+#[derive(Debug, Default)]
+pub struct SuspectTable {
+    suspects: HashMap<u32, Suspect>,
+    sound: HashMap<u32, Moment>,
+    /// Servers whose end a quarantined part explains.
+    explained: HashSet<u32>,
+    changes: Vec<QuarantineChange>,
+}
+
+impl SuspectTable {
+    /// Records that a server ended while it answered calls with these prompts, each
+    /// given by its shared parts.
+    pub fn record_crash(&mut self, server: u32, prompts: &[Vec<u32>], now: Moment) {
+        for parts in prompts {
+            for (depth, part) in parts.iter().enumerate() {
+                let suspect = self.suspect(*part);
+                suspect.depth = suspect.depth.max(depth as u8);
+                if suspect.add(Crash { at: now, server }) {
+                    suspect.changed_at = now;
+                }
+            }
+        }
+        self.decide(now);
+    }
+
+    /// Records that a call whose prompt has these shared parts was answered completely.
+    pub fn record_complete(&mut self, parts: &[u32], now: Moment) {
+        for part in parts {
+            self.sound.insert(*part, now);
+            if let Some(suspect) = self.suspects.get_mut(part) {
+                suspect.sound_at = Some(now);
+                suspect.changed_at = now;
+                if suspect.quarantined_at.take().is_some() {
+                    suspect.trials = 0;
+                    self.clear(*part);
+                }
+            }
+        }
+    }
+
+    /// Decides on a call with these shared parts. `is_trier` tells whether this VM is
+    /// the one that tries a part.
+    pub fn judge(
+        &self,
+        parts: impl Iterator<Item = u32>,
+        is_trier: impl Fn(u32) -> bool,
+        now: Moment,
+    ) -> PartVerdict {
+        let mut verdict = PartVerdict::Free;
+        if self.suspects.is_empty() {
+            return verdict;
+        }
+        for part in parts {
+            let suspect = self.suspects.get(&part);
+            let Some((suspect, quarantined_at)) =
+                suspect.and_then(|suspect| Some((suspect, suspect.quarantined_at?)))
+            else {
+                continue;
+            };
+            let next_trial = suspect.next_trial(quarantined_at);
+            if now < next_trial || verdict != PartVerdict::Free || !is_trier(part) {
+                let wait = next_trial.since(now);
+                return PartVerdict::Refused { wait };
+            }
+            verdict = PartVerdict::Trial { part };
+        }
+        verdict
+    }
+
+    /// Records that a call with a quarantined part is sent to a server, to try it.
+    pub fn record_trial(&mut self, part: u32, now: Moment) {
+        if let Some(suspect) = self.suspects.get_mut(&part) {
+            suspect.trials = suspect.trials.saturating_add(1);
+            suspect.changed_at = now;
+        }
+    }
+
+    /// Merges what another VM tells. What changes here is told to further VMs if
+    /// `pass_on` is set.
+    pub fn merge(&mut self, news: &[SuspectNews], pass_on: bool, now: Moment) {
+        let mut changed = false;
+        for news in news {
+            changed |= self.merge_part(news, pass_on, now);
+        }
+        if changed {
+            self.decide(now);
+        }
+    }
+
+    fn merge_part(&mut self, news: &SuspectNews, pass_on: bool, now: Moment) -> bool {
+        let moment = |age_ms: u32| now - Duration::from_millis(u64::from(age_ms));
+        let part = news.part;
+        let suspect = self.suspect(part);
+        let was_quarantined = suspect.quarantined_at.is_some();
+        let stated_sound = news.sound_age_ms.map(moment);
+        // The other VM does not know that a call with the part was answered here.
+        let corrects = suspect.sound_at > stated_sound.map(|at| at + NEWS_TIME);
+        let mut changed = news.trials > suspect.trials || stated_sound > suspect.sound_at;
+        suspect.depth = suspect.depth.max(news.depth);
+        suspect.trials = suspect.trials.max(news.trials);
+        suspect.sound_at = suspect.sound_at.max(stated_sound);
+        for crash in &news.crashes {
+            changed |= suspect.add(Crash {
+                at: moment(crash.age_ms),
+                server: crash.server,
+            });
+        }
+        let stated_quarantine = news.quarantine_age_ms.map(moment);
+        suspect.quarantined_at = suspect.quarantined_at.or(stated_quarantine);
+        if suspect.sound_at > suspect.quarantined_at {
+            suspect.quarantined_at = None;
+            suspect.trials = 0;
+        }
+        let is_quarantined = suspect.quarantined_at.is_some();
+        changed |= was_quarantined != is_quarantined;
+        if corrects || (changed && pass_on) {
+            suspect.changed_at = now;
+        }
+        let crashes = suspect.crashes.len();
+        match (was_quarantined, is_quarantined) {
+            (false, true) => self
+                .changes
+                .push(QuarantineChange::Quarantined { part, crashes }),
+            (true, false) => self.clear(part),
+            _ => {}
+        }
+        changed
+    }
+
+    /// What is to be told to other VMs: recent changes or, if `all_quarantined` is set,
+    /// also every quarantined part. Quarantined parts come first.
+    pub fn news(&self, all_quarantined: bool, now: Moment) -> Vec<SuspectNews> {
+        let is_news = |suspect: &Suspect| {
+            now.since(suspect.changed_at) < NEWS_TIME
+                || (all_quarantined && suspect.quarantined_at.is_some())
+        };
+        let mut told: Vec<(u32, &Suspect)> = self
+            .suspects
+            .iter()
+            .filter(|(_, suspect)| is_news(suspect))
+            .map(|(part, suspect)| (*part, suspect))
+            .collect();
+        told.sort_by_key(|(_, suspect)| {
+            (
+                suspect.quarantined_at.is_none(),
+                Reverse(suspect.crashes.len()),
+            )
+        });
+        told.into_iter()
+            .map(|(part, suspect)| suspect.news(part, now))
+            .collect()
+    }
+
+    /// Takes the changes since the last call.
+    pub fn take_changes(&mut self) -> Vec<QuarantineChange> {
+        std::mem::take(&mut self.changes)
+    }
+
+    /// Number of quarantined parts.
+    pub fn quarantined(&self) -> usize {
+        let suspects = self.suspects.values();
+        suspects
+            .filter(|suspect| suspect.quarantined_at.is_some())
+            .count()
+    }
+
+    /// Drops what no longer counts.
+    pub fn expire(&mut self, now: Moment) {
+        self.suspects.retain(|_, suspect| {
+            let last = suspect.last_crash();
+            let counts = now.since(last) < QUARANTINE_TIME
+                && (suspect.sound_at.is_none_or(|sound| sound < last));
+            counts || now.since(suspect.changed_at) < NEWS_TIME
+        });
+        if self.suspects.len() > MAX_SUSPECTS {
+            let excess = self.suspects.len() - MAX_SUSPECTS;
+            let mut order: Vec<(bool, usize, Moment, u32)> = self
+                .suspects
+                .iter()
+                .map(|(part, suspect)| {
+                    let quarantined = suspect.quarantined_at.is_some();
+                    (
+                        quarantined,
+                        suspect.crashes.len(),
+                        suspect.last_crash(),
+                        *part,
+                    )
+                })
+                .collect();
+            order.sort_unstable();
+            for (.., part) in order.into_iter().take(excess) {
+                self.suspects.remove(&part);
+            }
+        }
+        if self.sound.len() > MAX_SOUND_PARTS {
+            let mut moments: Vec<Moment> = self.sound.values().copied().collect();
+            moments.sort_unstable();
+            let oldest = moments[moments.len() - MAX_SOUND_PARTS / 2];
+            self.sound.retain(|_, at| *at >= oldest);
+        }
+        let suspects = self.suspects.values();
+        let crashes = suspects.flat_map(|suspect| &suspect.crashes);
+        let known: HashSet<u32> = crashes.map(|crash| crash.server).collect();
+        self.explained.retain(|server| known.contains(server));
+    }
+
+    /// Lets the ends that a cleared part seemed to explain count against others again.
+    fn clear(&mut self, part: u32) {
+        self.explained.clear();
+        self.changes.push(QuarantineChange::Cleared { part });
+    }
+
+    fn suspect(&mut self, part: u32) -> &mut Suspect {
+        let sound_at = self.sound.get(&part).copied();
+        let suspect = self.suspects.entry(part).or_default();
+        suspect.sound_at = suspect.sound_at.max(sound_at);
+        suspect
+    }
+
+    /// Quarantines the parts that explain enough ends.
+    fn decide(&mut self, now: Moment) {
+        let quarantined = self.suspects.values();
+        let quarantined = quarantined.filter(|suspect| suspect.quarantined_at.is_some());
+        let explained = quarantined.flat_map(|suspect| &suspect.crashes);
+        self.explained.extend(explained.map(|crash| crash.server));
+        loop {
+            let blamed = self
+                .suspects
+                .iter()
+                .filter(|(_, suspect)| suspect.quarantined_at.is_none())
+                .map(|(part, suspect)| (*part, suspect, suspect.unexplained(&self.explained)))
+                .filter(|(_, suspect, crashes)| *crashes >= suspect.max_crashes())
+                .min_by_key(|(part, suspect, crashes)| {
+                    let depth = Reverse(suspect.depth);
+                    (suspect.sound_at, Reverse(*crashes), depth, *part)
+                });
+            let Some((part, _, crashes)) = blamed else {
+                return;
+            };
+            let suspect = self.suspect(part);
+            suspect.quarantined_at = Some(now);
+            suspect.changed_at = now;
+            let servers: Vec<u32> = suspect.crashes.iter().map(|crash| crash.server).collect();
+            self.explained.extend(servers);
+            self.changes
+                .push(QuarantineChange::Quarantined { part, crashes });
+        }
+    }
+}
--- a/crates/verbenaring-policy/src/dispatch/table.rs
+++ b/crates/verbenaring-policy/src/dispatch/table.rs
@@ -14,7 +14,7 @@
 use super::health::AnswerQuality;
 use super::pace::PaceLimits;
 use super::place::{Placement, PlacementRequest};
-use super::prompt::PromptRecord;
+use super::prompt::{PromptRecord, rendezvous_score};
 use super::server::{CallOutcome, InFlightCall, ServerEntry, ServerKey, ServerRecord};
 use super::settings::DispatchSettings;
 use crate::id::{CentreName, RegionName, ServerId, ServiceName};
@@ -229,6 +229,13 @@
         self.servers.get(key).map(|record| &record.entry)
     }
 
+    /// Short hash of a server and its start; `None` once the server is dropped.
+    pub fn boot_hash(&self, key: ServerKey) -> Option<u32> {
+        let record = self.servers.get(key)?;
+        let born = record.entry.born.unwrap_or_default();
+        Some(rendezvous_score(record.name_hash, born) as u32)
+    }
+
     /// Drops idle servers past their grace period and records that have expired.
     pub fn expire(&mut self, now: Moment) {
         let by_id = &mut self.by_id;
--- a/crates/verbenaring-policy/tests/dispatch/main.rs
+++ b/crates/verbenaring-policy/tests/dispatch/main.rs
@@ -11,4 +11,5 @@
 mod run;
 mod servers;
 mod stale_reports;
+mod suspect;
 mod watcher;
