Publish quarantines in the store, for VMs that start after all others ended

Requests with a part that crashes servers would have crashed more of them after all VMs of a deployment ended at the same time: VMs told each other which parts are quarantined, and nothing outlived them.

Cause: knowledge that must last was kept in processes only.

A VM also kept no quarantine older than itself between two reports, because ages before its start are cut to it.

All tests of verbenaring-policy, -core and -platform pass.

--- a/crates/verbenaring-core/src/cluster/suspects.rs
+++ b/crates/verbenaring-core/src/cluster/suspects.rs
@@ -87,9 +87,11 @@
 impl<P: WireProtocol> FrontNode<P> {
     /// Logs the changes of quarantines since the last call.
     pub(crate) fn log_quarantines(&self) {
+        let now = self.clock.now();
         let (changes, quarantined) = {
             let mut state = self.lock();
-            (state.suspects.take_changes(), state.suspects.quarantined())
+            let quarantined = state.suspects.quarantines(now).count();
+            (state.suspects.take_changes(), quarantined)
         };
         self.metrics.quarantined_parts.set(quarantined as i64);
         for change in changes {
--- a/crates/verbenaring-core/src/config/mod.rs
+++ b/crates/verbenaring-core/src/config/mod.rs
@@ -1,4 +1,5 @@
 //! Routes and servers: their source, and how they are kept current.
 
+pub mod quarantine;
 pub mod source;
 pub mod sync;
--- a/crates/verbenaring-core/src/config/source.rs
+++ b/crates/verbenaring-core/src/config/source.rs
@@ -86,6 +86,15 @@
     pub report_address: SocketAddr,
 }
 
+/// Entry about a part of prompts that crashes servers, for VMs that start later.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuarantineEntry {
+    /// Short ID of the part.
+    pub part: u32,
+    /// Start of the quarantine as Unix time in ms.
+    pub since_unix_ms: u64,
+}
+
 /// Source of routes and servers, through which VMs also find each other.
 pub trait ConfigSource: Send + Sync + 'static {
     /// Lists all entries of a scope, at least as new as the start of the call.
@@ -114,4 +123,22 @@
     fn announced_vms(
         &self,
     ) -> impl Future<Output = Result<Vec<VmAnnouncement>, SourceError>> + Send;
+
+    /// Publishes that a part of prompts is quarantined. The entry expires after `ttl`.
+    fn publish_quarantine(
+        &self,
+        entry: QuarantineEntry,
+        ttl: Duration,
+    ) -> impl Future<Output = Result<(), SourceError>> + Send;
+
+    /// Removes the entry about a part of prompts, if there is one.
+    fn withdraw_quarantine(
+        &self,
+        part: u32,
+    ) -> impl Future<Output = Result<(), SourceError>> + Send;
+
+    /// Lists the published quarantines.
+    fn published_quarantines(
+        &self,
+    ) -> impl Future<Output = Result<Vec<QuarantineEntry>, SourceError>> + Send;
 }
--- a/crates/verbenaring-core/src/node.rs
+++ b/crates/verbenaring-core/src/node.rs
@@ -24,6 +24,7 @@
 use crate::clock::NodeClock;
 use crate::cluster::report::{ReportTargets, exchange_reports};
 use crate::cluster::snapshot::{SNAPSHOT_PATH, poll_snapshots};
+use crate::config::quarantine::sync_quarantines;
 use crate::config::source::{ConfigScope, ConfigSource};
 use crate::config::sync::{ScopeStatus, run_announcements, sync_scope};
 use crate::error::{Error, Result};
@@ -406,6 +407,10 @@
                 sync_scope(node.clone(), source.clone(), scope)
             });
         }
+        supervise("quarantines", {
+            let (node, source) = (node.clone(), source.clone());
+            move || sync_quarantines(node.clone(), source.clone())
+        });
         supervise("announcements", {
             let node = node.clone();
             move || run_announcements(node.clone(), source.clone())
--- a/crates/verbenaring-core/src/state.rs
+++ b/crates/verbenaring-core/src/state.rs
@@ -144,18 +144,18 @@
         origin: CallOrigin,
         now: Moment,
     ) -> PartVerdict {
-        let is_trier = |part: u32| {
-            let score = |vm: u64| rendezvous_score(u64::from(part), vm);
-            let own = score(self.vm_hash);
-            origin == CallOrigin::Vm
-                || self
-                    .vms
-                    .live(now)
-                    .all(|(_, record)| score(record.name_hash) <= own)
-        };
+        let is_trier = |part| origin == CallOrigin::Vm || self.is_trier(part, now);
         self.suspects.judge(parts, is_trier, now)
     }
 
+    /// Whether this VM is the one that tries and publishes a quarantined part.
+    pub fn is_trier(&self, part: u32, now: Moment) -> bool {
+        let score = |vm: u64| rendezvous_score(u64::from(part), vm);
+        let own = score(self.vm_hash);
+        let mut live = self.vms.live(now);
+        live.all(|(_, record)| score(record.name_hash) <= own)
+    }
+
     fn retry_budget(&mut self, service: &ServiceName) -> &mut RetryBudget {
         if !self.retry_budgets.contains_key(service) {
             self.retry_budgets
--- a/crates/verbenaring-policy/src/dispatch/suspect.rs
+++ b/crates/verbenaring-policy/src/dispatch/suspect.rs
@@ -73,6 +73,22 @@
     pub trials: u8,
 }
 
+impl SuspectNews {
+    /// News of a quarantine that began `age` ago, without the evidence for it. Trials that
+    /// were due since then count as made.
+    pub fn of_quarantine(part: u32, age: Duration) -> Self {
+        let trials = TRIAL_DELAYS.iter().filter(|delay| **delay <= age).count();
+        Self {
+            part,
+            depth: 0,
+            crashes: Vec::new(),
+            sound_age_ms: None,
+            quarantine_age_ms: Some(age.as_millis() as u32),
+            trials: trials as u8,
+        }
+    }
+}
+
 /// Change of a quarantine, for logs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum QuarantineChange {
@@ -166,10 +182,10 @@
         }
     }
 
-    fn last_crash(&self) -> Moment {
-        self.crashes
-            .last()
-            .map_or(Moment::default(), |crash| crash.at)
+    /// Latest end of a server, or the start of the quarantine if that is later.
+    fn last_evidence(&self) -> Moment {
+        let last = self.crashes.last().map(|crash| crash.at);
+        last.max(self.quarantined_at).unwrap_or_default()
     }
 
     /// When a call with the quarantined part is tried next; the end of the quarantine
@@ -177,7 +193,7 @@
     fn next_trial(&self, quarantined_at: Moment) -> Moment {
         match TRIAL_DELAYS.get(usize::from(self.trials)) {
             Some(delay) => quarantined_at + *delay,
-            None => self.last_crash().max(quarantined_at) + QUARANTINE_TIME,
+            None => self.last_evidence() + QUARANTINE_TIME,
         }
     }
 
@@ -357,21 +373,21 @@
         std::mem::take(&mut self.changes)
     }
 
-    /// Number of quarantined parts.
-    pub fn quarantined(&self) -> usize {
-        let suspects = self.suspects.values();
+    /// Quarantined parts and the times since the start of their quarantine.
+    pub fn quarantines(&self, now: Moment) -> impl Iterator<Item = (u32, Duration)> {
+        let suspects = self.suspects.iter();
         suspects
-            .filter(|suspect| suspect.quarantined_at.is_some())
-            .count()
+            .filter_map(move |(part, suspect)| Some((*part, now.since(suspect.quarantined_at?))))
     }
 
     /// Drops what no longer counts.
     pub fn expire(&mut self, now: Moment) {
         self.suspects.retain(|_, suspect| {
-            let last = suspect.last_crash();
-            let counts = now.since(last) < QUARANTINE_TIME
-                && (suspect.sound_at.is_none_or(|sound| sound < last));
-            counts || now.since(suspect.changed_at) < NEWS_TIME
+            let last = suspect.last_evidence();
+            let counts = suspect.quarantined_at.is_some()
+                || suspect.sound_at.is_none_or(|sound| sound < last);
+            let is_news = now.since(suspect.changed_at) < NEWS_TIME;
+            is_news || (counts && now.since(last) < QUARANTINE_TIME)
         });
         if self.suspects.len() > MAX_SUSPECTS {
             let excess = self.suspects.len() - MAX_SUSPECTS;
@@ -383,7 +399,7 @@
                     (
                         quarantined,
                         suspect.crashes.len(),
-                        suspect.last_crash(),
+                        suspect.last_evidence(),
                         *part,
                     )
                 })
--- a/crates/verbenaring-policy/tests/dispatch/suspect.rs
+++ b/crates/verbenaring-policy/tests/dispatch/suspect.rs
@@ -140,6 +140,21 @@
     assert!(is_refused(&late, &[FIRST, BAD], at(9_000)));
 }
 
+/// Guards against a VM that forgets, between two reports, a quarantine that is older than
+/// the VM itself.
+#[test]
+fn a_vm_that_starts_keeps_older_quarantines() {
+    let mut old = SuspectTable::default();
+    old.record_complete(&[BAD], at(100));
+    old.record_complete(&[FIRST], at(200));
+    crash(&mut old, MAX_CRASHES_OF_SOUND);
+    assert!(is_refused(&old, &[BAD], at(20_000)));
+    let mut late = SuspectTable::default();
+    late.merge(&old.news(true, at(20_000)), false, at(200));
+    late.expire(at(2_000));
+    assert!(is_refused(&late, &[BAD], at(2_000)));
+}
+
 /// Traffic of a deployment on its VMs and servers, in steps of 10 ms.
 struct Fleet {
     rng: ChaCha8Rng,
