Quarantine requests that crash servers, beside parts of prompts

The same request, sent again and again to any VM, ended every server that began to run it; callers of other requests lost the answers of those servers.

Cause: the quarantine knew shared parts of prompts only. Calls of plain services have none, and the part of a prompt that no other request shares was left out. Class: as before, a failure caused by the work is treated as one of the place.

Change: an end of a server also implicates each of its requests as a whole, by a digest of method, host, target and body, whether the answer had begun or not, as a request may crash a server before. Shared parts are still implicated by begun answers only. A quarantined request explains no ends: with callers that repeat requests, each with the same bad part, it would take ends away from the part.

The simulation implicates waiting calls as well; its bounds are the same.

--- a/crates/verbenaring-cli/src/logs/explain.rs
+++ b/crates/verbenaring-cli/src/logs/explain.rs
@@ -206,7 +206,7 @@
         "no_server" => "no server that may run the call takes calls",
         "servers_cold" => "the servers that may run the call have just started",
         "repeat_budget" => "the budget of repeats is used up",
-        "prompt_quarantined" => "servers ended under a part of its prompt",
+        "quarantined" => "servers ended under the request or a part of its prompt",
         "starting" => "the VM has no configuration yet",
         "stopping" => "the VM stops before the call could end",
         "no_route" => "no route in force matches host and path",
--- a/crates/verbenaring-core/src/cluster/suspects.rs
+++ b/crates/verbenaring-core/src/cluster/suspects.rs
@@ -98,11 +98,11 @@
             match change {
                 QuarantineChange::Quarantined { part, crashes } => {
                     log::warn!(part = format!("{part:08x}"), crashes = crashes;
-                        "part of prompts quarantined: servers end under it");
+                        "request or part of prompts quarantined: servers end under it");
                 }
                 QuarantineChange::Cleared { part } => {
                     log::info!(part = format!("{part:08x}");
-                        "part of prompts cleared: it was answered completely");
+                        "request or part of prompts cleared: it was answered completely");
                 }
             }
         }
--- a/crates/verbenaring-core/src/config/source.rs
+++ b/crates/verbenaring-core/src/config/source.rs
@@ -86,7 +86,7 @@
     pub report_address: SocketAddr,
 }
 
-/// Entry about a part of prompts that crashes servers, for VMs that start later.
+/// Entry about a request or a part of prompts that crashes servers, for VMs that start later.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QuarantineEntry {
     /// Short ID of the part.
@@ -124,14 +124,14 @@
         &self,
     ) -> impl Future<Output = Result<Vec<VmAnnouncement>, SourceError>> + Send;
 
-    /// Publishes that a part of prompts is quarantined. The entry expires after `ttl`.
+    /// Publishes that a request or a part of prompts is quarantined. The entry expires after `ttl`.
     fn publish_quarantine(
         &self,
         entry: QuarantineEntry,
         ttl: Duration,
     ) -> impl Future<Output = Result<(), SourceError>> + Send;
 
-    /// Removes the entry about a part of prompts, if there is one.
+    /// Removes the entry about a request or a part of prompts, if there is one.
     fn withdraw_quarantine(
         &self,
         part: u32,
--- a/crates/verbenaring-core/src/observe/metrics.rs
+++ b/crates/verbenaring-core/src/observe/metrics.rs
@@ -93,7 +93,7 @@
             ended_servers: register(&registry, ended_servers.expect("valid metric")),
             quarantined_parts: gauge(
                 "verbenaring_quarantined_parts",
-                "Parts of prompts whose calls are refused",
+                "Requests and parts of prompts whose calls are refused",
             ),
             first_event: register(
                 &registry,
--- a/crates/verbenaring-core/src/path/call.rs
+++ b/crates/verbenaring-core/src/path/call.rs
@@ -13,8 +13,9 @@
 use tokio::time::Instant;
 use verbenaring_policy::dispatch::call::{CallRoute, ServiceSettings};
 use verbenaring_policy::dispatch::place::PlacementRequest;
-use verbenaring_policy::dispatch::prompt::{name_hash, rendezvous_score, short_part_id};
+use verbenaring_policy::dispatch::prompt::{name_hash, rendezvous_score};
 use verbenaring_policy::dispatch::server::ServerKey;
+use verbenaring_policy::dispatch::suspect::CallParts;
 use verbenaring_policy::id::{RegionName, ServiceName, VmId};
 use verbenaring_protocol::header;
 
@@ -57,6 +58,8 @@
     pub headers: HeaderMap,
     /// Whole request body, kept so that it can be sent again.
     pub body: Bytes,
+    /// Parts that may crash servers.
+    pub parts: CallParts,
     /// Who sent the call to this VM.
     pub origin: CallOrigin,
     /// When this VM received the call; for a forwarded call, when the caller
@@ -96,13 +99,6 @@
         rendezvous_score(session, name_hash(region.as_str()))
     }
 
-    /// Parts of the prompt that other calls may share.
-    pub fn shared_parts(&self) -> impl Iterator<Item = u32> {
-        let shared = self.metadata.prompt.split_last();
-        let shared = shared.map_or(&[][..], |(_, shared)| shared);
-        shared.iter().map(|part| short_part_id(part.id))
-    }
-
     /// What the placement needs to know about the call. `excluded` are servers
     /// that must not be chosen again.
     pub fn placement_request<'a>(&'a self, excluded: &'a [ServerKey]) -> PlacementRequest<'a> {
--- a/crates/verbenaring-core/src/path/controller.rs
+++ b/crates/verbenaring-core/src/path/controller.rs
@@ -13,10 +13,10 @@
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, HOST};
 use hyper::http::request::Parts;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Method, Request, Response, StatusCode, Uri};
 use tokio::time::{Instant, timeout, timeout_at};
-use verbenaring_policy::dispatch::prompt::name_hash;
-use verbenaring_policy::dispatch::suspect::PartVerdict;
+use verbenaring_policy::dispatch::prompt::{name_hash, short_part_id};
+use verbenaring_policy::dispatch::suspect::{CallParts, PartVerdict};
 
 use super::call::{
     ATTEMPTS_HEADER, CallOrigin, ELAPSED_HEADER, PendingCall, TriedTargets,
@@ -128,11 +128,13 @@
         }
         let max_attempts =
             header_number(ATTEMPTS_HEADER).map_or(route.attempts, |attempts| attempts as u32);
+        let call_parts = call_parts(&parts.method, host, &parts.uri, &body, &metadata);
         let mut headers = parts.headers;
         P::strip_internal_headers(&mut headers);
         strip_connection_headers(&mut headers);
         headers.remove(CONTENT_LENGTH);
         let call = PendingCall {
+            parts: call_parts,
             service,
             service_settings,
             method: parts.method,
@@ -215,11 +217,9 @@
                 let refusal = CallRefusal::busy("repeat_budget", UNSENT_RETRY_AFTER);
                 return final_answer(call, failed, refusal);
             }
-            let verdict = self
-                .lock()
-                .judge_parts(call.shared_parts(), call.origin, now);
+            let verdict = self.lock().judge_parts(&call.parts, call.origin, now);
             if let PartVerdict::Refused { wait } = verdict {
-                let refusal = CallRefusal::busy("prompt_quarantined", wait);
+                let refusal = CallRefusal::busy("quarantined", wait);
                 return final_answer(call, failed, refusal);
             }
             let target = match self.choose_target(call, tried) {
@@ -371,6 +371,32 @@
     }
 }
 
+/// What may crash servers: the request as a whole, by method, host, target and body, and
+/// the shared parts of its prompt.
+fn call_parts(
+    method: &Method,
+    host: &str,
+    uri: &Uri,
+    body: &Bytes,
+    metadata: &CallMetadata,
+) -> CallParts {
+    let target = uri.path_and_query().map_or("", |target| target.as_str());
+    let mut hasher = blake3::Hasher::new();
+    for text in [method.as_str(), host, target] {
+        hasher.update(text.as_bytes());
+        // Separates the fields; none of them holds this byte.
+        hasher.update(&[0]);
+    }
+    hasher.update(body);
+    let [b0, b1, b2, b3, ..] = *hasher.finalize().as_bytes();
+    let shared = metadata.prompt.split_last();
+    let shared = shared.map_or(&[][..], |(_, shared)| shared);
+    CallParts {
+        request: u32::from_le_bytes([b0, b1, b2, b3]),
+        shared: shared.iter().map(|part| short_part_id(part.id)).collect(),
+    }
+}
+
 /// Host name of a `Host` header, without the port.
 fn host_name(host: &str) -> &str {
     match host.rsplit_once(':') {
--- a/crates/verbenaring-core/src/path/work.rs
+++ b/crates/verbenaring-core/src/path/work.rs
@@ -32,12 +32,14 @@
         call: &PendingCall,
         server: &ChosenServer,
     ) -> Self {
-        let parts: Vec<u32> = call.shared_parts().collect();
+        let now = node.clock.now();
+        let run = node
+            .lock()
+            .runs
+            .record_sent(server.work.key, call.parts.clone(), now);
         let mut guard = Self::at_vm(node, server.forecast);
         guard.work = Some(server.work);
-        if !parts.is_empty() {
-            guard.run = Some(node.lock().runs.record_sent(server.work.key, parts));
-        }
+        guard.run = Some(run);
         guard
     }
 
@@ -110,7 +112,7 @@
                 // An answer without a marked end may have been cut between two events.
                 let complete =
                     end == CallOutcome::Good && self.framing != Some(AnswerFraming::Connection);
-                if complete {
+                if let Some(parts) = parts.filter(|_| complete) {
                     state.suspects.record_complete(&parts, now);
                 }
             }
--- a/crates/verbenaring-core/src/state.rs
+++ b/crates/verbenaring-core/src/state.rs
@@ -9,7 +9,7 @@
 use verbenaring_policy::dispatch::prompt::{name_hash, rendezvous_score};
 use verbenaring_policy::dispatch::run::RunTable;
 use verbenaring_policy::dispatch::spill::SpillTracker;
-use verbenaring_policy::dispatch::suspect::{PartVerdict, SuspectTable};
+use verbenaring_policy::dispatch::suspect::{CallParts, PartVerdict, SuspectTable};
 use verbenaring_policy::dispatch::table::ServerTable;
 use verbenaring_policy::dispatch::watcher::{WatchPeer, WatcherElection};
 use verbenaring_policy::id::{RegionName, ServiceName};
@@ -136,14 +136,9 @@
         allowed
     }
 
-    /// Decides on a call by the shared parts of its prompt. A VM that forwards a call
+    /// Decides on a call by its parts. A VM that forwards a call
     /// has decided already whether it is the one that tries a part.
-    pub fn judge_parts(
-        &self,
-        parts: impl Iterator<Item = u32>,
-        origin: CallOrigin,
-        now: Moment,
-    ) -> PartVerdict {
+    pub fn judge_parts(&self, parts: &CallParts, origin: CallOrigin, now: Moment) -> PartVerdict {
         let is_trier = |part| origin == CallOrigin::Vm || self.is_trier(part, now);
         self.suspects.judge(parts, is_trier, now)
     }
--- a/crates/verbenaring-core/src/upstream/check.rs
+++ b/crates/verbenaring-core/src/upstream/check.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use verbenaring_policy::dispatch::server::ServerKey;
+use verbenaring_policy::dispatch::suspect::CallParts;
 
 use super::pool::ConnectOptions;
 use crate::node::FrontNode;
@@ -47,17 +48,21 @@
         return;
     };
     let now = node.clock.now();
-    state.suspects.record_crash(boot, &broken.prompts, now);
+    state.suspects.record_crash(boot, &broken.calls, now);
     drop(state);
     node.metrics.ended_servers.inc();
-    let prompts: Vec<String> = broken.prompts.iter().map(|parts| hex_ids(parts)).collect();
-    log::warn!(server = node.server_name(server), prompts = prompts.join(" ");
+    let calls: Vec<String> = broken.calls.iter().map(hex_ids).collect();
+    log::warn!(server = node.server_name(server), calls = calls.join(" ");
         "server ended while it answered");
     node.log_quarantines();
 }
 
-/// Ids of prompt parts in hexadecimal, as logs show them.
-fn hex_ids(parts: &[u32]) -> String {
-    let ids: Vec<String> = parts.iter().map(|part| format!("{part:08x}")).collect();
-    ids.join(",")
+/// Ids of a call and of the shared parts of its prompt, as logs show them.
+fn hex_ids(call: &CallParts) -> String {
+    let shared: Vec<String> = call
+        .shared
+        .iter()
+        .map(|part| format!("{part:08x}"))
+        .collect();
+    format!("{:08x}:{}", call.request, shared.join(","))
 }
--- a/crates/verbenaring-policy/src/dispatch/run.rs
+++ b/crates/verbenaring-policy/src/dispatch/run.rs
@@ -2,14 +2,16 @@
 //! behind when it ends.
 //!
 //! Load pattern: a request crashes the server that begins to answer it, and the
-//! answers to all other calls of that server break off in the same moment. Only calls
-//! whose answer had begun can have caused it.
+//! answers to all other calls of that server break off in the same moment. A part of a
+//! prompt can only have caused it if the answer had begun, a request as a whole also
+//! before that.
 
 use std::collections::HashMap;
 
 use slotmap::{SlotMap, new_key_type};
 
 use super::server::ServerKey;
+use super::suspect::CallParts;
 use crate::time::Moment;
 
 new_key_type! {
@@ -17,25 +19,42 @@
     pub struct RunKey;
 }
 
-/// Calls that are remembered of a server that may have ended: those whose answers began
-/// last.
+/// Calls that are remembered of a server that may have ended: those that were sent, or
+/// whose answers began, last.
 const MAX_BROKEN_RUNS: usize = 16;
 
 /// Call that was sent to a server and has not ended.
 #[derive(Debug, Clone)]
 struct ServerRun {
     server: ServerKey,
-    /// Shared parts of its prompt, as [`short_part_id`](super::prompt::short_part_id).
-    parts: Vec<u32>,
+    parts: CallParts,
+    sent_at: Moment,
     /// When its answer began; `None` before.
     begun_at: Option<Moment>,
 }
 
-/// Calls whose answers a server had begun when one of them broke off.
+impl ServerRun {
+    fn last_step_at(&self) -> Moment {
+        self.begun_at.unwrap_or(self.sent_at)
+    }
+
+    /// Parts that may have ended the server.
+    fn implicated_parts(&self) -> CallParts {
+        match self.begun_at {
+            Some(_) => self.parts.clone(),
+            None => CallParts {
+                shared: Vec::new(),
+                ..self.parts
+            },
+        }
+    }
+}
+
+/// Calls that a server had when one of them broke off.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct ServerBreak {
-    /// Shared parts of their prompts; the call whose answer began last comes first.
-    pub prompts: Vec<Vec<u32>>,
+    /// What may have ended the server, by call, the latest first.
+    pub calls: Vec<CallParts>,
 }
 
 /// Calls that this VM has sent to servers of its region.
@@ -48,10 +67,11 @@
 
 impl RunTable {
     /// Records that a call is sent to a server.
-    pub fn record_sent(&mut self, server: ServerKey, parts: Vec<u32>) -> RunKey {
+    pub fn record_sent(&mut self, server: ServerKey, parts: CallParts, now: Moment) -> RunKey {
         self.runs.insert(ServerRun {
             server,
             parts,
+            sent_at: now,
             begun_at: None,
         })
     }
@@ -63,31 +83,26 @@
         }
     }
 
-    /// Records that a call has ended; returns the shared parts of its prompt.
-    pub fn record_end(&mut self, run: RunKey) -> Vec<u32> {
-        let run = self.runs.remove(run);
-        run.map_or_else(Vec::new, |run| run.parts)
+    /// Records that a call has ended; returns its parts.
+    pub fn record_end(&mut self, run: RunKey) -> Option<CallParts> {
+        self.runs.remove(run).map(|run| run.parts)
     }
 
-    /// Records that the connection of a call broke. If its answer had begun, its server
-    /// may have ended and is returned by [`take_unchecked`](Self::take_unchecked).
+    /// Records that the connection of a call broke. Its server may have ended and is
+    /// returned by [`take_unchecked`](Self::take_unchecked).
     pub fn record_break(&mut self, run: RunKey) {
         let Some(broken) = self.runs.remove(run) else {
             return;
         };
-        if broken.begun_at.is_none() {
-            return;
-        }
         let server = broken.server;
         if !self.breaks.contains_key(&server) {
             self.unchecked.push(server);
             let others = self.runs.values().filter(|run| run.server == server);
-            let begun = others.chain([&broken]).filter(|run| run.begun_at.is_some());
-            let mut begun: Vec<&ServerRun> = begun.collect();
-            begun.sort_by_key(|run| std::cmp::Reverse(run.begun_at));
-            begun.truncate(MAX_BROKEN_RUNS);
-            let prompts = begun.into_iter().map(|run| run.parts.clone()).collect();
-            self.breaks.insert(server, ServerBreak { prompts });
+            let mut left: Vec<&ServerRun> = others.chain([&broken]).collect();
+            left.sort_by_key(|run| std::cmp::Reverse(run.last_step_at()));
+            left.truncate(MAX_BROKEN_RUNS);
+            let calls = left.into_iter().map(ServerRun::implicated_parts).collect();
+            self.breaks.insert(server, ServerBreak { calls });
         }
     }
 
--- a/crates/verbenaring-policy/src/dispatch/suspect.rs
+++ b/crates/verbenaring-policy/src/dispatch/suspect.rs
@@ -1,17 +1,19 @@
-//! Parts of prompts that crash servers.
+//! Requests, and parts of prompts, that crash servers.
 //!
-//! Load pattern: requests that are all different share a part of their prompts, and
-//! each server that begins to answer one ends. All other answers of that server break
-//! off too, and callers repeat the requests at any VM, so the servers end one after the
-//! other as they return.
+//! Load pattern: the same request comes again and again, or requests that are all
+//! different share a part of their prompts, and each server that begins to run one ends.
+//! All other answers of that server break off too, and callers repeat the requests at
+//! any VM, so the servers end one after the other as they return.
 //!
-//! Every end of a server implicates the shared parts of the prompts that it was
-//! answering. A part is quarantined when servers ended under it several times and no
-//! call with it was answered completely meanwhile. Most parts that are implicated by
-//! chance are soon answered completely elsewhere. Ends that a quarantined part explains
-//! do not count against others, and of several parts that explain the same ends, the
-//! one that was answered longest ago is quarantined, or else the one that stands last in
-//! prompts, as fewer requests share it.
+//! Every end of a server implicates the requests that it had, each as a whole, and the
+//! shared parts of the prompts that it was answering. A request or a part is quarantined
+//! when servers ended under it several times and no call with it was answered completely
+//! meanwhile. Most of those that are implicated by chance are soon answered completely
+//! elsewhere. Ends that a quarantined part explains do not count against others, and of
+//! several parts that explain the same ends, the one that was answered longest ago is
+//! quarantined, or else the one that stands last in prompts, as fewer requests share it.
+//! A quarantined request explains no ends: each request with a bad part, repeated often
+//! enough, would hide some of the ends that count against the part.
 //!
 //! VMs tell each other their evidence, as ages, because their clocks differ. A
 //! quarantined part is tried again a few times by a single VM, so that a wrong decision
@@ -46,6 +48,28 @@
 /// lost.
 const NEWS_TIME: Duration = Duration::from_millis(500);
 
+/// Parts of a call that may crash servers, by short IDs.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct CallParts {
+    /// The request as a whole: equal requests have equal IDs.
+    pub request: u32,
+    /// Parts of its prompt that other requests may share, in order.
+    pub shared: Vec<u32>,
+}
+
+/// Depth of a whole request, beside those of the parts of prompts.
+const REQUEST_DEPTH: u8 = 0;
+
+impl CallParts {
+    /// The whole request, then the shared parts, each with its depth.
+    fn by_depth(&self) -> impl Iterator<Item = (u8, u32)> {
+        let parts = [self.request]
+            .into_iter()
+            .chain(self.shared.iter().copied());
+        (REQUEST_DEPTH..).zip(parts)
+    }
+}
+
 /// End of a server, as told to other VMs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashNews {
@@ -60,7 +84,7 @@
 pub struct SuspectNews {
     /// Short ID of the part.
     pub part: u32,
-    /// Position of the part in prompts, from their beginning.
+    /// Position of the part in prompts, from 1; 0 for a whole request.
     pub depth: u8,
     /// Ends of servers that were answering calls with the part.
     pub crashes: Vec<CrashNews>,
@@ -80,7 +104,7 @@
         let trials = TRIAL_DELAYS.iter().filter(|delay| **delay <= age).count();
         Self {
             part,
-            depth: 0,
+            depth: REQUEST_DEPTH,
             crashes: Vec::new(),
             sound_age_ms: None,
             quarantine_age_ms: Some(age.as_millis() as u32),
@@ -132,7 +156,7 @@
 /// Evidence about a part under which servers ended.
 #[derive(Debug, Clone, Default)]
 struct Suspect {
-    /// Position in prompts, from their beginning.
+    /// Position in prompts, from 1; 0 for a whole request.
     depth: u8,
     crashes: Vec<Crash>,
     sound_at: Option<Moment>,
@@ -175,6 +199,10 @@
         count
     }
 
+    fn is_request(&self) -> bool {
+        self.depth == REQUEST_DEPTH
+    }
+
     fn max_crashes(&self) -> usize {
         match self.sound_at {
             Some(_) => MAX_CRASHES_OF_SOUND,
@@ -225,13 +253,12 @@
 }
 
 impl SuspectTable {
-    /// Records that a server ended while it answered calls with these prompts, each
-    /// given by its shared parts.
-    pub fn record_crash(&mut self, server: u32, prompts: &[Vec<u32>], now: Moment) {
-        for parts in prompts {
-            for (depth, part) in parts.iter().enumerate() {
-                let suspect = self.suspect(*part);
-                suspect.depth = suspect.depth.max(depth as u8);
+    /// Records that a server ended while it answered these calls.
+    pub fn record_crash(&mut self, server: u32, calls: &[CallParts], now: Moment) {
+        for call in calls {
+            for (depth, part) in call.by_depth() {
+                let suspect = self.suspect(part);
+                suspect.depth = suspect.depth.max(depth);
                 if suspect.add(Crash { at: now, server }) {
                     suspect.changed_at = now;
                 }
@@ -240,26 +267,27 @@
         self.decide(now);
     }
 
-    /// Records that a call whose prompt has these shared parts was answered completely.
-    pub fn record_complete(&mut self, parts: &[u32], now: Moment) {
-        for part in parts {
-            self.sound.insert(*part, now);
-            if let Some(suspect) = self.suspects.get_mut(part) {
+    /// Records that a call was answered completely.
+    pub fn record_complete(&mut self, call: &CallParts, now: Moment) {
+        for (depth, part) in call.by_depth() {
+            if depth != REQUEST_DEPTH {
+                self.sound.insert(part, now);
+            }
+            if let Some(suspect) = self.suspects.get_mut(&part) {
                 suspect.sound_at = Some(now);
                 suspect.changed_at = now;
                 if suspect.quarantined_at.take().is_some() {
                     suspect.trials = 0;
-                    self.clear(*part);
+                    self.clear(part);
                 }
             }
         }
     }
 
-    /// Decides on a call with these shared parts. `is_trier` tells whether this VM is
-    /// the one that tries a part.
+    /// Decides on a call. `is_trier` tells whether this VM is the one that tries a part.
     pub fn judge(
         &self,
-        parts: impl Iterator<Item = u32>,
+        call: &CallParts,
         is_trier: impl Fn(u32) -> bool,
         now: Moment,
     ) -> PartVerdict {
@@ -267,7 +295,7 @@
         if self.suspects.is_empty() {
             return verdict;
         }
-        for part in parts {
+        for (_, part) in call.by_depth() {
             let suspect = self.suspects.get(&part);
             let Some((suspect, quarantined_at)) =
                 suspect.and_then(|suspect| Some((suspect, suspect.quarantined_at?)))
@@ -345,7 +373,8 @@
     }
 
     /// What is to be told to other VMs: recent changes or, if `all_quarantined` is set,
-    /// also every quarantined part. Quarantined parts come first.
+    /// also every quarantined part. What is quarantined comes first, then what has the
+    /// most ends, and parts before whole requests.
     pub fn news(&self, all_quarantined: bool, now: Moment) -> Vec<SuspectNews> {
         let is_news = |suspect: &Suspect| {
             now.since(suspect.changed_at) < NEWS_TIME
@@ -361,6 +390,7 @@
             (
                 suspect.quarantined_at.is_none(),
                 Reverse(suspect.crashes.len()),
+                suspect.is_request(),
             )
         });
         told.into_iter()
@@ -437,19 +467,29 @@
     /// Quarantines the parts that explain enough ends.
     fn decide(&mut self, now: Moment) {
         let quarantined = self.suspects.values();
-        let quarantined = quarantined.filter(|suspect| suspect.quarantined_at.is_some());
+        let quarantined =
+            quarantined.filter(|suspect| suspect.quarantined_at.is_some() && !suspect.is_request());
         let explained = quarantined.flat_map(|suspect| &suspect.crashes);
         self.explained.extend(explained.map(|crash| crash.server));
         loop {
             let blamed = self
                 .suspects
                 .iter()
-                .filter(|(_, suspect)| suspect.quarantined_at.is_none())
+                .filter(|(_, suspect)| {
+                    suspect.quarantined_at.is_none() && suspect.crashes.len() >= MAX_CRASHES
+                })
                 .map(|(part, suspect)| (*part, suspect, suspect.unexplained(&self.explained)))
                 .filter(|(_, suspect, crashes)| *crashes >= suspect.max_crashes())
                 .min_by_key(|(part, suspect, crashes)| {
                     let depth = Reverse(suspect.depth);
-                    (suspect.sound_at, Reverse(*crashes), depth, *part)
+                    let is_request = suspect.is_request();
+                    (
+                        is_request,
+                        suspect.sound_at,
+                        Reverse(*crashes),
+                        depth,
+                        *part,
+                    )
                 });
             let Some((part, _, crashes)) = blamed else {
                 return;
@@ -457,8 +497,10 @@
             let suspect = self.suspect(part);
             suspect.quarantined_at = Some(now);
             suspect.changed_at = now;
-            let servers: Vec<u32> = suspect.crashes.iter().map(|crash| crash.server).collect();
-            self.explained.extend(servers);
+            if !suspect.is_request() {
+                let servers: Vec<u32> = suspect.crashes.iter().map(|crash| crash.server).collect();
+                self.explained.extend(servers);
+            }
             self.changes
                 .push(QuarantineChange::Quarantined { part, crashes });
         }
--- a/crates/verbenaring-policy/tests/dispatch/suspect.rs
+++ b/crates/verbenaring-policy/tests/dispatch/suspect.rs
@@ -6,7 +6,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use verbenaring_policy::dispatch::suspect::{
-    MAX_CRASHES, MAX_CRASHES_OF_SOUND, PartVerdict, QUARANTINE_TIME, SuspectTable,
+    CallParts, MAX_CRASHES, MAX_CRASHES_OF_SOUND, PartVerdict, QUARANTINE_TIME, SuspectTable,
 };
 use verbenaring_policy::time::Moment;
 
@@ -19,16 +19,32 @@
 /// Bound of the rules on the time within which all VMs know of an end.
 const CONTACT_MS: u64 = 5_000;
 
+/// Call whose request as a whole has the ID `request`.
+fn call(request: u32, shared: &[u32]) -> CallParts {
+    CallParts {
+        request,
+        shared: shared.to_vec(),
+    }
+}
+
+/// Call that is like no other; its ID follows from `number`.
+fn unique(number: u32, shared: &[u32]) -> CallParts {
+    call(1_000_000 + number, shared)
+}
+
 fn is_refused(table: &SuspectTable, parts: &[u32], now: Moment) -> bool {
-    let verdict = table.judge(parts.iter().copied(), |_| false, now);
+    let verdict = table.judge(&call(0, parts), |_| false, now);
     matches!(verdict, PartVerdict::Refused { .. })
 }
 
 /// Ends of `count` servers under the first and the bad part, 400 ms apart.
 fn crash(table: &mut SuspectTable, count: usize) {
-    for index in 0..count {
-        let prompts = [vec![FIRST, BAD], vec![FIRST, 100 + index as u32]];
-        table.record_crash(index as u32, &prompts, at(1_000 + 400 * index as u64));
+    for index in 0..count as u32 {
+        let calls = [
+            unique(2 * index, &[FIRST, BAD]),
+            unique(2 * index + 1, &[FIRST, 100 + index]),
+        ];
+        table.record_crash(index, &calls, at(1_000 + 400 * u64::from(index)));
     }
 }
 
@@ -37,7 +53,7 @@
 #[test]
 fn the_part_that_crashes_servers_is_quarantined() {
     let mut table = SuspectTable::default();
-    table.record_complete(&[FIRST, 7], at(500));
+    table.record_complete(&unique(900, &[FIRST, 7]), at(500));
     crash(&mut table, MAX_CRASHES - 1);
     assert!(!is_refused(&table, &[FIRST, BAD], at(5_000)));
     crash(&mut table, MAX_CRASHES_OF_SOUND + 2);
@@ -45,12 +61,51 @@
     assert!(!is_refused(&table, &[FIRST, 7], at(5_000)));
 }
 
+/// Load: the same request comes again and again beside different ones of its prompt.
+#[test]
+fn a_request_that_crashes_servers_is_quarantined() {
+    let mut table = SuspectTable::default();
+    table.record_complete(&unique(900, &[FIRST, 7]), at(500));
+    for index in 0..MAX_CRASHES as u32 {
+        let calls = [call(BAD, &[FIRST, 7]), unique(index, &[FIRST, 100 + index])];
+        table.record_crash(index, &calls, at(1_000 + 400 * u64::from(index)));
+    }
+    let verdict = table.judge(&call(BAD, &[FIRST, 7]), |_| false, at(3_000));
+    assert!(matches!(verdict, PartVerdict::Refused { .. }));
+    assert!(!is_refused(&table, &[FIRST, 7], at(3_000)));
+}
+
+/// Load: callers repeat requests with the bad part, each as often as it takes to know
+/// the request. Guards against ends that are blamed on one request after the other.
+#[test]
+fn repeated_requests_do_not_hide_their_part() {
+    for answered_before in [false, true] {
+        let mut table = SuspectTable::default();
+        if answered_before {
+            table.record_complete(&unique(900, &[FIRST, BAD]), at(100));
+        }
+        table.record_complete(&unique(901, &[FIRST, 7]), at(500));
+        let mut ends = 0;
+        for index in 0..8 {
+            for _ in 0..4 {
+                let now = at(1_000 + 400 * u64::from(ends));
+                let call = call(2_000 + index, &[FIRST, BAD]);
+                if table.judge(&call, |_| false, now) == PartVerdict::Free {
+                    table.record_crash(ends, &[call], now);
+                    ends += 1;
+                }
+            }
+        }
+        assert!(ends as usize <= MAX_CRASHES_OF_SOUND, "{ends}");
+    }
+}
+
 /// Guards against a part that is never quarantined because it was sound once.
 #[test]
 fn a_part_that_turns_bad_is_quarantined() {
     let mut table = SuspectTable::default();
-    table.record_complete(&[FIRST, BAD], at(100));
-    table.record_complete(&[FIRST, 7], at(500));
+    table.record_complete(&unique(900, &[FIRST, BAD]), at(100));
+    table.record_complete(&unique(900, &[FIRST, 7]), at(500));
     crash(&mut table, MAX_CRASHES_OF_SOUND);
     assert!(is_refused(&table, &[FIRST, BAD], at(5_000)));
     assert!(!is_refused(&table, &[FIRST, 7], at(5_000)));
@@ -72,8 +127,8 @@
 fn servers_that_end_together_blame_no_part() {
     let mut table = SuspectTable::default();
     for server in 0..9 {
-        let prompts = [vec![FIRST, 100 + server]];
-        table.record_crash(server, &prompts, at(1_000 + u64::from(server) * 20));
+        let calls = [unique(server, &[FIRST, 100 + server])];
+        table.record_crash(server, &calls, at(1_000 + u64::from(server) * 20));
     }
     assert!(!is_refused(&table, &[FIRST, 7], at(2_000)));
 }
@@ -83,9 +138,9 @@
 fn a_complete_answer_clears_a_part() {
     let mut table = SuspectTable::default();
     crash(&mut table, MAX_CRASHES - 1);
-    table.record_complete(&[FIRST, BAD], at(3_000));
-    table.record_crash(90, &[vec![FIRST, BAD]], at(3_500));
-    table.record_crash(91, &[vec![FIRST, BAD]], at(4_000));
+    table.record_complete(&unique(900, &[FIRST, BAD]), at(3_000));
+    table.record_crash(90, &[unique(90, &[FIRST, BAD])], at(3_500));
+    table.record_crash(91, &[unique(91, &[FIRST, BAD])], at(4_000));
     assert!(!is_refused(&table, &[FIRST, BAD], at(5_000)));
 }
 
@@ -99,14 +154,14 @@
     let end = QUARANTINE_TIME.as_millis() as u64;
     for now in (3_000..end).step_by(1_000).map(at) {
         assert!(is_refused(&table, &[FIRST, BAD], now));
-        let verdict = table.judge([FIRST, BAD].into_iter(), |_| true, now);
+        let verdict = table.judge(&call(0, &[FIRST, BAD]), |_| true, now);
         if verdict == (PartVerdict::Trial { part: BAD }) {
             table.record_trial(BAD, now);
             trials += 1;
         }
     }
     assert!((1..=2).contains(&trials), "{trials}");
-    table.record_complete(&[FIRST, BAD], at(end));
+    table.record_complete(&unique(900, &[FIRST, BAD]), at(end));
     assert!(!is_refused(&table, &[FIRST, BAD], at(end)));
 }
 
@@ -115,12 +170,13 @@
 #[test]
 fn vms_add_their_evidence_up() {
     let mut tables: Vec<SuspectTable> = (0..4).map(|_| SuspectTable::default()).collect();
-    tables[3].record_complete(&[FIRST, 7], at(500));
+    tables[3].record_complete(&unique(900, &[FIRST, 7]), at(500));
     for step in 0..20 {
         let now = at(1_000 + 100 * step);
         let ended = step as usize / 4;
         if step % 4 == 0 && ended < MAX_CRASHES {
-            tables[ended].record_crash(ended as u32, &[vec![FIRST, BAD]], now);
+            let calls = [unique(ended as u32, &[FIRST, BAD])];
+            tables[ended].record_crash(ended as u32, &calls, now);
         }
         let news: Vec<_> = tables.iter().map(|table| table.news(false, now)).collect();
         for (receiver, table) in tables.iter_mut().enumerate() {
@@ -145,8 +201,8 @@
 #[test]
 fn a_vm_that_starts_keeps_older_quarantines() {
     let mut old = SuspectTable::default();
-    old.record_complete(&[BAD], at(100));
-    old.record_complete(&[FIRST], at(200));
+    old.record_complete(&unique(900, &[BAD]), at(100));
+    old.record_complete(&unique(900, &[FIRST]), at(200));
     crash(&mut old, MAX_CRASHES_OF_SOUND);
     assert!(is_refused(&old, &[BAD], at(20_000)));
     let mut late = SuspectTable::default();
@@ -171,12 +227,13 @@
     bad_sent: Vec<u64>,
     sound_sent: u64,
     sound_refused: u64,
+    sent: u32,
 }
 
 struct Run {
     vm: usize,
     server: usize,
-    parts: Vec<u32>,
+    call: CallParts,
     begins_at: u64,
     ends_at: u64,
 }
@@ -210,6 +267,7 @@
             bad_sent: Vec::new(),
             sound_sent: 0,
             sound_refused: 0,
+            sent: 0,
         }
     }
 
@@ -222,12 +280,12 @@
             self.now_ms += Self::STEP_MS;
             if self.is_due(load.bad_per_s) {
                 let first = self.rng.random_range(1..=Self::FIRST_PARTS);
-                self.send(vec![first, BAD]);
+                self.send(&[first, BAD]);
             }
             if self.is_due(Self::SOUND_PER_S) {
                 let first = self.rng.random_range(1..=Self::FIRST_PARTS);
                 let session = 10_000 + self.rng.random_range(0..Self::SESSIONS);
-                self.send(vec![first, session]);
+                self.send(&[first, session]);
             }
             if self.is_due(load.ends_per_s) {
                 let server = self.rng.random_range(0..Self::SERVERS);
@@ -240,11 +298,13 @@
         }
     }
 
-    fn send(&mut self, parts: Vec<u32>) {
+    fn send(&mut self, shared: &[u32]) {
         let now = at(self.now_ms);
         let vm = self.rng.random_range(0..Self::VMS);
-        let is_bad = parts.contains(&BAD);
-        let verdict = self.tables[vm].judge(parts.iter().copied(), |_| vm == 0, now);
+        let is_bad = shared.contains(&BAD);
+        self.sent += 1;
+        let call = unique(self.sent, shared);
+        let verdict = self.tables[vm].judge(&call, |_| vm == 0, now);
         self.sound_sent += u64::from(!is_bad);
         match verdict {
             PartVerdict::Refused { .. } => {
@@ -273,7 +333,7 @@
                 } else {
                     self.rng.random_range(50..700)
                 },
-            parts,
+            call,
             begins_at,
         });
     }
@@ -283,27 +343,30 @@
         let ended = self.runs.extract_if(.., |run| run.ends_at <= now_ms);
         let ended: Vec<Run> = ended.collect();
         for run in ended {
-            if run.parts.contains(&BAD) {
+            if run.call.shared.contains(&BAD) {
                 let server = run.server;
                 self.runs.push(run);
                 self.crashes.push(now_ms);
                 self.end_server(server);
             } else {
-                self.tables[run.vm].record_complete(&run.parts, at(now_ms));
+                self.tables[run.vm].record_complete(&run.call, at(now_ms));
             }
         }
     }
 
-    /// Ends a server with all its runs; each VM knows those of its own that had begun.
+    /// Ends a server with all its runs; each VM knows its own, and which had begun.
     fn end_server(&mut self, server: usize) {
         let now_ms = self.now_ms;
         let broken = self.runs.extract_if(.., |run| run.server == server);
-        let mut prompts: HashMap<usize, Vec<Vec<u32>>> = HashMap::new();
-        for run in broken.filter(|run| run.begins_at <= now_ms) {
-            prompts.entry(run.vm).or_default().push(run.parts);
+        let mut calls: HashMap<usize, Vec<CallParts>> = HashMap::new();
+        for mut run in broken {
+            if run.begins_at > now_ms {
+                run.call.shared.clear();
+            }
+            calls.entry(run.vm).or_default().push(run.call);
         }
-        for (vm, prompts) in prompts {
-            self.tables[vm].record_crash(self.boot_of[server], &prompts, at(now_ms));
+        for (vm, calls) in calls {
+            self.tables[vm].record_crash(self.boot_of[server], &calls, at(now_ms));
         }
         self.boot_of[server] = self.boots;
         self.boots += 1;
