End events of plain services that stop inside an event as broken

Callers of a plain service behind verbenaringd received a stream of events that the service had broken off with a regular end, if the answer had neither a length nor chunks.

Cause: the relay of plain answers took the end of the connection for the end of the answer. Class: completeness inferred from the absence of an error.

Change: a body of type text/event-stream is followed event by event, with the tracker of verbenaring-core, and passed on as it arrives. The caller's connection is broken if it ends inside an event, or before any event without a marked end. Other unframed bodies have no structure by which a cut could show; they are relayed as before.

events_of_a_service_that_end_inside_an_event_are_broken failed before ("data: one, data: tw" looked complete) and passes now.

--- a/crates/verbenaring-gateway/src/exchange.rs
+++ b/crates/verbenaring-gateway/src/exchange.rs
@@ -13,6 +13,7 @@
 use hyper::{Response, StatusCode};
 use tokio::time::Instant;
 use uuid::Uuid;
+use verbenaring_core::path::framing::AnswerFraming;
 use verbenaring_policy::id::AttemptId;
 use verbenaring_policy::outcome::RunOutcome;
 use verbenaring_protocol::header;
@@ -257,17 +258,17 @@
             return Err(failure);
         }
         let from_engine = work.digests.is_some();
-        let is_streamed = from_engine && is_event_stream(&head.headers);
-        let body = if from_engine && !is_streamed {
-            let attempt_id = request.attempt.to_string();
-            HeadBody::Full(collect_answer(upstream, &attempt_id, work.deadline).await?)
-        } else {
-            let mode = if is_streamed {
-                RelayMode::Events
-            } else {
-                RelayMode::Plain
-            };
-            HeadBody::Relayed(upstream, mode)
+        let body = match (from_engine, is_event_stream(&head.headers)) {
+            (true, true) => HeadBody::Relayed(upstream, RelayMode::Events),
+            (true, false) => {
+                let attempt_id = request.attempt.to_string();
+                HeadBody::Full(collect_answer(upstream, &attempt_id, work.deadline).await?)
+            }
+            (false, true) => {
+                let framing = AnswerFraming::of(&head.headers);
+                HeadBody::Relayed(upstream, RelayMode::PlainEvents(framing))
+            }
+            (false, false) => HeadBody::Relayed(upstream, RelayMode::Plain),
         };
         let served_by = served_by.or_else(|| header_text(&head.headers, header::SERVED_BY));
         Ok(AnswerHead {
--- a/crates/verbenaring-gateway/src/relay.rs
+++ b/crates/verbenaring-gateway/src/relay.rs
@@ -1,8 +1,9 @@
 //! Eighth filter: relays the answer of a backend server or node to the caller.
 //!
-//! A streamed answer is checked event by event ([`crate::event`]). Only an
-//! incomplete event is buffered. A stream that breaks is resumed if the engine
-//! supports it. Dropping the stream, as happens when the caller goes away,
+//! A streamed answer of an engine is checked event by event ([`crate::event`]). Only
+//! an incomplete event is buffered. A stream that breaks is resumed if the engine
+//! supports it. Events of a plain service pass as they arrive; such a stream is
+//! broken if it ends inside an event. Dropping the stream, as happens when the caller goes away,
 //! closes the connection to the backend server.
 
 use std::pin::Pin;
@@ -12,6 +13,8 @@
 use hyper::body::{Body, Incoming};
 use hyper_util::client::legacy::ResponseFuture;
 use tokio::time::{Instant, Sleep};
+use verbenaring_core::path::event::EventProgress;
+use verbenaring_core::path::framing::AnswerFraming;
 
 use crate::account::AnswerRecord;
 use crate::body::BrokenStream;
@@ -23,6 +26,8 @@
 pub enum RelayMode {
     /// Server-sent events of an engine, complete with the end marker.
     Events,
+    /// Server-sent events of a plain service, complete if they end between two events.
+    PlainEvents(AnswerFraming),
     /// Any other body, complete at the end that its HTTP framing announces.
     Plain,
 }
@@ -50,6 +55,7 @@
     source: RelaySource,
     mode: RelayMode,
     reader: EventReader,
+    progress: EventProgress,
     deadline: Pin<Box<Sleep>>,
     resume: Option<Box<ResumeRequest>>,
     record: AnswerRecord,
@@ -68,6 +74,7 @@
             source: RelaySource::Body(upstream),
             mode,
             reader: EventReader::new(attempt_id),
+            progress: EventProgress::default(),
             deadline: Box::pin(tokio::time::sleep_until(deadline)),
             resume: None,
             record,
@@ -136,7 +143,8 @@
     }
 
     fn relay_data(&mut self, data: Bytes) -> Option<PartPoll> {
-        if self.mode == RelayMode::Plain {
+        if self.mode != RelayMode::Events {
+            self.progress.push(&data);
             return Some(Poll::Ready(Some(Ok(data))));
         }
         let before = self.reader.tokens();
@@ -153,6 +161,11 @@
         if self.mode == RelayMode::Events && !self.reader.is_complete() {
             return self.resume_or_fail("stream ended without its end marker");
         }
+        if let RelayMode::PlainEvents(framing) = self.mode
+            && !self.progress.position().completes(framing)
+        {
+            return Some(self.fail("stream ended inside an event"));
+        }
         self.source = RelaySource::Ended;
         self.record.succeed();
         Some(Poll::Ready(None))
@@ -211,7 +224,7 @@
     /// event.
     fn fail(&mut self, reason: &'static str) -> PartPoll {
         self.record.fail(reason);
-        let flushed = self.mode == RelayMode::Plain;
+        let flushed = self.mode != RelayMode::Events;
         self.source = RelaySource::Failed { reason, flushed };
         if flushed {
             return Poll::Ready(Some(Err(BrokenStream(reason))));
--- a/crates/verbenaring-testbed/src/service.rs
+++ b/crates/verbenaring-testbed/src/service.rs
@@ -5,14 +5,19 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use bytes::Bytes;
+use futures::{StreamExt, stream};
 use hyper::body::Incoming;
-use hyper::{Request, StatusCode};
+use hyper::{Request, StatusCode, Version};
 use serde_json::{Value, json};
 use tokio::time::{Instant, sleep};
 
 use crate::error::Result;
 use crate::http::{self, Closed, ConnectionGate, Handler, HandlerResult, Listener};
 
+/// Time between the last event of a stream and its end.
+const STREAM_END_DELAY: Duration = Duration::from_millis(20);
+
 /// Settings of a plain service, which stay the same while it runs.
 #[derive(Debug, Clone)]
 pub struct ServiceSettings {
@@ -42,6 +47,9 @@
     pub crash_after: bool,
     /// Closes the connection after the execution of a call, without an answer.
     pub lose_answer: bool,
+    /// Bytes of a stream of events with which calls are answered. It has neither a length
+    /// nor chunks and ends with its connection.
+    pub unframed_events: Option<&'static str>,
     /// Time between arrival and execution in addition to the configured one.
     pub extra_delay: Duration,
 }
@@ -150,6 +158,16 @@
         if faults.crash_after || faults.lose_answer {
             return Err(Closed);
         }
+        if let Some(events) = faults.unframed_events {
+            let bytes = stream::iter([Ok(Bytes::from_static(events.as_bytes()))]);
+            let end = stream::once(async {
+                sleep(STREAM_END_DELAY).await;
+                Ok(Bytes::new())
+            });
+            let mut response = http::stream_response("text/event-stream", bytes.chain(end));
+            *response.version_mut() = Version::HTTP_10;
+            return Ok(response);
+        }
         let body = json!({"operation": call.operation, "status": "executed"});
         let response = http::json_response(StatusCode::OK, &body);
         Ok(http::with_header(
--- a/crates/verbenaring-testbed/tests/failure/stream.rs
+++ b/crates/verbenaring-testbed/tests/failure/stream.rs
@@ -5,7 +5,9 @@
 
 use serde_json::json;
 use verbenaring_testbed::client::{TestAnswer, TestClient};
-use verbenaring_testbed::{CrashPoint, EngineFaults, EngineSettings, expected_answer};
+use verbenaring_testbed::{
+    CrashPoint, EngineFaults, EngineSettings, ServiceFaults, expected_answer,
+};
 
 use crate::{ENGINE_DOCUMENT_KEY, engine_settings, set_document_field, start_dublin};
 
@@ -237,3 +239,28 @@
     assert_broken(&client.chat(PROMPT, 12, true).await, 5);
     deployment.stop().await;
 }
+
+/// Guards against events of a plain service that were cut off and look complete: the end
+/// of a connection alone does not show that the service had sent everything.
+#[tokio::test]
+async fn events_of_a_service_that_end_inside_an_event_are_broken() {
+    let (deployment, client) = start_dublin(Vec::new()).await;
+    let service = &deployment.centres[0].services[0];
+    let streams = [
+        ("data: one\n\ndata: two\n\n", false),
+        ("data: one\n\ndata: tw", true),
+        ("data: one\n\ndata: two\n", true),
+        ("", true),
+    ];
+    for (events, broken) in streams {
+        service.set_faults(ServiceFaults {
+            unframed_events: Some(events),
+            ..ServiceFaults::default()
+        });
+        let answer = client.get("/v1/services/jobs/events").await;
+        assert_eq!(answer.status, 200);
+        assert_eq!(answer.broken, broken, "{events:?}");
+        assert_eq!(answer.body, events.as_bytes());
+    }
+    deployment.stop().await;
+}
