Treat unframed answers of a server that has ended as broken

An answer with neither a length nor chunks reached its caller as complete if its server crashed between two events, or in the middle of an answer that is not a stream.

Cause: the end of the connection was taken for the end of the answer wherever the bytes themselves do not show a cut. Class: completeness inferred from the absence of an error.

Change: when such an answer ends, the VM opens a connection to its server, as it does after a break. If nothing listens there, the answer is broken: a stream is resumed where its route allows, else cut off, and the end of the server counts as evidence against what it was answering. Servers that are known to shut down are not checked, as they may close their listener before their last answers. Answers that cannot have a body no longer count as unframed.

--- a/crates/verbenaring-core/src/path/exchange.rs
+++ b/crates/verbenaring-core/src/path/exchange.rs
@@ -207,7 +207,7 @@
             };
         }
         let kind = P::classify_answer(head.status, &head.headers, &call.metadata.attempt_id);
-        let framing = AnswerFraming::of(&head.headers);
+        let framing = AnswerFraming::of(&head.headers, &body);
         if kind == AnswerKind::Ran {
             guard.record_begun(framing);
         }
@@ -245,7 +245,46 @@
                 (AttemptOutcome::Stream(Box::new(stream)), "stream")
             }
             AnswerKind::Ran => {
-                read_whole_answer(head, body, lease, guard, &self.answer_memory).await
+                self.read_whole_answer(head, body, framing, lease, guard)
+                    .await
+            }
+        }
+    }
+
+    async fn read_whole_answer(
+        &self,
+        mut head: Parts,
+        body: Incoming,
+        framing: AnswerFraming,
+        lease: ConnectionLease,
+        mut guard: WorkGuard<P>,
+    ) -> (AttemptOutcome<P>, &'static str) {
+        let mut collected = collect_answer(body, &self.answer_memory).await;
+        if collected.is_ok() && self.ended_with_answer(framing, guard.server()).await {
+            collected = Err(CollectError::ServerEnded);
+        }
+        let body = match collected {
+            Ok(body) => body,
+            Err(error) => {
+                guard.set_end(CallOutcome::Broken);
+                let reason = format!("the answer broke off: {error}");
+                return (AttemptOutcome::Broken { reason }, "unknown");
+            }
+        };
+        guard.record_first_event();
+        lease.release();
+        strip_connection_headers(&mut head.headers);
+        head.headers.remove(CONTENT_LENGTH);
+        let failed = head.status.is_server_error();
+        let answer = Response::from_parts(head, body);
+        match failed {
+            true => {
+                guard.set_end(CallOutcome::Failed);
+                (AttemptOutcome::Failed(answer), "failed")
+            }
+            false => {
+                guard.set_end(CallOutcome::Good);
+                (AttemptOutcome::Whole(answer), "ok")
             }
         }
     }
@@ -369,6 +408,9 @@
     /// The answer is larger than the limit.
     #[error("longer than {MAX_WHOLE_BYTES} bytes")]
     TooLong,
+    /// The server ended, and the answer has no mark of its end.
+    #[error("the server ended")]
+    ServerEnded,
     /// Other long answers take up the memory.
     #[error("no memory is left for long answers")]
     NoMemory,
@@ -394,36 +436,3 @@
     }
     Ok(collected.freeze())
 }
-
-async fn read_whole_answer<P: WireProtocol>(
-    mut head: Parts,
-    body: Incoming,
-    lease: ConnectionLease,
-    mut guard: WorkGuard<P>,
-    memory: &Semaphore,
-) -> (AttemptOutcome<P>, &'static str) {
-    let body = match collect_answer(body, memory).await {
-        Ok(body) => body,
-        Err(error) => {
-            guard.set_end(CallOutcome::Broken);
-            let reason = format!("the answer broke off: {error}");
-            return (AttemptOutcome::Broken { reason }, "unknown");
-        }
-    };
-    guard.record_first_event();
-    lease.release();
-    strip_connection_headers(&mut head.headers);
-    head.headers.remove(CONTENT_LENGTH);
-    let failed = head.status.is_server_error();
-    let answer = Response::from_parts(head, body);
-    match failed {
-        true => {
-            guard.set_end(CallOutcome::Failed);
-            (AttemptOutcome::Failed(answer), "failed")
-        }
-        false => {
-            guard.set_end(CallOutcome::Good);
-            (AttemptOutcome::Whole(answer), "ok")
-        }
-    }
-}
--- a/crates/verbenaring-core/src/path/framing.rs
+++ b/crates/verbenaring-core/src/path/framing.rs
@@ -1,6 +1,7 @@
 //! How the end of an answer is marked (RFC 9112, section 6).
 
 use hyper::HeaderMap;
+use hyper::body::{Body, Incoming};
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 
 /// Framing of an answer's body.
@@ -8,18 +9,18 @@
 pub enum AnswerFraming {
     /// The last chunk marks the end.
     Chunks,
-    /// `Content-Length` states it.
+    /// `Content-Length` states it, or the status rules a body out.
     Length,
     /// The body ends with its connection, whether or not the server has sent all of it.
     Connection,
 }
 
 impl AnswerFraming {
-    /// Framing that the headers of an answer state.
-    pub fn of(headers: &HeaderMap) -> Self {
+    /// Framing of an answer whose body has not been read yet.
+    pub fn of(headers: &HeaderMap, body: &Incoming) -> Self {
         if headers.contains_key(TRANSFER_ENCODING) {
             Self::Chunks
-        } else if headers.contains_key(CONTENT_LENGTH) {
+        } else if headers.contains_key(CONTENT_LENGTH) || body.is_end_stream() {
             Self::Length
         } else {
             Self::Connection
--- a/crates/verbenaring-core/src/path/relay.rs
+++ b/crates/verbenaring-core/src/path/relay.rs
@@ -2,7 +2,7 @@
 //!
 //! A stream that completes no event for longer than callers wait counts as broken,
 //! whatever bytes arrive, and so does one that ends inside an event, however its end
-//! is marked. A broken stream is resumed at another server if its route allows it.
+//! is marked, or together with its server if nothing marks it. A broken stream is resumed at another server if its route allows it.
 //! Otherwise the connection to the caller is closed without the last chunk, so that a
 //! partial answer never looks complete. The relay states a regular end explicitly; if
 //! it stops for any other reason, the answer is incomplete.
@@ -17,7 +17,7 @@
 use hyper::header::CONTENT_LENGTH;
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 use verbenaring_policy::dispatch::call::CallKind;
-use verbenaring_policy::dispatch::server::CallOutcome;
+use verbenaring_policy::dispatch::server::{CallOutcome, ServerKey};
 
 use super::call::{PendingCall, TriedTargets, strip_connection_headers};
 use super::controller::UpstreamAnswer;
@@ -148,7 +148,7 @@
                 () = deadline.as_mut() => return RelayOutcome::TimedOut,
             };
             let data = match frame {
-                None => return self.finish().await,
+                None => return self.finish(stream.guard.server()).await,
                 Some(Err(error)) => return RelayOutcome::Broken(error.to_string()),
                 Some(Ok(frame)) => match frame.into_data() {
                     Ok(data) if !data.is_empty() => data,
@@ -192,7 +192,7 @@
 
     /// Ends a stream whose connection reported no error. Blank lines after the last event
     /// belong to the answer and are passed on.
-    async fn finish(&mut self) -> RelayOutcome {
+    async fn finish(&mut self, server: Option<ServerKey>) -> RelayOutcome {
         let position = self.progress.position();
         let ends = &self.node.metrics.stream_ends;
         ends.with_label_values(&[self.framing.as_str(), position.as_str()])
@@ -203,6 +203,10 @@
                 position.as_str()
             ));
         }
+        let ended = self.node.ended_with_answer(self.framing, server);
+        if timeout_at(self.call.deadline, ended).await == Ok(true) {
+            return RelayOutcome::Broken("the server ended".to_owned());
+        }
         let rest = self.splitter.as_mut().map(EventSplitter::take_incomplete);
         match rest {
             Some(rest) if !rest.is_empty() => match self.send_data(rest).await {
--- a/crates/verbenaring-core/src/upstream/check.rs
+++ b/crates/verbenaring-core/src/upstream/check.rs
@@ -1,8 +1,11 @@
-//! Checks whether a server has ended after an answer of it broke off.
+//! Checks whether a server has ended when the end of an answer raises the question.
 //!
 //! A broken connection alone does not tell a server that has ended from one that failed
-//! a single call. Nothing listens at the address of one that has ended.
+//! a single call, and the end of a connection does not show that an answer without
+//! another mark of its end is complete. Nothing listens at the address of a server that
+//! has ended.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,11 +14,18 @@
 
 use super::pool::ConnectOptions;
 use crate::node::FrontNode;
+use crate::path::framing::AnswerFraming;
 use crate::wire::WireProtocol;
 
 /// Time limit for the connection by which a server is checked.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(500);
 
+const CHECK_OPTIONS: ConnectOptions = ConnectOptions {
+    connect_timeout: CHECK_TIMEOUT,
+    max_idle: Duration::ZERO,
+    probe: false,
+};
+
 /// Checks servers whenever answers have broken off, until the process ends.
 pub(crate) async fn check_servers<P: WireProtocol>(node: Arc<FrontNode<P>>) {
     loop {
@@ -28,18 +38,13 @@
 }
 
 async fn check_server<P: WireProtocol>(node: Arc<FrontNode<P>>, server: ServerKey) {
-    let options = ConnectOptions {
-        connect_timeout: CHECK_TIMEOUT,
-        max_idle: Duration::ZERO,
-        probe: false,
-    };
     let known = {
         let state = node.lock();
         let address = state.servers.entry(server).map(|entry| entry.address);
         address.zip(state.servers.boot_hash(server))
     };
     let ended = match known {
-        Some((address, _)) => node.pool.is_refused(address, options).await,
+        Some((address, _)) => node.pool.is_refused(address, CHECK_OPTIONS).await,
         None => false,
     };
     let mut state = node.lock();
@@ -57,6 +62,31 @@
     node.log_quarantines();
 }
 
+impl<P: WireProtocol> FrontNode<P> {
+    /// Whether the end of an answer is that of its server, so that the answer may have been
+    /// cut. A server that shuts down may close its listener before its last answers end.
+    pub(crate) async fn ended_with_answer(
+        &self,
+        framing: AnswerFraming,
+        server: Option<ServerKey>,
+    ) -> bool {
+        let address = server
+            .filter(|_| framing == AnswerFraming::Connection)
+            .and_then(|server| self.serving_address(server));
+        match address {
+            Some(address) => self.pool.is_refused(address, CHECK_OPTIONS).await,
+            None => false,
+        }
+    }
+
+    /// Address of a server that is not known to shut down.
+    fn serving_address(&self, server: ServerKey) -> Option<SocketAddr> {
+        let state = self.lock();
+        let entry = state.servers.entry(server)?;
+        (!entry.draining).then_some(entry.address)
+    }
+}
+
 /// Ids of a call and of the shared parts of its prompt, as logs show them.
 fn hex_ids(call: &CallParts) -> String {
     let shared: Vec<String> = call
--- a/crates/verbenaring-gateway/src/exchange.rs
+++ b/crates/verbenaring-gateway/src/exchange.rs
@@ -265,7 +265,7 @@
                 HeadBody::Full(collect_answer(upstream, &attempt_id, work.deadline).await?)
             }
             (false, true) => {
-                let framing = AnswerFraming::of(&head.headers);
+                let framing = AnswerFraming::of(&head.headers, &upstream);
                 HeadBody::Relayed(upstream, RelayMode::PlainEvents(framing))
             }
             (false, false) => HeadBody::Relayed(upstream, RelayMode::Plain),
