Count retries over the whole window of their budget

Two bursts of retries within one window could each take the whole budget of a VM.

Cause: retries were counted in buckets of one second, so those at the end of a bucket left the window up to a second early.

Change: retries are counted by their moments. Their number is bounded by the budget itself. Successes stay in buckets, where leaving too early only lowers the budget.

retries_stay_within_the_budget_in_every_window failed before (382 retries in a window that allows 200) and passes now. All tests of verbenaring-policy pass.

--- a/crates/verbenaring-policy/src/retry.rs
+++ b/crates/verbenaring-policy/src/retry.rs
@@ -4,7 +4,7 @@
 //! the customer and that of the node, so that neither a single customer nor an
 //! outage multiplies the load on the backend servers.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
 use crate::id::{CustomerId, ServerId};
@@ -66,11 +66,15 @@
 }
 
 /// Retry budget over the successes and retries of the last [`RETRY_WINDOW`].
+///
+/// Successes are counted in buckets, of which the oldest may be left out too early.
+/// Retries are counted exactly: those that were left out too early would be allowed
+/// again within the window.
 #[derive(Debug, Clone, Default)]
 pub struct RetryBudget {
     terms: BudgetTerms,
     successes: [u32; WINDOW_BUCKETS],
-    retries: [u32; WINDOW_BUCKETS],
+    retries: VecDeque<Moment>,
     bucket: u64,
 }
 
@@ -90,29 +94,24 @@
     pub fn allows(&mut self, now: Moment) -> bool {
         self.advance(now);
         let successes: u32 = self.successes.iter().sum();
-        let retries: u32 = self.retries.iter().sum();
         let allowed =
             f64::from(successes) * self.terms.retries_per_success + self.terms.extra_retries;
-        retries < (allowed as u32).max(self.terms.min_retries)
+        self.retries.len() < (allowed as u32).max(self.terms.min_retries) as usize
     }
 
     /// Counts a retry.
     pub fn record_retry(&mut self, now: Moment) {
-        let index = self.advance(now);
-        self.retries[index] = self.retries[index].saturating_add(1);
+        self.advance(now);
+        self.retries.push_back(now);
     }
 
     /// Whether no success or retry was counted in the window.
     pub fn is_idle(&mut self, now: Moment) -> bool {
         self.advance(now);
-        self.successes
-            .iter()
-            .chain(&self.retries)
-            .all(|count| *count == 0)
+        self.retries.is_empty() && self.successes.iter().all(|count| *count == 0)
     }
 
-    /// Clears the buckets that have left the window and returns the index of the
-    /// current one.
+    /// Drops what has left the window and returns the index of the current bucket.
     fn advance(&mut self, now: Moment) -> usize {
         let bucket = now.0 / BUCKET_US;
         let passed = bucket
@@ -121,11 +120,14 @@
         for step in 1..=passed {
             let index = ((self.bucket + step) % WINDOW_BUCKETS as u64) as usize;
             self.successes[index] = 0;
-            self.retries[index] = 0;
         }
         if passed == WINDOW_BUCKETS as u64 {
             self.successes = [0; WINDOW_BUCKETS];
-            self.retries = [0; WINDOW_BUCKETS];
+        }
+        while let Some(oldest) = self.retries.front()
+            && now.since(*oldest) >= RETRY_WINDOW
+        {
+            self.retries.pop_front();
         }
         self.bucket = self.bucket.max(bucket);
         (self.bucket % WINDOW_BUCKETS as u64) as usize
--- a/crates/verbenaring-policy/tests/retry.rs
+++ b/crates/verbenaring-policy/tests/retry.rs
@@ -4,7 +4,9 @@
 
 use verbenaring_policy::id::{CustomerId, ServerId};
 use verbenaring_policy::outcome::RunOutcome;
-use verbenaring_policy::retry::{AttemptFailure, AttemptPlan, NextAttempt, RetryLimiter};
+use verbenaring_policy::retry::{
+    AttemptFailure, AttemptPlan, BudgetTerms, NextAttempt, RETRY_WINDOW, RetryBudget, RetryLimiter,
+};
 use verbenaring_policy::time::Moment;
 
 fn at(seconds: u64) -> Moment {
@@ -45,6 +47,45 @@
     limiter.remove_idle(at(60));
 }
 
+/// Load: servers fail twice within a window, each time for a moment. Guards against two
+/// whole budgets in one window.
+#[test]
+fn retries_stay_within_the_budget_in_every_window() {
+    const RETRIES_PER_SUCCESS: f64 = 0.2;
+    const SUCCESSES_PER_WINDOW: u64 = 1_000;
+    let mut budget = RetryBudget::default();
+    budget.set_terms(BudgetTerms {
+        retries_per_success: RETRIES_PER_SUCCESS,
+        extra_retries: 0.0,
+        min_retries: 0,
+    });
+    let interval = RETRY_WINDOW / SUCCESSES_PER_WINDOW as u32;
+    let mut taken: Vec<Moment> = Vec::new();
+    for step in 0..4 * SUCCESSES_PER_WINDOW {
+        let now = at(0) + interval * step as u32;
+        budget.record_success(now);
+        let now_ms = now.0 / 1_000;
+        // Second 12 ends and second 22 begins with failures.
+        let fails = (12_900..13_000).contains(&now_ms) || (22_000..22_100).contains(&now_ms);
+        while fails && budget.allows(now) {
+            budget.record_retry(now);
+            taken.push(now);
+        }
+    }
+    let allowed = (SUCCESSES_PER_WINDOW as f64 * RETRIES_PER_SUCCESS) as usize;
+    for start in &taken {
+        let window = taken
+            .iter()
+            .filter(|at| *at >= start && at.since(*start) < RETRY_WINDOW);
+        let count = window.count();
+        assert!(
+            count <= allowed,
+            "{count} from {start:?}, {allowed} allowed"
+        );
+    }
+    assert!(taken.len() > allowed / 2);
+}
+
 /// Guards against sending a booking twice, whatever the failure, and against
 /// retries by a node that is not the entry node.
 #[test]
