Show that retry budgets exceed their total while callers move between VMs

Each VM takes 90% of a fifth of its own requests of the last 10 s. The region whose load has just peaked has spent its part when the next one's grows, and the parts of one window add up to more than the requests of any.

--- a/crates/verbenaring-policy/tests/dispatch/components.rs
+++ b/crates/verbenaring-policy/tests/dispatch/components.rs
@@ -98,3 +98,53 @@
     assert!(retries <= allowed, "{retries} of {allowed}");
     assert!(retries > allowed / 2);
 }
+
+/// Load: callers move from some VMs to others, and servers fail meanwhile, so that each
+/// VM retries while its own load is high. Guards against parts of a budget that together
+/// exceed it.
+#[test]
+fn parts_of_a_budget_stay_within_it_while_callers_move() {
+    const VMS: usize = 7;
+    /// VMs that callers leave, one after the other.
+    const LEFT_VMS: usize = 4;
+    const STEP_MS: u64 = 100;
+    const WINDOW_MS: u64 = 10_000;
+    let total = BudgetTerms {
+        retries_per_success: 0.2,
+        extra_retries: 54.0,
+        min_retries: 0,
+    };
+    let mut budgets: Vec<RetryBudget> = (0..VMS).map(|_| RetryBudget::default()).collect();
+    let mut requests: Vec<u64> = Vec::new();
+    let mut retries: Vec<u64> = Vec::new();
+    for now in (0..60_000).step_by(STEP_MS as usize) {
+        for (vm, budget) in budgets.iter_mut().enumerate() {
+            budget.set_terms(total.per_vm(VMS));
+            let busy = (vm < LEFT_VMS) == (now < 20_000);
+            for _ in 0..if busy { 8 } else { 1 } {
+                budget.record_success(at(now));
+                requests.push(now);
+            }
+            while now > 18_000 && budget.allows(at(now)) {
+                budget.record_retry(at(now));
+                retries.push(now);
+            }
+        }
+    }
+    let count = |times: &[u64], start: u64| {
+        let inside = times
+            .iter()
+            .filter(|at| (start..start + WINDOW_MS).contains(*at));
+        inside.count()
+    };
+    for start in (WINDOW_MS..50_000).step_by(STEP_MS as usize) {
+        // The rules count the requests of the window, of the one before it or of the one
+        // half a window before it.
+        let starts = [start, start - WINDOW_MS / 2, start - WINDOW_MS];
+        let sent = starts.map(|start| count(&requests, start));
+        let most = sent.into_iter().max().unwrap_or_default();
+        let allowed = (most as f64 * total.retries_per_success + total.extra_retries) as usize;
+        let taken = count(&retries, start);
+        assert!(taken <= allowed, "{taken} of {allowed} from {start} ms");
+    }
+}
