--- a/crates/verbenaring-core/src/cluster/message.rs
+++ b/crates/verbenaring-core/src/cluster/message.rs
@@ -193,7 +193,7 @@
     Members(MemberDigest),
     /// Prompts given to servers.
     Reads(ReadDigest),
-    /// Parts of prompts under which servers ended.
+    /// Requests and parts of prompts under which servers ended.
     Suspects(Vec<SuspectNews>),
 }
 
@@ -212,7 +212,7 @@
     postcard::to_extend(digest, vec![READS])
 }
 
-/// Encodes evidence about parts of prompts.
+/// Encodes evidence about requests and parts of prompts.
 pub fn encode_suspects(news: &[SuspectNews]) -> Result<Vec<u8>, postcard::Error> {
     postcard::to_extend(news, vec![SUSPECTS])
 }
--- a/crates/verbenaring-core/src/cluster/suspects.rs
+++ b/crates/verbenaring-core/src/cluster/suspects.rs
@@ -1,7 +1,7 @@
-//! Exchange of evidence about parts of prompts that crash servers.
+//! Exchange of evidence about requests and parts of prompts that crash servers.
 //!
-//! VMs tell each other changes at once and quarantined parts again and again, for VMs
-//! that start later. Where reports go through relays, so does this evidence.
+//! VMs tell each other changes at once and quarantines again and again, for VMs that
+//! start later. Where reports go through relays, so does this evidence.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -18,7 +18,7 @@
 const CHANGE_INTERVAL: Duration = RELAY_INTERVAL;
 /// Interval at which all quarantined parts are told.
 const QUARANTINE_INTERVAL: Duration = Duration::from_secs(1);
-/// Parts in one datagram; each takes up to 103 bytes.
+/// Requests and parts in one datagram; each takes up to 103 bytes.
 pub const NEWS_PER_DATAGRAM: usize = 13;
 /// Datagrams with evidence to one VM at a time; what matters most goes first.
 const MAX_DATAGRAMS: usize = 4;
@@ -38,7 +38,7 @@
         push_suspects(&news, &addresses, datagrams);
     }
 
-    /// Tells VMs that this VM has just heard which parts are quarantined.
+    /// Tells VMs that this VM has just heard of what is quarantined.
     pub(super) fn introduce_suspects(&self, newcomers: &[SocketAddr], datagrams: &mut Datagrams) {
         let now = self.node.clock.now();
         let news = self.node.lock().suspects.news(true, now);
--- a/crates/verbenaring-core/src/config/quarantine.rs
+++ b/crates/verbenaring-core/src/config/quarantine.rs
@@ -1,8 +1,8 @@
 //! Quarantines that outlive the VMs.
 //!
-//! VMs tell each other which parts of prompts crash servers. If all of them end at the
-//! same time, this knowledge would be lost, so one VM publishes each quarantine in the
-//! source, and a VM that starts reads them.
+//! VMs tell each other which requests and parts of prompts crash servers. If all VMs end
+//! at the same time, this knowledge would be lost, so one VM publishes each quarantine in
+//! the source, and a VM that starts reads them.
 
 use std::collections::HashSet;
 use std::sync::Arc;
--- a/crates/verbenaring-core/src/config/source.rs
+++ b/crates/verbenaring-core/src/config/source.rs
@@ -86,10 +86,11 @@
     pub report_address: SocketAddr,
 }
 
-/// Entry about a request or a part of prompts that crashes servers, for VMs that start later.
+/// Entry about a request or a part of prompts that crashes servers, for VMs that start
+/// later.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QuarantineEntry {
-    /// Short ID of the part.
+    /// Short ID of the request or part.
     pub part: u32,
     /// Start of the quarantine as Unix time in ms.
     pub since_unix_ms: u64,
@@ -124,7 +125,8 @@
         &self,
     ) -> impl Future<Output = Result<Vec<VmAnnouncement>, SourceError>> + Send;
 
-    /// Publishes that a request or a part of prompts is quarantined. The entry expires after `ttl`.
+    /// Publishes that a request or a part of prompts is quarantined. The entry expires
+    /// after `ttl`.
     fn publish_quarantine(
         &self,
         entry: QuarantineEntry,
--- a/crates/verbenaring-core/src/observe/metrics.rs
+++ b/crates/verbenaring-core/src/observe/metrics.rs
@@ -24,7 +24,7 @@
     pub stream_ends: IntCounterVec,
     /// Servers that ended while they answered a call of this VM.
     pub ended_servers: IntCounter,
-    /// Parts of prompts whose calls are refused.
+    /// Requests and parts of prompts whose calls are refused.
     pub quarantined_parts: IntGauge,
     /// Seconds from acceptance to the first event or the whole answer, by kind
     /// (`stream` or `plain`).
--- a/crates/verbenaring-core/src/path/call.rs
+++ b/crates/verbenaring-core/src/path/call.rs
@@ -58,7 +58,7 @@
     pub headers: HeaderMap,
     /// Whole request body, kept so that it can be sent again.
     pub body: Bytes,
-    /// Parts that may crash servers.
+    /// What of the call may crash servers.
     pub parts: CallParts,
     /// Who sent the call to this VM.
     pub origin: CallOrigin,
--- a/crates/verbenaring-core/src/state.rs
+++ b/crates/verbenaring-core/src/state.rs
@@ -27,7 +27,7 @@
     pub servers: ServerTable,
     /// Calls that servers of the own region answer.
     pub runs: RunTable,
-    /// Parts of prompts that crash servers.
+    /// Requests and parts of prompts that crash servers.
     pub suspects: SuspectTable,
     /// Other VMs, as their reports describe them.
     pub vms: PresenceTable,
--- a/crates/verbenaring-policy/src/dispatch/suspect.rs
+++ b/crates/verbenaring-policy/src/dispatch/suspect.rs
@@ -98,8 +98,8 @@
 }
 
 impl SuspectNews {
-    /// News of a quarantine that began `age` ago, without the evidence for it. Trials that
-    /// were due since then count as made.
+    /// News of a quarantine that began `age` ago, without the evidence for it and the depth,
+    /// which other VMs add. Trials that were due since then count as made.
     pub fn of_quarantine(part: u32, age: Duration) -> Self {
         let trials = TRIAL_DELAYS.iter().filter(|delay| **delay <= age).count();
         Self {
@@ -242,7 +242,7 @@
     }
 }
 
-/// Parts under which servers ended, and parts known to be sound.
+/// Requests and parts under which servers ended, and parts known to be sound.
 #[derive(Debug, Default)]
 pub struct SuspectTable {
     suspects: HashMap<u32, Suspect>,
