Treat cut answers of engines without a length as broken

A caller of verbenaringd that did not ask for a stream received the first part of an engine's answer with status 200 and a matching length, if the engine sent the answer with neither a length nor chunks and broke it off.

Cause: the answer is collected before it is passed on, and the end of the connection was taken for the end of the answer; the node then framed the part itself. Class: completeness inferred from the absence of an error.

Change: a success of an engine whose end nothing marks is complete only if it is a whole JSON document, as the interface says it is. Otherwise the attempt has failed with an unknown outcome, like any other truncated answer, and is tried again where that is allowed.

a_cut_answer_without_length_is_not_complete failed before (60 bytes: status 200 instead of 502) and passes now. All tests of verbenaring-gateway and verbenaring-testbed pass.

--- a/crates/verbenaring-gateway/src/exchange.rs
+++ b/crates/verbenaring-gateway/src/exchange.rs
@@ -4,6 +4,7 @@
 //! unnoticed by the caller and be retried, so an engine's answer that is not
 //! streamed is received completely first.
 
+use std::fmt::Display;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,6 +12,7 @@
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderMap};
 use hyper::{Response, StatusCode};
+use serde::de::IgnoredAny;
 use tokio::time::Instant;
 use uuid::Uuid;
 use verbenaring_core::path::framing::AnswerFraming;
@@ -258,16 +260,21 @@
             return Err(failure);
         }
         let from_engine = work.digests.is_some();
+        let framing = AnswerFraming::of(&head.headers, &upstream);
         let body = match (from_engine, is_event_stream(&head.headers)) {
             (true, true) => HeadBody::Relayed(upstream, RelayMode::Events),
             (true, false) => {
                 let attempt_id = request.attempt.to_string();
-                HeadBody::Full(collect_answer(upstream, &attempt_id, work.deadline).await?)
-            }
-            (false, true) => {
-                let framing = AnswerFraming::of(&head.headers, &upstream);
-                HeadBody::Relayed(upstream, RelayMode::PlainEvents(framing))
+                let body = collect_answer(upstream, &attempt_id, work.deadline).await?;
+                if framing == AnswerFraming::Connection
+                    && head.status.is_success()
+                    && !is_json_document(&body)
+                {
+                    return Err(truncated_answer("it is not a whole JSON document"));
+                }
+                HeadBody::Full(body)
             }
+            (false, true) => HeadBody::Relayed(upstream, RelayMode::PlainEvents(framing)),
             (false, false) => HeadBody::Relayed(upstream, RelayMode::Plain),
         };
         let served_by = served_by.or_else(|| header_text(&head.headers, header::SERVED_BY));
@@ -377,27 +384,41 @@
     attempt_id: &str,
     deadline: Instant,
 ) -> Result<Bytes, AttemptFailure> {
-    let failure = |code, message: String| AttemptFailure {
+    let failure = |code, message: &str| AttemptFailure {
         outcome: RunOutcome::Unknown,
         code,
-        message,
-        crashed: code == "backend_failed",
+        message: message.to_owned(),
+        crashed: false,
     };
     let limited = Limited::new(upstream, MAX_BUFFERED_ANSWER_BYTES);
     let body = tokio::time::timeout_at(deadline, limited.collect())
         .await
-        .map_err(|_| failure("deadline_exceeded", "answer was not whole in time".into()))?
-        .map_err(|error| failure("backend_failed", format!("answer was truncated: {error}")))?
+        .map_err(|_| failure("deadline_exceeded", "answer was not whole in time"))?
+        .map_err(truncated_answer)?
         .to_bytes();
     if has_foreign_attempt_id(&body, attempt_id) {
         return Err(failure(
             "foreign_answer",
-            "backend server answered another request".into(),
+            "backend server answered another request",
         ));
     }
     Ok(body)
 }
 
+/// Failure of a server that broke off its answer.
+fn truncated_answer(reason: impl Display) -> AttemptFailure {
+    AttemptFailure {
+        outcome: RunOutcome::Unknown,
+        code: "backend_failed",
+        message: format!("answer was truncated: {reason}"),
+        crashed: true,
+    }
+}
+
+fn is_json_document(body: &[u8]) -> bool {
+    serde_json::from_slice::<IgnoredAny>(body).is_ok()
+}
+
 fn read_answer_tokens(body: &[u8]) -> u32 {
     #[derive(serde::Deserialize)]
     struct UsageView {
--- a/crates/verbenaring-testbed/src/engine.rs
+++ b/crates/verbenaring-testbed/src/engine.rs
@@ -97,6 +97,9 @@
     /// Whether a truncated stream is a complete HTTP message. If not, its
     /// connection breaks.
     pub truncate_cleanly: bool,
+    /// Sends answers that are not streamed with neither a length nor chunks, and at most
+    /// this many bytes of them.
+    pub unframed_bytes: Option<usize>,
     /// Refuses all requests with status 503 without running them.
     pub refuse: bool,
 }
--- a/crates/verbenaring-testbed/src/generation.rs
+++ b/crates/verbenaring-testbed/src/generation.rs
@@ -48,6 +48,8 @@
     streamed: bool,
     include_usage: bool,
     priority: i64,
+    /// Length at which an unframed answer is cut; `None` if answers are framed.
+    unframed_bytes: Option<usize>,
 }
 
 impl Job {
@@ -244,6 +246,7 @@
             streamed: body["stream"] == true,
             include_usage: body["stream_options"]["include_usage"] == true,
             priority: body["priority"].as_i64().unwrap_or_default(),
+            unframed_bytes: self.state.lock().unwrap().faults.unframed_bytes,
         })
     }
 
@@ -407,10 +410,15 @@
         };
         http::stream_response("text/event-stream", stream_events(cursor))
     } else {
-        http::json_response(
-            StatusCode::OK,
-            &collect_answer(&job, first, &mut steps).await?,
-        )
+        let answer = collect_answer(&job, first, &mut steps).await?;
+        match job.unframed_bytes {
+            Some(limit) => {
+                let mut bytes = Bytes::from(answer.to_string());
+                bytes.truncate(limit);
+                http::unframed_response("application/json", bytes)
+            }
+            None => http::json_response(StatusCode::OK, &answer),
+        }
     };
     let response = http::with_header(response, "x-request-id", &id);
     if resume_from == 0 {
--- a/crates/verbenaring-testbed/src/http.rs
+++ b/crates/verbenaring-testbed/src/http.rs
@@ -6,14 +6,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures::{Stream, StreamExt};
+use futures::{Stream, StreamExt, stream};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
 use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode, Version};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use serde_json::Value;
 use tokio::net::{TcpListener, TcpStream};
@@ -26,6 +26,8 @@
 /// Pause after a failed accept. Without a free file descriptor, accepting fails
 /// again at once.
 const ACCEPT_RETRY_TIME: Duration = Duration::from_millis(10);
+/// Time between the bytes of an unframed response and the end of its connection.
+const UNFRAMED_END_DELAY: Duration = Duration::from_millis(20);
 
 /// Error of a handler that closes the connection instead of completing its
 /// response.
@@ -223,6 +225,17 @@
     response
 }
 
+/// Response with neither a length nor chunks, which ends with its connection.
+pub(crate) fn unframed_response(content_type: &'static str, bytes: Bytes) -> Response<Body> {
+    let end = stream::once(async {
+        sleep(UNFRAMED_END_DELAY).await;
+        Ok(Bytes::new())
+    });
+    let mut response = stream_response(content_type, stream::iter([Ok(bytes)]).chain(end));
+    *response.version_mut() = Version::HTTP_10;
+    response
+}
+
 /// Adds a header. Leaves it out if `value` is not a valid header value.
 pub(crate) fn with_header(
     mut response: Response<Body>,
--- a/crates/verbenaring-testbed/src/service.rs
+++ b/crates/verbenaring-testbed/src/service.rs
@@ -6,18 +6,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures::{StreamExt, stream};
 use hyper::body::Incoming;
-use hyper::{Request, StatusCode, Version};
+use hyper::{Request, StatusCode};
 use serde_json::{Value, json};
 use tokio::time::{Instant, sleep};
 
 use crate::error::Result;
 use crate::http::{self, Closed, ConnectionGate, Handler, HandlerResult, Listener};
 
-/// Time between the last event of a stream and its end.
-const STREAM_END_DELAY: Duration = Duration::from_millis(20);
-
 /// Settings of a plain service, which stay the same while it runs.
 #[derive(Debug, Clone)]
 pub struct ServiceSettings {
@@ -159,14 +155,8 @@
             return Err(Closed);
         }
         if let Some(events) = faults.unframed_events {
-            let bytes = stream::iter([Ok(Bytes::from_static(events.as_bytes()))]);
-            let end = stream::once(async {
-                sleep(STREAM_END_DELAY).await;
-                Ok(Bytes::new())
-            });
-            let mut response = http::stream_response("text/event-stream", bytes.chain(end));
-            *response.version_mut() = Version::HTTP_10;
-            return Ok(response);
+            let bytes = Bytes::from_static(events.as_bytes());
+            return Ok(http::unframed_response("text/event-stream", bytes));
         }
         let body = json!({"operation": call.operation, "status": "executed"});
         let response = http::json_response(StatusCode::OK, &body);
--- a/crates/verbenaring-testbed/tests/failure/stream.rs
+++ b/crates/verbenaring-testbed/tests/failure/stream.rs
@@ -119,6 +119,26 @@
     deployment.stop().await;
 }
 
+/// Guards against a part of an answer that looks like the whole one because the end of
+/// its connection was taken for the end of the answer.
+#[tokio::test]
+async fn a_cut_answer_without_length_is_not_complete() {
+    let (deployment, client) = start_dublin(vec![engine_settings()]).await;
+    for (unframed_bytes, status) in [(usize::MAX, 200), (60, 502), (0, 502)] {
+        deployment.centres[0].engines[0].set_faults(EngineFaults {
+            unframed_bytes: Some(unframed_bytes),
+            ..EngineFaults::default()
+        });
+        let prompt = format!("{PROMPT} {unframed_bytes}");
+        let answer = client.chat(&prompt, 12, false).await;
+        assert_eq!(answer.status, status, "{unframed_bytes} bytes");
+        if status == 200 {
+            assert_complete(&answer, &prompt, 12);
+        }
+    }
+    deployment.stop().await;
+}
+
 /// A crash before the first byte must not reach the caller of an idempotent
 /// request while another server can run it.
 #[tokio::test]
