Treat unframed answers of plain services that have ended as broken

Callers of verbenaringd received a part of a plain service's answer as the whole one if it had neither a length nor chunks and the service ended while it sent it. For a booking, which runs at most once, the operation was recorded as done with the status of that answer.

Cause: the end of the connection was taken for the end of the answer wherever the bytes do not show a cut. Class: completeness inferred from the absence of an error.

Servers that are leaving are not checked, as they may close their listener before their last answers. Answers that another node passed on are framed by that node, which has checked.

an_unframed_answer_of_a_service_that_ended_is_broken and an_unframed_answer_to_a_booking_of_a_service_that_ended_is_unknown failed before ((200, complete) and 200) and pass now; both also state that such an answer of a service that goes on is complete. The stand-in service describes its unframed answers by a type now; the checks of events_of_a_service_that_end_inside_an_event_are_broken are the same. All tests of verbenaring-gateway and verbenaring-testbed pass.

--- a/crates/verbenaring-gateway/src/account.rs
+++ b/crates/verbenaring-gateway/src/account.rs
@@ -4,6 +4,7 @@
 //! released at its end. So a caller that goes away frees the same resources as
 //! one that reads to the end.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use tokio::time::Instant;
@@ -119,6 +120,12 @@
         self.record_event(EventKind::StreamResumed);
     }
 
+    /// Address of the server that answers; `None` if it is leaving or another node
+    /// runs the request.
+    pub fn serving_address(&self) -> Option<SocketAddr> {
+        self.guard.as_ref()?.serving_address()
+    }
+
     /// Records that the answer is complete.
     pub fn succeed(&mut self) {
         self.end = AnswerEnd::Complete;
--- a/crates/verbenaring-gateway/src/backend.rs
+++ b/crates/verbenaring-gateway/src/backend.rs
@@ -6,6 +6,7 @@
 //! a few microseconds.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -139,6 +140,15 @@
         })
     }
 
+    /// Address of a server unless it is leaving: one that shuts down may close its listener
+    /// before its last answers end.
+    pub fn serving_address(&self, server: &ServerId) -> Option<SocketAddr> {
+        let state = self.lock();
+        let mut records = state.servers.iter();
+        let record = records.find(|record| record.terms.server == *server)?;
+        (!record.leaving).then_some(record.terms.address)
+    }
+
     /// Whether the data centre has a server for the work, even a busy one.
     pub fn can_run(&self, catalog: &ServingCatalog, work: &PendingWork) -> bool {
         let mut state = self.lock();
--- a/crates/verbenaring-gateway/src/exchange.rs
+++ b/crates/verbenaring-gateway/src/exchange.rs
@@ -275,7 +275,7 @@
                 HeadBody::Full(body)
             }
             (false, true) => HeadBody::Relayed(upstream, RelayMode::PlainEvents(framing)),
-            (false, false) => HeadBody::Relayed(upstream, RelayMode::Plain),
+            (false, false) => HeadBody::Relayed(upstream, RelayMode::Plain(framing)),
         };
         let served_by = served_by.or_else(|| header_text(&head.headers, header::SERVED_BY));
         Ok(AnswerHead {
--- a/crates/verbenaring-gateway/src/guard.rs
+++ b/crates/verbenaring-gateway/src/guard.rs
@@ -53,6 +53,11 @@
         }
     }
 
+    /// Address of the server unless it is leaving.
+    pub fn serving_address(&self) -> Option<SocketAddr> {
+        self.table.serving_address(&self.server)
+    }
+
     /// Records that the answer is complete, so that dropping cancels nothing.
     pub fn mark_complete(&mut self) {
         self.complete = true;
--- a/crates/verbenaring-gateway/src/lib.rs
+++ b/crates/verbenaring-gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod backend;
 pub mod body;
 pub mod catalog;
+pub mod check;
 pub mod cluster;
 pub mod config;
 pub mod connector;
--- a/crates/verbenaring-gateway/src/operation.rs
+++ b/crates/verbenaring-gateway/src/operation.rs
@@ -14,7 +14,8 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 use uuid::Uuid;
-use verbenaring_policy::id::{AttemptId, Digest};
+use verbenaring_core::path::framing::AnswerFraming;
+use verbenaring_policy::id::{AttemptId, Digest, ServerId};
 use verbenaring_policy::ledger::{
     LedgerAction, LedgerEvent, LedgerReport, OperationAttempt, OperationLedger, OutcomeReason,
 };
@@ -27,6 +28,7 @@
 use crate::answer::{caller_answer, header_text};
 use crate::attempt::{AttemptConnection, AttemptRequest, EchoRule, ReceiverKind};
 use crate::body::AnswerBody;
+use crate::check::is_refused;
 use crate::controller::{AnswerResult, NodeCore};
 use crate::records::operation_key;
 use crate::refusal::Refusal;
@@ -52,6 +54,8 @@
     store_key: String,
     attempt: AttemptId,
     connection: Option<AttemptConnection>,
+    /// Server that runs the call; `None` if another node chooses it.
+    server: Option<ServerId>,
     answer: Option<HeldAnswer>,
     reply: Option<oneshot::Sender<AnswerResult>>,
     /// Admission of the delta_request; dropped when the caller is models_known.
@@ -81,6 +85,7 @@
         work,
         attempt,
         connection: None,
+        server: None,
         answer: None,
         reply: Some(reply),
         admission: Some(admission),
@@ -190,6 +195,7 @@
         let (address, served_by) = match &routed {
             Ok(RouteTarget::Server(chosen)) => {
                 let terms = &chosen.terms;
+                self.server = Some(terms.server.clone());
                 (
                     terms.address,
                     Some(format!("{}/{}", core.settings.vm, terms.server)),
@@ -270,8 +276,16 @@
             Some("unknown") => return LedgerEvent::Broken,
             _ => {}
         }
+        let framing = AnswerFraming::of(&head.headers, &upstream);
         let limited = Limited::new(upstream, MAX_ANSWER_BYTES);
         match tokio::time::timeout_at(self.work.deadline, limited.collect()).await {
+            Ok(Ok(_)) if self.ended_with_answer(framing).await => {
+                log::warn!(
+                    "operation attempt {} has an unknown outcome: the server ended",
+                    self.attempt
+                );
+                LedgerEvent::Broken
+            }
             Ok(Ok(body)) => {
                 let body = AnswerBody::Full(Some(body.to_bytes()));
                 let served_by = served_by.or_else(|| header_text(&head.headers, header::SERVED_BY));
@@ -282,6 +296,19 @@
         }
     }
 
+    /// Whether the end of an answer is that of its server, so that the answer may have
+    /// been cut.
+    async fn ended_with_answer(&self, framing: AnswerFraming) -> bool {
+        let server = self
+            .server
+            .as_ref()
+            .filter(|_| framing == AnswerFraming::Connection);
+        match server.and_then(|server| self.core.backends.serving_address(server)) {
+            Some(address) => is_refused(address).await,
+            None => false,
+        }
+    }
+
     fn answer_report(&mut self, report: LedgerReport) {
         self.admission = None;
         let outcome = match (report.reason, self.answer.take()) {
--- a/crates/verbenaring-gateway/src/relay.rs
+++ b/crates/verbenaring-gateway/src/relay.rs
@@ -2,9 +2,10 @@
 //!
 //! A streamed answer of an engine is checked event by event ([`crate::event`]). Only
 //! an incomplete event is buffered. A stream that breaks is resumed if the engine
-//! supports it. Events of a plain service pass as they arrive; such a stream is
-//! broken if it ends inside an event. Dropping the stream, as happens when the caller goes away,
-//! closes the connection to the backend server.
+//! supports it. The answer of a plain service passes as it arrives. It is broken if it
+//! is a stream that ends inside an event, or if its end is not marked and its server has
+//! ended. Dropping the stream, as happens when the caller goes away, closes the
+//! connection to the backend server.
 
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
@@ -13,11 +14,13 @@
 use hyper::body::{Body, Incoming};
 use hyper_util::client::legacy::ResponseFuture;
 use tokio::time::{Instant, Sleep};
+use tokio_util::task::AbortOnDropHandle;
 use verbenaring_core::path::event::EventProgress;
 use verbenaring_core::path::framing::AnswerFraming;
 
 use crate::account::AnswerRecord;
 use crate::body::BrokenStream;
+use crate::check::is_refused;
 use crate::event::EventReader;
 use crate::resume::{ResumeAnswer, ResumeRequest};
 
@@ -28,8 +31,18 @@
     Events,
     /// Server-sent events of a plain service, complete if they end between two events.
     PlainEvents(AnswerFraming),
-    /// Any other body, complete at the end that its HTTP framing announces.
-    Plain,
+    /// Any other body of a plain service, complete at the end that its framing marks.
+    Plain(AnswerFraming),
+}
+
+impl RelayMode {
+    /// Whether the end of the connection is all that shows the end of the answer.
+    fn is_unframed(self) -> bool {
+        matches!(
+            self,
+            Self::PlainEvents(AnswerFraming::Connection) | Self::Plain(AnswerFraming::Connection)
+        )
+    }
 }
 
 /// What the stream waits for next.
@@ -39,6 +52,8 @@
     Delay(Pin<Box<Sleep>>),
     /// Answer to a resume.
     Resume(ResponseFuture),
+    /// Whether the server of an unframed answer that has ended refuses connections.
+    Check(AbortOnDropHandle<bool>),
     Ended,
     /// The error event was passed on; once it is flushed, the connection is closed
     /// with an error.
@@ -138,6 +153,13 @@
                 let answer = ready!(Pin::new(answer).poll(context));
                 Poll::Ready(self.handle_resume_answer(answer.ok()))
             }
+            RelaySource::Check(refused) => {
+                let refused = ready!(Pin::new(refused).poll(context));
+                Poll::Ready(match refused {
+                    Ok(false) => self.complete(),
+                    _ => Some(self.fail("the server ended")),
+                })
+            }
             RelaySource::Ended | RelaySource::Failed { .. } => Poll::Ready(None),
         }
     }
@@ -166,6 +188,17 @@
         {
             return Some(self.fail("stream ended inside an event"));
         }
+        if self.mode.is_unframed()
+            && let Some(address) = self.record.serving_address()
+        {
+            let check = tokio::spawn(is_refused(address));
+            self.source = RelaySource::Check(AbortOnDropHandle::new(check));
+            return None;
+        }
+        self.complete()
+    }
+
+    fn complete(&mut self) -> Option<PartPoll> {
         self.source = RelaySource::Ended;
         self.record.succeed();
         Some(Poll::Ready(None))
--- a/crates/verbenaring-testbed/src/http.rs
+++ b/crates/verbenaring-testbed/src/http.rs
@@ -231,7 +231,20 @@
         sleep(UNFRAMED_END_DELAY).await;
         Ok(Bytes::new())
     });
-    let mut response = stream_response(content_type, stream::iter([Ok(bytes)]).chain(end));
+    without_framing(content_type, stream::iter([Ok(bytes)]).chain(end))
+}
+
+/// Unframed response whose connection stays open until its listener stops.
+pub(crate) fn held_response(content_type: &'static str, bytes: Bytes) -> Response<Body> {
+    let bytes = stream::iter([Ok(bytes)]);
+    without_framing(content_type, bytes.chain(stream::pending()))
+}
+
+fn without_framing(
+    content_type: &'static str,
+    chunks: impl Stream<Item = std::result::Result<Bytes, Closed>> + Send + 'static,
+) -> Response<Body> {
+    let mut response = stream_response(content_type, chunks);
     *response.version_mut() = Version::HTTP_10;
     response
 }
--- a/crates/verbenaring-testbed/src/lib.rs
+++ b/crates/verbenaring-testbed/src/lib.rs
@@ -25,5 +25,5 @@
     CrashPoint, EngineCounters, EngineFaults, EngineOrder, EngineServer, EngineSettings,
 };
 pub use error::{Error, Result};
-pub use service::{ExecutedCall, ServiceFaults, ServiceServer, ServiceSettings};
+pub use service::{ExecutedCall, ServiceFaults, ServiceServer, ServiceSettings, UnframedAnswer};
 pub use store::{StoreCounters, StoreFaults, StoreServer, StoreSettings};
--- a/crates/verbenaring-testbed/src/service.rs
+++ b/crates/verbenaring-testbed/src/service.rs
@@ -14,6 +14,11 @@
 use crate::error::Result;
 use crate::http::{self, Closed, ConnectionGate, Handler, HandlerResult, Listener};
 
+/// Interval at which a service that is to stop counts its calls.
+const POLL_INTERVAL: Duration = Duration::from_millis(2);
+/// Time in which the bytes of an answer are sent before the service stops.
+const SEND_TIME: Duration = Duration::from_millis(50);
+
 /// Settings of a plain service, which stay the same while it runs.
 #[derive(Debug, Clone)]
 pub struct ServiceSettings {
@@ -43,13 +48,23 @@
     pub crash_after: bool,
     /// Closes the connection after the execution of a call, without an answer.
     pub lose_answer: bool,
-    /// Bytes of a stream of events with which calls are answered. It has neither a length
-    /// nor chunks and ends with its connection.
-    pub unframed_events: Option<&'static str>,
+    /// Answer with neither a length nor chunks, which every call gets.
+    pub unframed: Option<UnframedAnswer>,
     /// Time between arrival and execution in addition to the configured one.
     pub extra_delay: Duration,
 }
 
+/// Answer that ends with its connection.
+#[derive(Debug, Clone, Copy)]
+pub struct UnframedAnswer {
+    /// Media type.
+    pub content_type: &'static str,
+    /// Bytes that are sent.
+    pub body: &'static str,
+    /// Whether the answer ends only when the service stops.
+    pub held: bool,
+}
+
 /// Record of a call that the service executed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ExecutedCall {
@@ -120,6 +135,24 @@
             .count()
     }
 
+    /// Answers all calls with neither a length nor chunks from now on.
+    pub fn answer_unframed(&self, answer: UnframedAnswer) {
+        self.set_faults(ServiceFaults {
+            unframed: Some(answer),
+            ..ServiceFaults::default()
+        });
+    }
+
+    /// Stops the service once it has executed `calls` calls and sent what it has of their
+    /// answers.
+    pub async fn stop_after_calls(self, calls: usize) {
+        while self.calls().len() < calls {
+            sleep(POLL_INTERVAL).await;
+        }
+        sleep(SEND_TIME).await;
+        self.stop().await;
+    }
+
     /// Closes all connections and stops the service.
     pub async fn stop(self) {
         self.listener.stop().await;
@@ -154,9 +187,13 @@
         if faults.crash_after || faults.lose_answer {
             return Err(Closed);
         }
-        if let Some(events) = faults.unframed_events {
-            let bytes = Bytes::from_static(events.as_bytes());
-            return Ok(http::unframed_response("text/event-stream", bytes));
+        if let Some(answer) = faults.unframed {
+            let bytes = Bytes::from_static(answer.body.as_bytes());
+            let respond = match answer.held {
+                true => http::held_response,
+                false => http::unframed_response,
+            };
+            return Ok(respond(answer.content_type, bytes));
         }
         let body = json!({"operation": call.operation, "status": "executed"});
         let response = http::json_response(StatusCode::OK, &body);
--- a/crates/verbenaring-testbed/tests/failure/operation.rs
+++ b/crates/verbenaring-testbed/tests/failure/operation.rs
@@ -6,7 +6,7 @@
 use uuid::{NoContext, Timestamp, Uuid};
 use verbenaring_testbed::client::{TestAnswer, TestClient};
 use verbenaring_testbed::deployment::{CentreSpec, DeploymentSpec, TestDeployment};
-use verbenaring_testbed::{ServiceFaults, ServiceServer, StoreFaults};
+use verbenaring_testbed::{ServiceFaults, ServiceServer, StoreFaults, UnframedAnswer};
 
 use crate::{client_of, dublin_centre, start, start_dublin, wait_until};
 
@@ -261,3 +261,28 @@
     assert_eq!(unauthorized.status, 401);
     deployment.stop().await;
 }
+
+/// Guards against a booking whose answer has neither a length nor chunks and counts as
+/// whole although the service ended while it sent it.
+#[tokio::test]
+async fn an_unframed_answer_to_a_booking_of_a_service_that_ended_is_unknown() {
+    let answer = UnframedAnswer {
+        content_type: "application/json",
+        body: "{}",
+        held: false,
+    };
+    let (mut deployment, client) = start_dublin(Vec::new()).await;
+    let service = deployment.centres[0].services.remove(0);
+    service.answer_unframed(answer);
+    let whole = client.book(&new_idempotency_key(), "whole").await;
+    assert_eq!(whole.status, 200);
+    service.answer_unframed(UnframedAnswer {
+        held: true,
+        ..answer
+    });
+    let stopped = service.stop_after_calls(2);
+    let key = new_idempotency_key();
+    let (cut, ()) = futures::join!(client.book(&key, "cut"), stopped);
+    assert_refused(&cut, 502, "backend_failed", "unknown");
+    deployment.stop().await;
+}
--- a/crates/verbenaring-testbed/tests/failure/stream.rs
+++ b/crates/verbenaring-testbed/tests/failure/stream.rs
@@ -6,7 +6,7 @@
 use serde_json::json;
 use verbenaring_testbed::client::{TestAnswer, TestClient};
 use verbenaring_testbed::{
-    CrashPoint, EngineFaults, EngineSettings, ServiceFaults, expected_answer,
+    CrashPoint, EngineFaults, EngineSettings, UnframedAnswer, expected_answer,
 };
 
 use crate::{ENGINE_DOCUMENT_KEY, engine_settings, set_document_field, start_dublin};
@@ -273,9 +273,10 @@
         ("", true),
     ];
     for (events, broken) in streams {
-        service.set_faults(ServiceFaults {
-            unframed_events: Some(events),
-            ..ServiceFaults::default()
+        service.answer_unframed(UnframedAnswer {
+            content_type: "text/event-stream",
+            body: events,
+            held: false,
         });
         let answer = client.get("/v1/services/jobs/events").await;
         assert_eq!(answer.status, 200);
@@ -284,3 +285,37 @@
     }
     deployment.stop().await;
 }
+
+/// Guards against an answer of a plain service that has neither a length nor chunks and
+/// looks complete although the service has ended.
+#[tokio::test]
+async fn an_unframed_answer_of_a_service_that_ended_is_broken() {
+    for (content_type, body) in [
+        ("text/plain", "half the list"),
+        ("text/event-stream", "data: one\n\n"),
+    ] {
+        let answer = UnframedAnswer {
+            content_type,
+            body,
+            held: false,
+        };
+        let (mut deployment, client) = start_dublin(Vec::new()).await;
+        let service = deployment.centres[0].services.remove(0);
+        service.answer_unframed(answer);
+        let whole = client.get("/v1/services/jobs/list").await;
+        assert_eq!((whole.status.as_u16(), whole.broken), (200, false));
+        service.answer_unframed(UnframedAnswer {
+            held: true,
+            ..answer
+        });
+        let stopped = service.stop_after_calls(2);
+        let call = client.get("/v1/services/jobs/list");
+        let (cut, ()) = futures::join!(call, stopped);
+        assert_eq!(
+            (cut.status.as_u16(), cut.broken),
+            (200, true),
+            "{content_type}"
+        );
+        deployment.stop().await;
+    }
+}
