Bound the depths of parts of prompts

A call whose prompt lists more than 255 shared parts, which callers may choose freely, made the quarantine take its 256th part for a whole request; a build with overflow checks panicked.

Cause: depths are counted in a byte that was allowed to overflow. Change: all parts beyond the 255th have the largest depth.

prompts_of_very_many_parts_are_judged failed before ("attempt to add with overflow") and passes now, as do the other tests of the quarantine.

--- a/crates/verbenaring-policy/src/dispatch/suspect.rs
+++ b/crates/verbenaring-policy/src/dispatch/suspect.rs
@@ -66,7 +66,9 @@
         let parts = [self.request]
             .into_iter()
             .chain(self.shared.iter().copied());
-        (REQUEST_DEPTH..).zip(parts)
+        // Callers choose the number of parts; the last ones may share the largest depth.
+        let depths = (REQUEST_DEPTH..=u8::MAX).chain(std::iter::repeat(u8::MAX));
+        depths.zip(parts)
     }
 }
 
--- a/crates/verbenaring-policy/tests/dispatch/suspect.rs
+++ b/crates/verbenaring-policy/tests/dispatch/suspect.rs
@@ -61,6 +61,25 @@
     assert!(!is_refused(&table, &[FIRST, 7], at(5_000)));
 }
 
+/// Load: calls with more parts than depths can tell apart. Guards against a panic, and
+/// against a part that is taken for a whole request.
+#[test]
+fn prompts_of_very_many_parts_are_judged() {
+    const FIRST_PART: u32 = 1_000;
+    let parts: Vec<u32> = (FIRST_PART..).take(600).collect();
+    let mut table = SuspectTable::default();
+    for index in 0..MAX_CRASHES as u32 {
+        let now = at(1_000 + 400 * u64::from(index));
+        table.record_crash(index, &[unique(index, &parts)], now);
+    }
+    assert!(is_refused(&table, &parts, at(5_000)));
+    let news = table.news(true, at(2_000));
+    let mut shared = news.iter().filter(|news| parts.contains(&news.part));
+    assert!(shared.all(|news| news.depth > 0));
+    table.record_complete(&unique(900, &parts), at(6_000));
+    assert!(!is_refused(&table, &parts, at(6_000)));
+}
+
 /// Load: the same request comes again and again beside different ones of its prompt.
 #[test]
 fn a_request_that_crashes_servers_is_quarantined() {
