Keep VMs together within a retry budget while load moves between them

Cause: each VM retried up to 90% of what its own requests of the last window earn. A VM whose load has just peaked spends its part at the start of a window, one whose load then grows spends its own at the end, so together they retry for the requests of two windows.

Change: a request earns half a retry where the budget allows one. The requests of two windows are at most twice those of the larger one, which the budget counts, so the bound holds however load moves and whatever VMs know of each other.

--- a/crates/verbenaring-policy/src/retry.rs
+++ b/crates/verbenaring-policy/src/retry.rs
@@ -23,6 +23,10 @@
 /// Remaining time below which an attempt cannot deliver its first token.
 pub const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(20);
 
+/// Part of the retries earned by successes that a VM takes of a budget that it shares.
+const EARNED_FRACTION: f64 = 0.5;
+/// Part of its extra retries that a VM takes, as it may not know of all other VMs.
+const EXTRA_FRACTION: f64 = 0.9;
 const WINDOW_BUCKETS: usize = 10;
 const BUCKET_US: u64 = RETRY_WINDOW.as_micros() as u64 / WINDOW_BUCKETS as u64;
 
@@ -51,15 +55,17 @@
 }
 
 impl BudgetTerms {
-    /// Limits for each of `vms` VMs that together keep within this budget.
+    /// Limits for each of `vms` VMs that together keep within this budget, however callers
+    /// move between them.
     ///
-    /// The extra retries are divided among the VMs. Each VM uses only 90% of its
-    /// part, because callers move between VMs within a window.
+    /// A VM may retry at the start of a window for the requests of the window before, and
+    /// another one at its end for those of the window itself. All VMs together therefore
+    /// retry for the requests of two windows at most, so each earns half a retry where the
+    /// budget allows one. The extra retries are divided among the VMs.
     pub fn per_vm(self, vms: usize) -> Self {
-        const USED_FRACTION: f64 = 0.9;
         Self {
-            retries_per_success: self.retries_per_success * USED_FRACTION,
-            extra_retries: self.extra_retries * USED_FRACTION / vms.max(1) as f64,
+            retries_per_success: self.retries_per_success * EARNED_FRACTION,
+            extra_retries: self.extra_retries * EXTRA_FRACTION / vms.max(1) as f64,
             min_retries: 0,
         }
     }
