Quarantine messages of chats that crash engines, at verbenaringd

Chats that are all different but share a message crashed engine after engine behind verbenaringd: each ended up to three, and the callers of other chats lost the answers of those engines.

Cause: verbenaringd knows crashes by whole prompts. Class: a failure caused by the work is treated as a failure of the place that does it.

All messages of a chat but the last are its shared parts. When the connection of work breaks, the node checks whether the engine has ended, and if so implicates the parts of all work that it had there. Nodes tell each other the evidence with their other reports; one node tries a quarantined message again. The table of calls at servers is generic over what identifies a server.

--- a/crates/verbenaring-gateway/src/backend.rs
+++ b/crates/verbenaring-gateway/src/backend.rs
@@ -28,6 +28,7 @@
 
 use crate::catalog::ServingCatalog;
 use crate::clock::NodeClock;
+use crate::crashes::PartCrashes;
 use crate::guard::WorkGuard;
 use crate::server::{BackendState, ServerRecord, served_model, server_hash};
 use crate::work::{PendingWork, WorkTarget};
@@ -101,6 +102,7 @@
                 planner: RoutePlanner::default(),
                 detector: StragglerDetector::new(StragglerSettings::default()),
                 quarantine: QuarantineList::default(),
+                crashes: PartCrashes::default(),
                 limiter: RetryLimiter::default(),
                 hedges: HedgeBudget::default(),
                 drain: DrainSchedule::default(),
@@ -273,6 +275,7 @@
         let mut state = self.lock();
         state.detector.evaluate(now);
         state.quarantine.expire(now);
+        state.crashes.expire(now);
         state.drain.expire(now);
     }
 
--- a/crates/verbenaring-gateway/src/check.rs
+++ b/crates/verbenaring-gateway/src/check.rs
@@ -1,20 +1,44 @@
-//! Checks whether a server has ended together with an answer whose end nothing marks.
+//! Checks whether a server has ended.
 //!
-//! Such an answer ends with its connection, and so does one that is cut because its
-//! server ended. Nothing listens at the address of a server that has ended.
+//! An answer whose end nothing marks ends with its connection, and so does one that is
+//! cut because its server ended. A broken connection alone does not tell a server that
+//! has ended from one that failed a single call. Nothing listens at the address of a
+//! server that has ended, unless a proxy in front of it does.
 
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 /// Time limit for the connection by which a server is checked.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time within which a proxy closes a connection that leads to no server.
+const CLOSE_TIME: Duration = Duration::from_millis(100);
 
 /// Whether the server at `address` refuses a connection.
 pub async fn is_refused(address: SocketAddr) -> bool {
     let opened = timeout(CHECK_TIMEOUT, TcpStream::connect(address)).await;
     matches!(opened, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
 }
+
+/// Whether the server at `address` refuses a connection, or closes it although no request
+/// was sent.
+pub async fn has_ended(address: SocketAddr) -> bool {
+    let opened = timeout(CHECK_TIMEOUT, TcpStream::connect(address)).await;
+    let mut socket = match opened {
+        Ok(Ok(socket)) => socket,
+        Ok(Err(error)) => {
+            let closed = [
+                io::ErrorKind::ConnectionRefused,
+                io::ErrorKind::ConnectionReset,
+            ];
+            return closed.contains(&error.kind());
+        }
+        Err(_) => return false,
+    };
+    let read = timeout(CLOSE_TIME, socket.read_u8()).await;
+    matches!(read, Ok(Err(_)))
+}
--- a/crates/verbenaring-gateway/src/cluster.rs
+++ b/crates/verbenaring-gateway/src/cluster.rs
@@ -29,6 +29,7 @@
 
 use crate::clock::NodeClock;
 use crate::config::PeerSettings;
+use crate::crashes::send_suspects;
 use crate::fetch::{fetch_delta, fetch_description, fetch_snapshot, resync_config};
 use crate::links::ControlLinks;
 use crate::view::{ClusterView, NodeList};
@@ -250,7 +251,7 @@
                     .record_loads(&facts.loads, GOSSIPED_LOAD_AGE);
             }
         }
-        self.send_suspects();
+        send_suspects(&self.view.backends, &self.view.nodes.load(), &self.links);
         self.choose_watchers();
         self.publish_summary(description.facts.config);
         self.fetch_snapshot();
@@ -263,26 +264,6 @@
             .accept(self.view.nodes.load().accepted_revision(own));
     }
 
-    /// Sends the digests of requests suspected to crash servers to all known nodes.
-    fn send_suspects(&self) {
-        let reports = self.view.backends.suspect_reports();
-        if reports.is_empty() {
-            return;
-        }
-        let nodes = self.view.nodes.load_full();
-        for node in nodes.local.iter().chain(&nodes.remote) {
-            let (links, reports) = (self.links.clone(), reports.clone());
-            let address = node.control_address;
-            tokio::spawn(async move {
-                links
-                    .call(address, |client, context| async move {
-                        client.suspects(context, reports).await
-                    })
-                    .await
-            });
-        }
-    }
-
     /// Whether this node exchanges summaries on behalf of its data centre.
     fn is_delegate(&self) -> bool {
         let centre = &self.view.settings.data_centre.name;
--- a/crates/verbenaring-gateway/src/control.rs
+++ b/crates/verbenaring-gateway/src/control.rs
@@ -15,6 +15,7 @@
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 use verbenaring_policy::config::{ConfigDelta, ConfigDigest, DeltaRequest, SnapshotPage};
+use verbenaring_policy::dispatch::suspect::SuspectNews;
 use verbenaring_policy::gossip::GossipMessage;
 use verbenaring_policy::quarantine::SuspectReport;
 use verbenaring_policy::summary::SummaryMessage;
@@ -81,6 +82,10 @@
         self.core.backends.merge_suspects(&reports);
     }
 
+    async fn suspect_parts(self, _: context::Context, reports: Vec<SuspectNews>) {
+        self.core.backends.merge_parts(&reports);
+    }
+
     async fn usage(self, _: context::Context, update: UsageUpdate) {
         self.core.observers.usage.merge_update(&update);
     }
--- a/crates/verbenaring-gateway/src/controller.rs
+++ b/crates/verbenaring-gateway/src/controller.rs
@@ -284,6 +284,10 @@
                     continue;
                 }
             };
+            let is_trier = |part| !is_entry || self.cluster.is_trier(part);
+            if !self.backends.allows_parts(work, is_trier) {
+                return Err(part_quarantined().with_outcome(outcome));
+            }
             let target = match self.route(work, &tried, alone) {
                 Ok(target) => target,
                 Err(RouteError::Busy) => {
@@ -437,6 +441,14 @@
     )
 }
 
+fn part_quarantined() -> Refusal {
+    Refusal::not_run(
+        StatusCode::UNPROCESSABLE_ENTITY,
+        "prompt_quarantined",
+        "a part of this prompt crashed backend servers and is refused for a while",
+    )
+}
+
 fn quarantined() -> Refusal {
     Refusal::not_run(
         StatusCode::UNPROCESSABLE_ENTITY,
--- a/crates/verbenaring-gateway/src/guard.rs
+++ b/crates/verbenaring-gateway/src/guard.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use verbenaring_policy::dispatch::run::RunKey;
 use verbenaring_policy::id::{AttemptId, Digest, ServerId};
 use verbenaring_policy::straggler::InFlightKey;
 
@@ -29,6 +30,9 @@
     pub(crate) request_digest: Option<Digest>,
     /// Key of the attempt in the straggler detector, if it is observed there.
     pub(crate) in_flight: Option<InFlightKey>,
+    /// Key of the attempt among those that may crash their engine; `None` without parts
+    /// or after a crash.
+    pub(crate) run: Option<RunKey>,
     pub(crate) cancel_target: Option<Box<CancelTarget>>,
     /// Whether the whole answer has arrived.
     pub(crate) complete: bool,
@@ -69,6 +73,9 @@
     /// servers are quarantined.
     pub fn record_crash(&mut self) {
         let now = self.table.clock.now();
+        if let Some(run) = self.run.take() {
+            self.table.record_break(run);
+        }
         if self.request_digest.take().is_some() {
             // `true`: other nodes may have had requests at the server as well.
             let mut state = self.table.lock();
@@ -112,6 +119,9 @@
         if let Some(in_flight) = self.in_flight {
             state.detector.finish(in_flight, now);
         }
+        if let Some(run) = self.run {
+            state.crashes.record_end(run, self.complete, now);
+        }
         if let Some(digest) = &self.request_digest {
             state
                 .quarantine
--- a/crates/verbenaring-gateway/src/identify.rs
+++ b/crates/verbenaring-gateway/src/identify.rs
@@ -15,6 +15,7 @@
 use serde_json::value::RawValue;
 use tokio::time::Instant;
 use verbenaring_policy::contract::{ContractTerms, PriorityLevel};
+use verbenaring_policy::dispatch::suspect::CallParts;
 use verbenaring_policy::id::{Digest, ModelName, ServiceName};
 use verbenaring_policy::request::{RequestClass, RequestDigests, SizeEstimate};
 
@@ -30,6 +31,8 @@
 /// Leading bytes of the prompt by which requests are sent to an engine that has
 /// the same prefix cached.
 const PREFIX_BYTES: usize = 1024;
+/// Leading messages of a chat by which those that crash engines are found.
+const MAX_SHARED_MESSAGES: usize = 64;
 
 #[derive(Deserialize)]
 struct MessageHead<'a> {
@@ -56,12 +59,20 @@
     let prompt = fields
         .get(prompt_field)
         .ok_or_else(|| invalid_request(format!("field {prompt_field} is missing")))?;
-    check_prompt(is_chat, prompt)?;
+    let messages = read_messages(is_chat, prompt)?;
     let size = SizeEstimate {
         prompt_tokens: (prompt.get().len() / BYTES_PER_TOKEN) as u32 + 1,
         answer_tokens: read_answer_limit(&fields)?,
     };
     let digests = prompt_digests(digest_key, &model, prompt.get().as_bytes());
+    let shared = &messages[..messages.len().saturating_sub(1)];
+    let shared = shared.iter().take(MAX_SHARED_MESSAGES);
+    let parts = CallParts {
+        request: digests.whole.short_id(),
+        shared: shared
+            .map(|message| keyed_digest(digest_key, &model, message.get().as_bytes()).short_id())
+            .collect(),
+    };
     let stream = read_field::<bool>(&fields, "stream")?.unwrap_or(false);
     let priority = engine_priority(entry.terms.priority, size.class());
     fields.insert("priority".into(), raw_number(priority));
@@ -79,6 +90,7 @@
         stream,
         size,
         digests: Some(digests),
+        parts,
         accepted,
         deadline: accepted + entry.terms.limits.deadline,
         forwarded: None,
@@ -136,6 +148,7 @@
         stream: false,
         size: SizeEstimate::default(),
         digests: None,
+        parts: CallParts::default(),
         accepted,
         deadline: accepted + entry.terms.limits.deadline,
         forwarded: None,
@@ -216,33 +229,37 @@
     }
 }
 
-fn check_prompt(is_chat: bool, prompt: &RawValue) -> Result<(), Refusal> {
+/// Checks the prompt and returns the messages of a chat, none for a completion.
+fn read_messages(is_chat: bool, prompt: &RawValue) -> Result<Vec<&RawValue>, Refusal> {
     if is_chat {
-        let messages: Vec<MessageHead<'_>> = serde_json::from_str(prompt.get())
-            .map_err(|error| invalid_request(format!("field messages: {error}")))?;
-        if messages.is_empty() || messages.iter().any(|message| message.role.is_empty()) {
+        let invalid = |error| invalid_request(format!("field messages: {error}"));
+        let heads: Vec<MessageHead<'_>> = serde_json::from_str(prompt.get()).map_err(invalid)?;
+        if heads.is_empty() || heads.iter().any(|head| head.role.is_empty()) {
             return Err(invalid_request(
                 "field messages must hold messages with a role",
             ));
         }
-        return Ok(());
+        return serde_json::from_str(prompt.get()).map_err(invalid);
     }
     match prompt.get().as_bytes().first() {
-        Some(b'"' | b'[') => Ok(()),
+        Some(b'"' | b'[') => Ok(Vec::new()),
         _ => Err(invalid_request("field prompt must be a string or an array")),
     }
 }
 
 fn prompt_digests(digest_key: &[u8; 32], model: &ModelName, prompt: &[u8]) -> RequestDigests {
-    let keyed_digest = |part: &[u8]| {
-        let mut hasher = blake3::Hasher::new_keyed(digest_key);
-        hasher.update(model.as_str().as_bytes());
-        hasher.update(&[0]);
-        hasher.update(part);
-        Digest(*hasher.finalize().as_bytes())
-    };
+    let prefix = &prompt[..prompt.len().min(PREFIX_BYTES)];
     RequestDigests {
-        whole: keyed_digest(prompt),
-        prefix: keyed_digest(&prompt[..prompt.len().min(PREFIX_BYTES)]),
+        whole: keyed_digest(digest_key, model, prompt),
+        prefix: keyed_digest(digest_key, model, prefix),
     }
 }
+
+/// Digest of a part of the requests for a model; all nodes compute the same.
+fn keyed_digest(digest_key: &[u8; 32], model: &ModelName, part: &[u8]) -> Digest {
+    let mut hasher = blake3::Hasher::new_keyed(digest_key);
+    hasher.update(model.as_str().as_bytes());
+    hasher.update(&[0]);
+    hasher.update(part);
+    Digest(*hasher.finalize().as_bytes())
+}
--- a/crates/verbenaring-gateway/src/lib.rs
+++ b/crates/verbenaring-gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod connector;
 pub mod control;
 pub mod controller;
+pub mod crashes;
 pub mod entry;
 pub mod error;
 pub mod etcd;
--- a/crates/verbenaring-gateway/src/server.rs
+++ b/crates/verbenaring-gateway/src/server.rs
@@ -29,6 +29,7 @@
 use crate::backend::BackendTable;
 use crate::catalog::ServingCatalog;
 use crate::clock::NodeClock;
+use crate::crashes::PartCrashes;
 use crate::guard::WorkGuard;
 use crate::work::{PendingWork, WorkTarget};
 
@@ -83,6 +84,7 @@
     pub(crate) planner: RoutePlanner<PrefixAffinity<TwoChoices>>,
     pub(crate) detector: StragglerDetector,
     pub(crate) quarantine: QuarantineList,
+    pub(crate) crashes: PartCrashes,
     pub(crate) limiter: RetryLimiter,
     pub(crate) hedges: HedgeBudget,
     pub(crate) drain: DrainSchedule,
@@ -371,10 +373,15 @@
         record.requests += 1;
         record.tokens += u64::from(tokens);
         let mut in_flight = None;
+        let mut run = None;
         if let (Some(digests), WorkTarget::Model(model)) = (&work.digests, &work.target) {
             record.prefixes.insert(&digests.prefix);
             self.quarantine
                 .record_start(&digests.whole, &record.terms.server, alone);
+            run = Some(
+                self.crashes
+                    .record_start(&record.terms.server, &work.parts, now),
+            );
             in_flight = record
                 .replicas
                 .get(model.as_str())
@@ -386,6 +393,7 @@
             tokens,
             request_digest: work.digests.map(|digests| digests.whole),
             in_flight,
+            run,
             cancel_target: None,
             complete: false,
         }
@@ -476,6 +484,5 @@
 /// First 32 bits of the digest of a server name; load reports in gossip carry it
 /// in place of the name.
 pub fn server_hash(server: &ServerId) -> u32 {
-    let digest = Digest::of(server.as_str().as_bytes());
-    u32::from_le_bytes([digest.0[0], digest.0[1], digest.0[2], digest.0[3]])
+    Digest::of(server.as_str().as_bytes()).short_id()
 }
--- a/crates/verbenaring-gateway/src/view.rs
+++ b/crates/verbenaring-gateway/src/view.rs
@@ -10,6 +10,7 @@
 use arc_swap::ArcSwap;
 use verbenaring_policy::contract::Revision;
 use verbenaring_policy::id::{DataCentre, ModelName};
+use verbenaring_policy::rendezvous::rendezvous;
 use verbenaring_policy::summary::CentreSummary;
 use verbenaring_policy::time::Moment;
 use verbenaring_protocol::control::{NodeDescription, NodeFacts, ReportedLoad};
@@ -107,6 +108,16 @@
 }
 
 impl ClusterView {
+    /// Whether this node is the one of all known nodes that tries a quarantined part of
+    /// prompts.
+    pub fn is_trier(&self, part: u32) -> bool {
+        let nodes = self.nodes.load();
+        let others = nodes.local.iter().chain(&nodes.remote);
+        let own = &self.settings.vm;
+        let all = others.map(|node| &node.vm).chain([own]);
+        rendezvous(&format!("part {part:08x}"), all, 1) == [own]
+    }
+
     /// Creates the state with the configured peers as its initial nodes.
     pub fn new(
         settings: &NodeSettings,
--- a/crates/verbenaring-gateway/src/work.rs
+++ b/crates/verbenaring-gateway/src/work.rs
@@ -6,6 +6,7 @@
 use hyper::header::HeaderMap;
 use hyper::{Method, StatusCode};
 use tokio::time::Instant;
+use verbenaring_policy::dispatch::suspect::CallParts;
 use verbenaring_policy::id::{ModelName, RegionName, ServiceName};
 use verbenaring_policy::request::{RequestDigests, SizeEstimate};
 use verbenaring_protocol::document::{KindDocument, ServerTerms};
@@ -65,6 +66,9 @@
     pub size: SizeEstimate,
     /// Digests of the prompt; `None` for plain services.
     pub digests: Option<RequestDigests>,
+    /// What may crash an engine: the request as a whole and the messages that other
+    /// chats may share; empty for plain services.
+    pub parts: CallParts,
     /// Time at which the request was parsed.
     pub accepted: Instant,
     /// Time by which the answer must be complete.
--- a/crates/verbenaring-policy/src/dispatch/run.rs
+++ b/crates/verbenaring-policy/src/dispatch/run.rs
@@ -7,6 +7,7 @@
 //! before that.
 
 use std::collections::HashMap;
+use std::hash::Hash;
 
 use slotmap::{SlotMap, new_key_type};
 
@@ -25,15 +26,15 @@
 
 /// Call that was sent to a server and has not ended.
 #[derive(Debug, Clone)]
-struct ServerRun {
-    server: ServerKey,
+struct ServerRun<S> {
+    server: S,
     parts: CallParts,
     sent_at: Moment,
     /// When its answer began; `None` before.
     begun_at: Option<Moment>,
 }
 
-impl ServerRun {
+impl<S> ServerRun<S> {
     fn last_step_at(&self) -> Moment {
         self.begun_at.unwrap_or(self.sent_at)
     }
@@ -57,17 +58,17 @@
     pub calls: Vec<CallParts>,
 }
 
-/// Calls that this VM has sent to servers of its region.
+/// Calls that this VM has sent to servers of its region, which `S` identifies.
 #[derive(Debug, Default)]
-pub struct RunTable {
-    runs: SlotMap<RunKey, ServerRun>,
-    breaks: HashMap<ServerKey, ServerBreak>,
-    unchecked: Vec<ServerKey>,
+pub struct RunTable<S = ServerKey> {
+    runs: SlotMap<RunKey, ServerRun<S>>,
+    breaks: HashMap<S, ServerBreak>,
+    unchecked: Vec<S>,
 }
 
-impl RunTable {
+impl<S: Copy + Eq + Hash> RunTable<S> {
     /// Records that a call is sent to a server.
-    pub fn record_sent(&mut self, server: ServerKey, parts: CallParts, now: Moment) -> RunKey {
+    pub fn record_sent(&mut self, server: S, parts: CallParts, now: Moment) -> RunKey {
         self.runs.insert(ServerRun {
             server,
             parts,
@@ -98,7 +99,7 @@
         if !self.breaks.contains_key(&server) {
             self.unchecked.push(server);
             let others = self.runs.values().filter(|run| run.server == server);
-            let mut left: Vec<&ServerRun> = others.chain([&broken]).collect();
+            let mut left: Vec<&ServerRun<S>> = others.chain([&broken]).collect();
             left.sort_by_key(|run| std::cmp::Reverse(run.last_step_at()));
             left.truncate(MAX_BROKEN_RUNS);
             let calls = left.into_iter().map(ServerRun::implicated_parts).collect();
@@ -107,12 +108,12 @@
     }
 
     /// Takes the servers that may have ended and are to be checked.
-    pub fn take_unchecked(&mut self) -> Vec<ServerKey> {
+    pub fn take_unchecked(&mut self) -> Vec<S> {
         std::mem::take(&mut self.unchecked)
     }
 
     /// Takes what broke at a server that has been checked.
-    pub fn take_break(&mut self, server: ServerKey) -> ServerBreak {
+    pub fn take_break(&mut self, server: S) -> ServerBreak {
         self.breaks.remove(&server).unwrap_or_default()
     }
 }
--- a/crates/verbenaring-policy/src/dispatch/suspect.rs
+++ b/crates/verbenaring-policy/src/dispatch/suspect.rs
@@ -382,10 +382,20 @@
             now.since(suspect.changed_at) < NEWS_TIME
                 || (all_quarantined && suspect.quarantined_at.is_some())
         };
+        self.told(is_news, now)
+    }
+
+    /// All evidence, in the order of [`news`](Self::news), for VMs that tell it to each
+    /// other at a longer interval.
+    pub fn evidence(&self, now: Moment) -> Vec<SuspectNews> {
+        self.told(|_| true, now)
+    }
+
+    fn told(&self, is_told: impl Fn(&Suspect) -> bool, now: Moment) -> Vec<SuspectNews> {
         let mut told: Vec<(u32, &Suspect)> = self
             .suspects
             .iter()
-            .filter(|(_, suspect)| is_news(suspect))
+            .filter(|(_, suspect)| is_told(suspect))
             .map(|(part, suspect)| (*part, suspect))
             .collect();
         told.sort_by_key(|(_, suspect)| {
--- a/crates/verbenaring-policy/src/id.rs
+++ b/crates/verbenaring-policy/src/id.rs
@@ -173,6 +173,12 @@
         Self(*blake3::keyed_hash(key, content).as_bytes())
     }
 
+    /// First 32 bits, for places where a digest would take too much room.
+    pub fn short_id(&self) -> u32 {
+        let [b0, b1, b2, b3, ..] = self.0;
+        u32::from_le_bytes([b0, b1, b2, b3])
+    }
+
     /// Compares two digests in constant time.
     pub fn matches(&self, other: &Digest) -> bool {
         blake3::Hash::from(self.0) == blake3::Hash::from(other.0)
--- a/crates/verbenaring-protocol/src/control.rs
+++ b/crates/verbenaring-protocol/src/control.rs
@@ -5,6 +5,7 @@
 use verbenaring_policy::config::{
     ConfigDelta, ConfigDigest, DeltaRequest, DigestSummary, SnapshotPage,
 };
+use verbenaring_policy::dispatch::suspect::SuspectNews;
 use verbenaring_policy::gossip::GossipMessage;
 use verbenaring_policy::id::{DataCentre, VmId};
 use verbenaring_policy::quarantine::SuspectReport;
@@ -104,6 +105,8 @@
         async fn node_status() -> NodeStatus;
         /// Returns the description of the node.
         async fn status() -> NodeDescription;
+        /// Merges the caller's reports on parts of prompts that may crash servers.
+        async fn suspect_parts(reports: Vec<SuspectNews>);
     }
 }
 
