Move the evidence about crashes that VMs exchange to a module of its own

CallParts, CrashNews and SuspectNews are in dispatch/evidence.rs now; nothing else changes. All tests of the workspace pass.

--- a/crates/verbenaring-core/src/cluster/message.rs
+++ b/crates/verbenaring-core/src/cluster/message.rs
@@ -7,10 +7,10 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use verbenaring_policy::dispatch::evidence::SuspectNews;
 use verbenaring_policy::dispatch::presence::{ServiceWait, VmNews, VmRecord, VmState};
 use verbenaring_policy::dispatch::prompt::{PromptRecord, name_hash};
 use verbenaring_policy::dispatch::server::LoadShare;
-use verbenaring_policy::dispatch::suspect::SuspectNews;
 use verbenaring_policy::id::{CentreName, DataCentre, RegionName, VmId};
 use verbenaring_policy::time::Moment;
 
--- a/crates/verbenaring-core/src/cluster/suspects.rs
+++ b/crates/verbenaring-core/src/cluster/suspects.rs
@@ -6,8 +6,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use verbenaring_policy::dispatch::evidence::SuspectNews;
 use verbenaring_policy::dispatch::presence::VmKey;
-use verbenaring_policy::dispatch::suspect::{QuarantineChange, SuspectNews};
+use verbenaring_policy::dispatch::suspect::QuarantineChange;
 
 use super::message::encode_suspects;
 use super::report::{Datagrams, RELAY_INTERVAL, Reporter};
--- a/crates/verbenaring-core/src/config/quarantine.rs
+++ b/crates/verbenaring-core/src/config/quarantine.rs
@@ -8,7 +8,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use verbenaring_policy::dispatch::suspect::{QUARANTINE_TIME, SuspectNews};
+use verbenaring_policy::dispatch::evidence::SuspectNews;
+use verbenaring_policy::dispatch::suspect::QUARANTINE_TIME;
 
 use super::source::{ConfigSource, QuarantineEntry};
 use crate::node::FrontNode;
--- a/crates/verbenaring-core/src/path/call.rs
+++ b/crates/verbenaring-core/src/path/call.rs
@@ -12,10 +12,10 @@
 use hyper::{HeaderMap, Method, Uri};
 use tokio::time::Instant;
 use verbenaring_policy::dispatch::call::{CallRoute, ServiceSettings};
+use verbenaring_policy::dispatch::evidence::CallParts;
 use verbenaring_policy::dispatch::place::PlacementRequest;
 use verbenaring_policy::dispatch::prompt::{name_hash, rendezvous_score};
 use verbenaring_policy::dispatch::server::ServerKey;
-use verbenaring_policy::dispatch::suspect::CallParts;
 use verbenaring_policy::id::{RegionName, ServiceName, VmId};
 use verbenaring_protocol::header;
 
--- a/crates/verbenaring-core/src/path/controller.rs
+++ b/crates/verbenaring-core/src/path/controller.rs
@@ -15,8 +15,9 @@
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use tokio::time::{Instant, timeout, timeout_at};
+use verbenaring_policy::dispatch::evidence::CallParts;
 use verbenaring_policy::dispatch::prompt::{name_hash, short_part_id};
-use verbenaring_policy::dispatch::suspect::{CallParts, PartVerdict};
+use verbenaring_policy::dispatch::suspect::PartVerdict;
 
 use super::call::{
     ATTEMPTS_HEADER, CallOrigin, ELAPSED_HEADER, PendingCall, TriedTargets,
--- a/crates/verbenaring-core/src/state.rs
+++ b/crates/verbenaring-core/src/state.rs
@@ -5,11 +5,12 @@
 
 use std::collections::HashMap;
 
+use verbenaring_policy::dispatch::evidence::CallParts;
 use verbenaring_policy::dispatch::presence::{PresenceTable, VmState};
 use verbenaring_policy::dispatch::prompt::{name_hash, rendezvous_score};
 use verbenaring_policy::dispatch::run::RunTable;
 use verbenaring_policy::dispatch::spill::SpillTracker;
-use verbenaring_policy::dispatch::suspect::{CallParts, PartVerdict, SuspectTable};
+use verbenaring_policy::dispatch::suspect::{PartVerdict, SuspectTable};
 use verbenaring_policy::dispatch::table::ServerTable;
 use verbenaring_policy::dispatch::watcher::{WatchPeer, WatcherElection};
 use verbenaring_policy::id::{RegionName, ServiceName};
--- a/crates/verbenaring-core/src/upstream/check.rs
+++ b/crates/verbenaring-core/src/upstream/check.rs
@@ -9,8 +9,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use verbenaring_policy::dispatch::evidence::CallParts;
 use verbenaring_policy::dispatch::server::ServerKey;
-use verbenaring_policy::dispatch::suspect::CallParts;
 
 use super::pool::ConnectOptions;
 use crate::node::FrontNode;
--- a/crates/verbenaring-core/tests/message.rs
+++ b/crates/verbenaring-core/tests/message.rs
@@ -7,8 +7,8 @@
     encode_report, encode_suspects,
 };
 use verbenaring_core::cluster::suspects::NEWS_PER_DATAGRAM;
+use verbenaring_policy::dispatch::evidence::{CrashNews, SuspectNews};
 use verbenaring_policy::dispatch::presence::{VmNews, VmState};
-use verbenaring_policy::dispatch::suspect::{CrashNews, SuspectNews};
 use verbenaring_policy::id::{CentreName, VmId};
 
 fn description() -> VmDescription {
--- a/crates/verbenaring-gateway/src/control.rs
+++ b/crates/verbenaring-gateway/src/control.rs
@@ -15,7 +15,7 @@
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 use verbenaring_policy::config::{ConfigDelta, ConfigDigest, DeltaRequest, SnapshotPage};
-use verbenaring_policy::dispatch::suspect::SuspectNews;
+use verbenaring_policy::dispatch::evidence::SuspectNews;
 use verbenaring_policy::gossip::GossipMessage;
 use verbenaring_policy::quarantine::SuspectReport;
 use verbenaring_policy::summary::SummaryMessage;
--- a/crates/verbenaring-gateway/src/crashes.rs
+++ b/crates/verbenaring-gateway/src/crashes.rs
@@ -10,10 +10,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use verbenaring_policy::dispatch::evidence::{CallParts, SuspectNews};
 use verbenaring_policy::dispatch::run::{RunKey, RunTable};
-use verbenaring_policy::dispatch::suspect::{
-    CallParts, PartVerdict, QuarantineChange, SuspectNews, SuspectTable,
-};
+use verbenaring_policy::dispatch::suspect::{PartVerdict, QuarantineChange, SuspectTable};
 use verbenaring_policy::id::{Digest, ServerId};
 use verbenaring_policy::time::Moment;
 
--- a/crates/verbenaring-gateway/src/identify.rs
+++ b/crates/verbenaring-gateway/src/identify.rs
@@ -15,7 +15,7 @@
 use serde_json::value::RawValue;
 use tokio::time::Instant;
 use verbenaring_policy::contract::{ContractTerms, PriorityLevel};
-use verbenaring_policy::dispatch::suspect::CallParts;
+use verbenaring_policy::dispatch::evidence::CallParts;
 use verbenaring_policy::id::{Digest, ModelName, ServiceName};
 use verbenaring_policy::request::{RequestClass, RequestDigests, SizeEstimate};
 
--- a/crates/verbenaring-gateway/src/work.rs
+++ b/crates/verbenaring-gateway/src/work.rs
@@ -6,7 +6,7 @@
 use hyper::header::HeaderMap;
 use hyper::{Method, StatusCode};
 use tokio::time::Instant;
-use verbenaring_policy::dispatch::suspect::CallParts;
+use verbenaring_policy::dispatch::evidence::CallParts;
 use verbenaring_policy::id::{ModelName, RegionName, ServiceName};
 use verbenaring_policy::request::{RequestDigests, SizeEstimate};
 use verbenaring_protocol::document::{KindDocument, ServerTerms};
--- a/crates/verbenaring-policy/src/dispatch/mod.rs
+++ b/crates/verbenaring-policy/src/dispatch/mod.rs
@@ -5,13 +5,14 @@
 //! predicted time to its first event ([`forecast`]) and by its health in earlier
 //! calls ([`health`]). Calls to cold servers are rate-limited ([`pace`]). Calls whose
 //! prompts crash servers are refused ([`suspect`]), as far as the calls that servers
-//! leave behind when they end ([`run`]) show it. Another region is used if it answers
+//! leave behind when they end ([`run`]) and the [`evidence`] of other VMs show it. Another region is used if it answers
 //! sooner or is much less busy ([`spill`]). [`presence`] tracks the other VMs,
 //! [`relay`] decides to which of them a VM reports, [`watcher`] decides which VMs watch
 //! the configuration source, and [`changes`] passes their view of the servers on.
 
 pub mod call;
 pub mod changes;
+pub mod evidence;
 pub mod forecast;
 pub mod health;
 pub mod pace;
--- a/crates/verbenaring-policy/src/dispatch/run.rs
+++ b/crates/verbenaring-policy/src/dispatch/run.rs
@@ -11,8 +11,8 @@
 
 use slotmap::{SlotMap, new_key_type};
 
+use super::evidence::CallParts;
 use super::server::ServerKey;
-use super::suspect::CallParts;
 use crate::time::Moment;
 
 new_key_type! {
--- a/crates/verbenaring-policy/src/dispatch/suspect.rs
+++ b/crates/verbenaring-policy/src/dispatch/suspect.rs
@@ -23,8 +23,7 @@
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
-
+use super::evidence::{CallParts, CrashNews, REQUEST_DEPTH, SuspectNews};
 use crate::time::Moment;
 
 /// Ends after which a part is quarantined with which no call was ever answered.
@@ -37,7 +36,7 @@
 /// Time for which a part is quarantined after its last end, and for which ends count.
 pub const QUARANTINE_TIME: Duration = Duration::from_secs(600);
 /// Times after the start of a quarantine at which a call with the part is tried.
-const TRIAL_DELAYS: [Duration; 2] = [Duration::from_secs(30), Duration::from_secs(300)];
+pub(super) const TRIAL_DELAYS: [Duration; 2] = [Duration::from_secs(30), Duration::from_secs(300)];
 /// Ends that are remembered of a part: the latest ones.
 const MAX_REMEMBERED_CRASHES: usize = 8;
 /// Parts with ends that are remembered.
@@ -48,73 +47,6 @@
 /// lost.
 const NEWS_TIME: Duration = Duration::from_millis(500);
 
-/// Parts of a call that may crash servers, by short IDs.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct CallParts {
-    /// The request as a whole: equal requests have equal IDs.
-    pub request: u32,
-    /// Parts of its prompt that other requests may share, in order.
-    pub shared: Vec<u32>,
-}
-
-/// Depth of a whole request, beside those of the parts of prompts.
-const REQUEST_DEPTH: u8 = 0;
-
-impl CallParts {
-    /// The whole request, then the shared parts, each with its depth.
-    fn by_depth(&self) -> impl Iterator<Item = (u8, u32)> {
-        let parts = [self.request]
-            .into_iter()
-            .chain(self.shared.iter().copied());
-        // Callers choose the number of parts; the last ones may share the largest depth.
-        let depths = (REQUEST_DEPTH..=u8::MAX).chain(std::iter::repeat(u8::MAX));
-        depths.zip(parts)
-    }
-}
-
-/// End of a server, as told to other VMs.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CrashNews {
-    /// Short hash of the server and its start.
-    pub server: u32,
-    /// Time since the server ended, in ms.
-    pub age_ms: u32,
-}
-
-/// Evidence about one part, as told to other VMs.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct SuspectNews {
-    /// Short ID of the part.
-    pub part: u32,
-    /// Position of the part in prompts, from 1; 0 for a whole request.
-    pub depth: u8,
-    /// Ends of servers that were answering calls with the part.
-    pub crashes: Vec<CrashNews>,
-    /// Time since the last complete answer to a call with the part, in ms; `None` if
-    /// there was none.
-    pub sound_age_ms: Option<u32>,
-    /// Time since the part was quarantined, in ms; `None` if it is not.
-    pub quarantine_age_ms: Option<u32>,
-    /// Calls by which it was tried since then.
-    pub trials: u8,
-}
-
-impl SuspectNews {
-    /// News of a quarantine that began `age` ago, without the evidence for it and the depth,
-    /// which other VMs add. Trials that were due since then count as made.
-    pub fn of_quarantine(part: u32, age: Duration) -> Self {
-        let trials = TRIAL_DELAYS.iter().filter(|delay| **delay <= age).count();
-        Self {
-            part,
-            depth: REQUEST_DEPTH,
-            crashes: Vec::new(),
-            sound_age_ms: None,
-            quarantine_age_ms: Some(age.as_millis() as u32),
-            trials: trials as u8,
-        }
-    }
-}
-
 /// Change of a quarantine, for logs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum QuarantineChange {
--- a/crates/verbenaring-policy/tests/dispatch/run.rs
+++ b/crates/verbenaring-policy/tests/dispatch/run.rs
@@ -1,8 +1,8 @@
 //! Tests of what is known of the calls of a server that ends.
 
+use verbenaring_policy::dispatch::evidence::CallParts;
 use verbenaring_policy::dispatch::run::RunTable;
 use verbenaring_policy::dispatch::server::ServerKey;
-use verbenaring_policy::dispatch::suspect::CallParts;
 
 use super::fixture::*;
 
--- a/crates/verbenaring-policy/tests/dispatch/suspect.rs
+++ b/crates/verbenaring-policy/tests/dispatch/suspect.rs
@@ -5,8 +5,9 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use verbenaring_policy::dispatch::evidence::CallParts;
 use verbenaring_policy::dispatch::suspect::{
-    CallParts, MAX_CRASHES, MAX_CRASHES_OF_SOUND, PartVerdict, QUARANTINE_TIME, SuspectTable,
+    MAX_CRASHES, MAX_CRASHES_OF_SOUND, PartVerdict, QUARANTINE_TIME, SuspectTable,
 };
 use verbenaring_policy::time::Moment;
 
--- a/crates/verbenaring-protocol/src/control.rs
+++ b/crates/verbenaring-protocol/src/control.rs
@@ -5,7 +5,7 @@
 use verbenaring_policy::config::{
     ConfigDelta, ConfigDigest, DeltaRequest, DigestSummary, SnapshotPage,
 };
-use verbenaring_policy::dispatch::suspect::SuspectNews;
+use verbenaring_policy::dispatch::evidence::SuspectNews;
 use verbenaring_policy::gossip::GossipMessage;
 use verbenaring_policy::id::{DataCentre, VmId};
 use verbenaring_policy::quarantine::SuspectReport;
