--- a/crates/verbenaring-gateway/src/operation.rs
+++ b/crates/verbenaring-gateway/src/operation.rs
@@ -58,7 +58,7 @@
     server: Option<ServerId>,
     answer: Option<HeldAnswer>,
     reply: Option<oneshot::Sender<AnswerResult>>,
-    /// Admission of the delta_request; dropped when the caller is models_known.
+    /// Admission of the request; dropped when the caller is answered.
     admission: Option<AdmissionGuard>,
 }
 
