Do not state the length of a stream that may be resumed, at verbenaringd

A stream whose engine stated a length and broke off was cut at that length, with a regular end, when the engine continued it with more bytes.

Cause: the length of the first answer is passed on when the stream begins. Class: completeness inferred from something other than the events.

Change: streams of engines go out in chunks, whatever their framing was.

a_resumed_stream_is_not_cut_at_its_first_length failed before (1,000 bytes, complete) and passes now.

--- a/crates/verbenaring-gateway/src/exchange.rs
+++ b/crates/verbenaring-gateway/src/exchange.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_TYPE, HeaderMap};
+use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderMap};
 use hyper::{Response, StatusCode};
 use serde::de::IgnoredAny;
 use tokio::time::Instant;
@@ -255,14 +255,18 @@
             .client
             .send(request, remaining_time(work.deadline))
             .await?;
-        let (head, upstream) = answer.into_parts();
+        let (mut head, upstream) = answer.into_parts();
         if let Some(failure) = answer_failure(head.status, &head.headers, work) {
             return Err(failure);
         }
         let from_engine = work.digests.is_some();
         let framing = AnswerFraming::of(&head.headers, &upstream);
         let body = match (from_engine, is_event_stream(&head.headers)) {
-            (true, true) => HeadBody::Relayed(upstream, RelayMode::Events),
+            (true, true) => {
+                // A resumed stream may have another length than it stated first.
+                head.headers.remove(CONTENT_LENGTH);
+                HeadBody::Relayed(upstream, RelayMode::Events)
+            }
             (true, false) => {
                 let attempt_id = request.attempt.to_string();
                 let body = collect_answer(upstream, &attempt_id, work.deadline).await?;
--- a/crates/verbenaring-testbed/src/engine.rs
+++ b/crates/verbenaring-testbed/src/engine.rs
@@ -76,7 +76,7 @@
     AfterTokens(u32),
 }
 
-/// Faults of an engine. Except for `crash`, each applies while it is set.
+/// Faults of an engine. Except for `crash` and `stated_bytes`, each applies while it is set.
 #[derive(Debug, Clone, Default)]
 pub struct EngineFaults {
     /// Resets all connections, also new ones.
@@ -100,6 +100,8 @@
     /// Sends answers that are not streamed with neither a length nor chunks, and at most
     /// this many bytes of them.
     pub unframed_bytes: Option<usize>,
+    /// Length that the head of the next stream states; it applies once, like `crash`.
+    pub stated_bytes: Option<u64>,
     /// Refuses all requests with status 503 without running them.
     pub refuse: bool,
 }
--- a/crates/verbenaring-testbed/src/generation.rs
+++ b/crates/verbenaring-testbed/src/generation.rs
@@ -50,6 +50,8 @@
     priority: i64,
     /// Length at which an unframed answer is cut; `None` if answers are framed.
     unframed_bytes: Option<usize>,
+    /// Length that the head of a stream states; `None` if it is sent in chunks.
+    stated_bytes: Option<u64>,
 }
 
 impl Job {
@@ -224,6 +226,12 @@
             let message = "answer limit is too large";
             return Err(Refusal(StatusCode::BAD_REQUEST, "invalid_limit", message));
         }
+        let streamed = body["stream"] == true;
+        let (unframed_bytes, stated_bytes) = {
+            let faults = &mut self.state.lock().unwrap().faults;
+            let stated_bytes = faults.stated_bytes.take_if(|_| streamed);
+            (faults.unframed_bytes, stated_bytes)
+        };
         let resumed = !http::header_text(head, "x-resume-attempt").is_empty();
         let resume_from = http::header_text(head, "x-resume-from")
             .parse()
@@ -243,10 +251,11 @@
                 0
             },
             has_limit: limit.is_some(),
-            streamed: body["stream"] == true,
+            streamed,
             include_usage: body["stream_options"]["include_usage"] == true,
             priority: body["priority"].as_i64().unwrap_or_default(),
-            unframed_bytes: self.state.lock().unwrap().faults.unframed_bytes,
+            unframed_bytes,
+            stated_bytes,
         })
     }
 
@@ -402,13 +411,18 @@
     let first = steps.recv().await.ok_or(Closed)?;
     let id = job.template.id.clone();
     let resume_from = job.resume_from;
+    let stated_bytes = job.stated_bytes;
     let response = if job.streamed {
         let cursor = StreamCursor {
             job,
             first: Some(first),
             steps,
         };
-        http::stream_response("text/event-stream", stream_events(cursor))
+        let response = http::stream_response("text/event-stream", stream_events(cursor));
+        match stated_bytes {
+            Some(bytes) => http::with_header(response, "content-length", &bytes.to_string()),
+            None => response,
+        }
     } else {
         let answer = collect_answer(&job, first, &mut steps).await?;
         match job.unframed_bytes {
--- a/crates/verbenaring-testbed/tests/failure/stream.rs
+++ b/crates/verbenaring-testbed/tests/failure/stream.rs
@@ -231,6 +231,23 @@
     }
 }
 
+/// Guards against a resumed stream that is cut, with a regular end, at the length that
+/// the broken one stated.
+#[tokio::test]
+async fn a_resumed_stream_is_not_cut_at_its_first_length() {
+    let (deployment, client) = start_dublin(vec![engine_settings()]).await;
+    deployment.centres[0].engines[0].set_faults(EngineFaults {
+        crash: Some(CrashPoint::AfterTokens(2)),
+        stated_bytes: Some(1_000),
+        ..EngineFaults::default()
+    });
+    let answer = client.chat(PROMPT, 12, true).await;
+    assert!(answer.body.len() > 1_000, "{} bytes", answer.body.len());
+    assert_complete(&answer, PROMPT, 12);
+    assert_eq!(deployment.centres[0].engines[0].counters().started, 2);
+    deployment.stop().await;
+}
+
 /// A stream that breaks after every resume must end with an error after two of
 /// them.
 #[tokio::test]
