Let a stopping node follow the configuration while it serves

Requests of a contract that had just been restricted to dublin ran in cork (residency violation).

Cause: nodes that are live watch the store in part of their number. A node that stops is no longer live, so it stopped watching at once, but it serves for its drain time and while its last requests run; it learned of changes only if neighbours that had them happened to be asked.

Change: a node that stops watches the store.

a_stopping_node_follows_the_configuration failed before (the node served under the old contract until it ended) and passes now.

--- a/crates/verbenaring-gateway/src/cluster.rs
+++ b/crates/verbenaring-gateway/src/cluster.rs
@@ -272,10 +272,14 @@
     }
 
     /// Decides by rendezvous hashing whether this node watches the platform store.
+    ///
+    /// A node that stops is not among those that are live, but serves for a while. It
+    /// watches the store itself.
     fn choose_watchers(&self) {
         let live = self.members.live().map(|member| &member.vm);
         let chosen = rendezvous("configuration watcher", live, WATCHERS_PER_CENTRE);
-        let enabled = chosen.contains(&&self.view.settings.vm);
+        let enabled =
+            self.view.stopping.load(Ordering::Relaxed) || chosen.contains(&&self.view.settings.vm);
         self.watch_enabled
             .send_if_modified(|current| std::mem::replace(current, enabled) != enabled);
     }
--- a/crates/verbenaring-testbed/tests/failure/caller.rs
+++ b/crates/verbenaring-testbed/tests/failure/caller.rs
@@ -11,7 +11,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use verbenaring_gateway::config::LimitSettings;
 use verbenaring_testbed::client::{TestClient, chat_body, read_answer};
-use verbenaring_testbed::deployment::{CUSTOMER_KEY, DeploymentSpec};
+use verbenaring_testbed::deployment::{CUSTOMER_KEY, DeploymentSpec, contract_document};
 use verbenaring_testbed::{EngineFaults, EngineSettings, expected_answer};
 
 use crate::{
@@ -259,3 +259,29 @@
     stopping.await.unwrap();
     assert!(TcpStream::connect(address).await.is_err());
 }
+
+/// Guards against a node that still serves while it stops, but under a contract that was
+/// replaced meanwhile.
+#[tokio::test]
+async fn a_stopping_node_follows_the_configuration() {
+    /// Time in which a node that has left chooses the watchers of its data centre again.
+    const REFRESH_TIME: Duration = Duration::from_millis(1_500);
+    let (mut deployment, client) = start(DeploymentSpec {
+        centres: vec![dublin_centre(vec![engine_settings()])],
+        drain: Duration::from_secs(10),
+        ..DeploymentSpec::default()
+    })
+    .await;
+    let node = deployment.centres[0].nodes.remove(0);
+    let stopping = tokio::spawn(node.stop());
+    wait_until(async || client.get("/readyz").await.status == 503).await;
+    tokio::time::sleep(REFRESH_TIME).await;
+    assert_eq!(client.chat("before", 4, false).await.status, 200);
+    let elsewhere = contract_document("council", CUSTOMER_KEY, "cork", &["cork"]);
+    deployment
+        .write("config/contract/council", &elsewhere)
+        .await;
+    wait_until(async || client.chat("after", 4, false).await.status == 403).await;
+    stopping.abort();
+    deployment.stop().await;
+}
