Judge residency in the soak by when an engine started a prompt

The soak counted a prompt of a restricted contract as a violation if it was sent while the restriction was in force, whenever it ran. A request that waits, at a paused node or over several tries, may run once the contract allows the region again.

--- a/crates/verbenaring-testbed/src/engine.rs
+++ b/crates/verbenaring-testbed/src/engine.rs
@@ -125,6 +125,15 @@
     pub generated_tokens: u64,
 }
 
+/// Prompt of an attempt that got a slot.
+#[derive(Debug, Clone)]
+pub struct StartedPrompt {
+    /// Text of the prompt.
+    pub text: String,
+    /// When the attempt got its slot.
+    pub started: Instant,
+}
+
 /// Order that sets the desired state of an engine.
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 pub struct EngineOrder {
@@ -160,7 +169,7 @@
     /// Number of starts by attempt ID.
     pub(crate) executions: BTreeMap<String, u64>,
     /// Prompts of the started attempts; empty unless they are kept.
-    pub(crate) prompts: Vec<String>,
+    pub(crate) prompts: Vec<StartedPrompt>,
     pub(crate) cache: PrefixCache,
     /// ID and cancel signal of each attempt that waits or runs, by its number.
     pub(crate) active: BTreeMap<u64, (String, Arc<Notify>)>,
@@ -249,7 +258,7 @@
 
     /// Prompts of the attempts that got a slot, in order; empty unless
     /// `EngineSettings::keep_prompts` is set.
-    pub fn prompts(&self) -> Vec<String> {
+    pub fn prompts(&self) -> Vec<StartedPrompt> {
         self.core.state.lock().unwrap().prompts.clone()
     }
 
--- a/crates/verbenaring-testbed/src/generation.rs
+++ b/crates/verbenaring-testbed/src/generation.rs
@@ -17,7 +17,7 @@
 
 use crate::answer::{self, AnswerTemplate, TokenUsage};
 use crate::batch::Slot;
-use crate::engine::{CrashPoint, EngineCore, EngineOrder};
+use crate::engine::{CrashPoint, EngineCore, EngineOrder, StartedPrompt};
 use crate::http::{self, Body, Closed, Handler, HandlerResult};
 
 /// Value of the header `Retry-After` of a refusal, in seconds.
@@ -285,7 +285,10 @@
         state.counters.started += 1;
         *state.executions.entry(job.attempt.clone()).or_default() += 1;
         if self.settings.keep_prompts {
-            state.prompts.push(job.prompt.clone());
+            state.prompts.push(StartedPrompt {
+                text: job.prompt.clone(),
+                started: Instant::now(),
+            });
         }
         let cached = state.cache.insert(&job.prompt);
         state.counters.cached_tokens += u64::from(cached);
--- a/crates/verbenaring-testbed/src/lib.rs
+++ b/crates/verbenaring-testbed/src/lib.rs
@@ -23,6 +23,7 @@
 pub use answer::expected_answer;
 pub use engine::{
     CrashPoint, EngineCounters, EngineFaults, EngineOrder, EngineServer, EngineSettings,
+    StartedPrompt,
 };
 pub use error::{Error, Result};
 pub use service::{ExecutedCall, ServiceFaults, ServiceServer, ServiceSettings, UnframedAnswer};
