Let restricted periods of the soak go on while the contract stays restricted

The soak's residency check missed a prompt that was sent in one restricted period and started in the next although the contract had not been widened between them: since a prompt counts only if it starts before the period ends in which it was sent.

Cause: a period ended with every round of amendments, also if the new one restricts the contract again. Change: a period goes on until a round lifts the restriction, so that such prompts count, and those sent between two such rounds as well.

--- a/crates/verbenaring-testbed/examples/soak/operators.rs
+++ b/crates/verbenaring-testbed/examples/soak/operators.rs
@@ -38,7 +38,7 @@
 pub struct RestrictedPeriod {
     /// Time at which the restriction was first seen in force on all running nodes.
     pub from: Instant,
-    /// Time at which the next round of amendments began.
+    /// Time at which the round of amendments began that lifted the restriction.
     pub until: Instant,
 }
 
@@ -242,12 +242,7 @@
         let Ok(Some(base)) = context.writer.get(AMENDED_KEY).await else {
             continue;
         };
-        if let Some((_, Some(from))) = restricted.take() {
-            periods.push(RestrictedPeriod {
-                from,
-                until: Instant::now(),
-            });
-        }
+        let restricted_from = restricted.take().and_then(|(_, from)| from);
         let written = Instant::now();
         let changes = [ChangeId(Uuid::new_v4()), ChangeId(Uuid::new_v4())];
         let documents = [
@@ -292,7 +287,13 @@
         check_accepted(&current, &base, changes, accepted, &context.report);
         let text = String::from_utf8_lossy(&current.value).into_owned();
         if !text.contains("\"cork\"") {
-            restricted = Some((current.revision, None));
+            // The period goes on if the contract was restricted before as well.
+            restricted = Some((current.revision, restricted_from));
+        } else if let Some(from) = restricted_from {
+            periods.push(RestrictedPeriod {
+                from,
+                until: written,
+            });
         }
     }
     if let Some((_, Some(from))) = restricted {
