--- a/crates/verbenaring-core/src/path/choose.rs
+++ b/crates/verbenaring-core/src/path/choose.rs
@@ -9,7 +9,8 @@
 
 use rand::Rng;
 use rand::seq::IndexedRandom;
-use verbenaring_policy::dispatch::place::{Placement, PlacementError, RegionVms};
+use verbenaring_policy::dispatch::ownership::RegionView;
+use verbenaring_policy::dispatch::place::{Placement, PlacementError};
 use verbenaring_policy::dispatch::presence::VmRecord;
 use verbenaring_policy::dispatch::server::InFlightCall;
 use verbenaring_policy::dispatch::spill::{RegionForecast, RemoteRegion, TimeBudget, should_spill};
@@ -161,15 +162,14 @@
         if !call.route.allows(&self.location.region) {
             return Err(PlacementError::NoServer);
         }
-        let live = state.live_region_vms(now);
-        let discovery_time = match live.len() < self.settings.tuning.relay.direct_vms {
+        let view = state.region_view(now);
+        let discovery_time = match view.live.len() < self.settings.tuning.relay.direct_vms {
             true => VM_DISCOVERY_TIME,
             false => RELAYED_DISCOVERY_TIME,
         };
-        let vms = RegionVms {
-            own: state.vm_hash(),
-            live: &live,
+        let vms = RegionView {
             peers_known: now.since(Moment::default()) >= discovery_time,
+            ..view
         };
         state
             .servers
--- a/crates/verbenaring-core/src/state.rs
+++ b/crates/verbenaring-core/src/state.rs
@@ -6,6 +6,7 @@
 use std::collections::HashMap;
 
 use verbenaring_policy::dispatch::evidence::CallParts;
+use verbenaring_policy::dispatch::ownership::RegionView;
 use verbenaring_policy::dispatch::presence::{PresenceTable, VmState};
 use verbenaring_policy::dispatch::prompt::{name_hash, rendezvous_score};
 use verbenaring_policy::dispatch::run::RunTable;
@@ -77,16 +78,9 @@
         self.vm_hash
     }
 
-    /// Name hashes of the live VMs in the region of this VM, including its own.
-    pub fn live_region_vms(&self, now: Moment) -> Vec<u64> {
-        let region_vms = self
-            .vms
-            .live(now)
-            .filter(|(_, record)| record.centre.region == self.region);
-        region_vms
-            .map(|(_, record)| record.name_hash)
-            .chain([self.vm_hash])
-            .collect()
+    /// Live VMs of the region, as this VM sees them.
+    pub fn region_view(&self, now: Moment) -> RegionView {
+        RegionView::new(self.vm_hash, &self.region, &self.vms, now)
     }
 
     /// Records that newer configuration could not be fetched from another VM. A
--- a/crates/verbenaring-policy/src/dispatch/mod.rs
+++ b/crates/verbenaring-policy/src/dispatch/mod.rs
@@ -3,7 +3,8 @@
 //! A call may arrive at any VM. Its route states how often and where it may run
 //! ([`call`]). A server of the VM's own region is chosen ([`place`]) by the
 //! predicted time to its first event ([`forecast`]) and by its health in earlier
-//! calls ([`health`]). Calls to cold servers are rate-limited ([`pace`]). Calls whose
+//! calls ([`health`]). Calls to cold servers are
+//! rate-limited ([`pace`]) and sent by one VM ([`ownership`]). Calls whose
 //! prompts crash servers are refused ([`suspect`]), as far as the calls that servers
 //! leave behind when they end ([`run`]) and the [`evidence`] of other VMs show it. Another region is used if it answers
 //! sooner or is much less busy ([`spill`]). [`presence`] tracks the other VMs,
@@ -15,6 +16,7 @@
 pub mod evidence;
 pub mod forecast;
 pub mod health;
+pub mod ownership;
 pub mod pace;
 pub mod place;
 pub mod presence;
--- a/crates/verbenaring-policy/src/dispatch/place.rs
+++ b/crates/verbenaring-policy/src/dispatch/place.rs
@@ -15,6 +15,7 @@
 use std::time::Duration;
 
 use super::call::ServiceSettings;
+use super::ownership::RegionView;
 use super::prompt::{PromptPart, PromptRecord, rendezvous_score, short_part_id};
 use super::rate::WorkRate;
 use super::server::{ServerKey, ServerRecord};
@@ -108,26 +109,6 @@
     }
 }
 
-/// Live VMs of the own region, including this one, as name hashes.
-#[derive(Debug, Clone, Copy)]
-pub struct RegionVms<'a> {
-    /// Name hash of this VM.
-    pub own: u64,
-    /// Name hashes of all live VMs.
-    pub live: &'a [u64],
-    /// Whether this VM has run long enough to have heard from the others. Before
-    /// that, each VM of a restarting region would take itself for the only one.
-    pub peers_known: bool,
-}
-
-impl RegionVms<'_> {
-    /// Whether this VM is the one that may send calls to a cold server.
-    fn is_owner(&self, server: u64) -> bool {
-        let rank = |vm: &u64| rendezvous_score(server, *vm);
-        self.peers_known && self.live.iter().all(|vm| rank(vm) <= rank(&self.own))
-    }
-}
-
 /// Chosen server with the prediction behind the choice.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Placement {
@@ -187,7 +168,7 @@
     pub fn place(
         &mut self,
         request: &PlacementRequest<'_>,
-        vms: &RegionVms<'_>,
+        vms: &RegionView,
         now: Moment,
     ) -> Result<Placement, PlacementError> {
         let mut usable = self.usable(request, vms, now)?;
@@ -243,7 +224,7 @@
     fn usable(
         &mut self,
         request: &PlacementRequest<'_>,
-        vms: &RegionVms<'_>,
+        vms: &RegionView,
         now: Moment,
     ) -> Result<Vec<ServerKey>, PlacementError> {
         let pace_limit = self.pace.calls_per_owner(request.settings.cold_rate);
--- a/crates/verbenaring-policy/tests/dispatch/fixture.rs
+++ b/crates/verbenaring-policy/tests/dispatch/fixture.rs
@@ -3,8 +3,9 @@
 use std::time::Duration;
 
 use verbenaring_policy::dispatch::call::ServiceSettings;
+use verbenaring_policy::dispatch::ownership::RegionView;
 use verbenaring_policy::dispatch::pace::PaceLimits;
-use verbenaring_policy::dispatch::place::{Placement, PlacementError, PlacementRequest, RegionVms};
+use verbenaring_policy::dispatch::place::{Placement, PlacementError, PlacementRequest};
 use verbenaring_policy::dispatch::prompt::PromptPart;
 use verbenaring_policy::dispatch::server::{CallOutcome, InFlightCall, ServerEntry};
 use verbenaring_policy::dispatch::settings::DispatchSettings;
@@ -15,11 +16,9 @@
 use verbenaring_policy::time::Moment;
 
 /// Region in which this VM is the only one and therefore owns every cold server.
-pub const SINGLE_VM: RegionVms<'static> = RegionVms {
-    own: 1,
-    live: &[1],
-    peers_known: true,
-};
+pub fn single_vm() -> RegionView {
+    RegionView::of_live(1, &[1])
+}
 
 pub fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -116,7 +115,7 @@
     }
 
     pub fn place(&self, table: &mut ServerTable, now: Moment) -> Result<Placement, PlacementError> {
-        table.place(&self.request(), &SINGLE_VM, now)
+        table.place(&self.request(), &single_vm(), now)
     }
 
     pub fn send(&self, table: &mut ServerTable, now: Moment) -> InFlightCall {
--- a/crates/verbenaring-policy/tests/dispatch/place.rs
+++ b/crates/verbenaring-policy/tests/dispatch/place.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use verbenaring_policy::dispatch::place::{PlacementError, RegionVms};
+use verbenaring_policy::dispatch::ownership::RegionView;
+use verbenaring_policy::dispatch::place::PlacementError;
 use verbenaring_policy::dispatch::prompt::PromptRecord;
 use verbenaring_policy::dispatch::server::CallOutcome;
 use verbenaring_policy::dispatch::table::EntryChange;
@@ -188,11 +189,7 @@
     // Exactly one of three VMs owns the server.
     let vms = [11, 22, 33];
     let owners = vms.iter().filter(|own| {
-        let vms = RegionVms {
-            own: **own,
-            live: &vms,
-            peers_known: true,
-        };
+        let vms = RegionView::of_live(**own, &vms);
         table.place(&call.request(), &vms, at(2_500)).is_ok()
     });
     assert_eq!(owners.count(), 1);
@@ -207,16 +204,16 @@
     let mut cold = entry("a", 10);
     cold.born = Some(2);
     table.apply(cold, ms(3_000), at(100));
-    let alone = RegionVms {
+    let alone = RegionView {
         peers_known: false,
-        ..SINGLE_VM
+        ..single_vm()
     };
     let call = TestCall::new(1, 0, 10);
     assert_eq!(
         table.place(&call.request(), &alone, at(200)),
         Err(PlacementError::Paced)
     );
-    assert!(table.place(&call.request(), &SINGLE_VM, at(200)).is_ok());
+    assert!(table.place(&call.request(), &single_vm(), at(200)).is_ok());
 }
 
 /// Guards against a suggested wait that includes the whole penalty of a server: a
@@ -253,11 +250,7 @@
         table.apply(server, ms(0), at(0));
     }
     let live: Vec<u64> = (0..20).collect();
-    let vms = RegionVms {
-        own: 0,
-        live: &live,
-        peers_known: true,
-    };
+    let vms = RegionView::of_live(0, &live);
     let mut crossed = |shared: u32| {
         let placed = (0..200).map(|session| {
             let call = TestCall::new(session, shared, 300);
--- a/crates/verbenaring-policy/tests/dispatch/stale_reports.rs
+++ b/crates/verbenaring-policy/tests/dispatch/stale_reports.rs
@@ -4,7 +4,7 @@
 
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use verbenaring_policy::dispatch::place::RegionVms;
+use verbenaring_policy::dispatch::ownership::RegionView;
 use verbenaring_policy::dispatch::server::{CallOutcome, InFlightCall, LoadShare};
 use verbenaring_policy::dispatch::table::ServerTable;
 
@@ -75,11 +75,7 @@
                     false => rng.random_range(500..3_000),
                 };
                 let call = TestCall::new(rng.random_range(0..1_000), 300, own);
-                let vms = RegionVms {
-                    own: vm as u64,
-                    live: &live,
-                    peers_known: true,
-                };
+                let vms = RegionView::of_live(vm as u64, &live);
                 let table = &mut self.tables[vm];
                 let placed = table.place(&call.request(), &vms, at(now));
                 let placement = placed.expect("placed");
