--- a/crates/verbenaring-policy/tests/dispatch/main.rs
+++ b/crates/verbenaring-policy/tests/dispatch/main.rs
@@ -3,6 +3,7 @@
 mod components;
 mod fixture;
 mod forecast;
+mod ownership;
 mod place;
 mod presence;
 mod regions;
