Notice soon that connections to the platform's store have fallen silent

Cause: a watch whose connection has fallen silent looks like one without changes. It was given up 6 s after it was sent, and the listing that followed took a silent idle connection, 1.5 s more. A change sends all watches anew at the same moment, so that none of the VMs noticed earlier. Class: silence taken for the absence of changes, for longer than the bound within which changes must be in force.

Change: watches of server entries are held for 1.5 s.

The kernel's probes cost no calls, but show only peers that are gone, not connections that something in between keeps open.

--- a/crates/verbenaring-core/src/cluster/snapshot.rs
+++ b/crates/verbenaring-core/src/cluster/snapshot.rs
@@ -111,7 +111,10 @@
         match tokio::time::timeout(SNAPSHOT_TIMEOUT, node.fetch_snapshot(address)).await {
             Ok(Ok(())) => {}
             Ok(Err(reason)) => node.record_snapshot_failure(address, &reason),
-            Err(_) => node.record_snapshot_failure(address, "no answer in time"),
+            Err(_) => {
+                node.pool.close_idle(address);
+                node.record_snapshot_failure(address, "no answer in time");
+            }
         }
     }
 }
--- a/crates/verbenaring-core/src/config/source.rs
+++ b/crates/verbenaring-core/src/config/source.rs
@@ -72,6 +72,9 @@
     /// The source no longer keeps the changes after the given revision.
     #[error("changes after the requested revision are no longer available")]
     Compacted,
+    /// The source did not answer in time; open connections to it may be dead.
+    #[error("{0}")]
+    NoAnswer(String),
     /// The source cannot be reached or failed; holds the reason.
     #[error("{0}")]
     Unavailable(String),
--- a/crates/verbenaring-core/src/config/sync.rs
+++ b/crates/verbenaring-core/src/config/sync.rs
@@ -5,6 +5,10 @@
 //! again. While the source is unavailable, the last state stays in force. VMs
 //! that do not watch, or whose watch lags, ask VMs whose reports show newer
 //! state.
+//!
+//! Open connections can fall silent without an error, and a watch whose connection is
+//! silent looks like one without changes. A watch that is not answered in time therefore
+//! ends the other one too.
 
 use std::collections::HashSet;
 use std::sync::Arc;
@@ -119,7 +123,12 @@
                         log::info!(scope = scope.name(); "platform store no longer has the history, listing again");
                         continue;
                     }
-                    WatchOutcome::Error(error) => log_store_loss(&mut lost_since, scope, &error),
+                    WatchOutcome::Error(error) => {
+                        if matches!(error, SourceError::NoAnswer(_)) {
+                            node.source_silent.notify_waiters();
+                        }
+                        log_store_loss(&mut lost_since, scope, &error);
+                    }
                 }
             }
             Err(error) => log_store_loss(&mut lost_since, scope, &error),
@@ -152,9 +161,19 @@
     mut after: u64,
     grace_until: Instant,
 ) -> WatchOutcome {
-    let hold = Duration::from_millis(node.settings.tuning.watch_ms);
+    let tuning = &node.settings.tuning;
+    let hold = Duration::from_millis(match scope {
+        ConfigScope::Operator => tuning.watch_ms,
+        ConfigScope::Servers => tuning.server_watch_ms,
+    });
     while node.should_watch() {
-        match source.watch(scope, after, hold).await {
+        let watched = tokio::select! {
+            watched = source.watch(scope, after, hold) => watched,
+            () = node.source_silent.notified() => {
+                Err(SourceError::Unavailable("no answer to another watch".to_owned()))
+            }
+        };
+        match watched {
             Ok(batch) => {
                 after = after.max(batch.revision);
                 let paused = scope == ConfigScope::Servers && !batch.changes.is_empty();
--- a/crates/verbenaring-core/src/node.rs
+++ b/crates/verbenaring-core/src/node.rs
@@ -79,6 +79,8 @@
     pub(crate) caller_idle_timeout: Arc<IdleTimeout>,
     /// Notified when servers are to be checked.
     pub(crate) server_check: Notify,
+    /// Notified when the configuration source left a watch without an answer.
+    pub(crate) source_silent: Notify,
     operator_status: ScopeStatus,
     servers_status: ScopeStatus,
     state: Mutex<FrontState>,
@@ -108,6 +110,7 @@
             answer_memory: Semaphore::new(settings.resources.answer_memory_bytes()),
             caller_idle_timeout: Arc::default(),
             server_check: Notify::new(),
+            source_silent: Notify::new(),
             operator_status: ScopeStatus::default(),
             servers_status: ScopeStatus::default(),
             state: Mutex::new(FrontState::new(&settings)),
--- a/crates/verbenaring-core/src/settings.rs
+++ b/crates/verbenaring-core/src/settings.rs
@@ -193,9 +193,13 @@
     pub far_connect_ms: u64,
     /// Time for which callers may cache an answer of the directory, in s.
     pub directory_ttl_s: u64,
-    /// Time for which the store may hold a watch open, in ms. A dead connection
-    /// goes unnoticed for at most this time.
+    /// Time for which the store may hold a watch of the operators' configuration open,
+    /// in ms.
     pub watch_ms: u64,
+    /// Time for which the store may hold a watch of server entries open, in ms. Servers
+    /// renew their entries about once a second, so that a watch without an answer soon
+    /// shows that connections to the store have fallen silent.
+    pub server_watch_ms: u64,
     /// Limit on log lines per second about calls that succeeded. Failures have a
     /// separate limit.
     pub routine_lines_per_s: u32,
@@ -214,6 +218,7 @@
             far_connect_ms: 450,
             directory_ttl_s: 1,
             watch_ms: 5_000,
+            server_watch_ms: 1_500,
             routine_lines_per_s: 20,
             dispatch: DispatchSettings::default(),
             relay: RelaySettings::default(),
--- a/crates/verbenaring-core/src/upstream/pool.rs
+++ b/crates/verbenaring-core/src/upstream/pool.rs
@@ -201,6 +201,15 @@
         });
     }
 
+    /// Closes the idle connections to an address. When one connection falls silent, the
+    /// others may have done so as well, and each would cost a time limit.
+    pub fn close_idle(&self, address: SocketAddr) {
+        let connections = self.lock().remove(&address);
+        for connection in connections.into_iter().flatten() {
+            connection.task.abort();
+        }
+    }
+
     fn reuse(self: &Arc<Self>, address: SocketAddr, max_idle: Duration) -> Option<ConnectionLease> {
         let now = Instant::now();
         let mut idle = self.lock();
