Keep cold servers within their limit however differently VMs see each other

Cause: each VM decides by itself whether it owns a cold server, from the VMs that it counts as live at this moment. Two owners stay within the limit, more do not. When relays stand still, the others lose sight of each other at slightly different times, and VMs that are cut off from all others each own everything. Class: a leader that each member elects from its own, momentary view.

Ruled out as the trigger there: a server that is not known to be cold (its entry arrived with cold_ms 2995).

Change: a VM that is no longer live keeps what it owns for 1.5 s, in which the views become alike; an owner that hears less than half of the VMs expected in its region, seeds that it has not heard included, sends only the part of the limit that corresponds to those it hears, so that the parts of owners that do not hear each other add up to the limit at most. Calls to cold servers are logged with both numbers, and counted. Whether a VM waits 1.5 or 5 s before it owns servers now follows from whether reports go through relays, not from the size of its region.

--- a/crates/verbenaring-core/src/cluster/report.rs
+++ b/crates/verbenaring-core/src/cluster/report.rs
@@ -345,7 +345,7 @@
     fn contact_unknown(&mut self, datagrams: &mut Datagrams) {
         let own = self.node.settings.report_address;
         let unknown: Vec<SocketAddr> = {
-            let state = self.node.lock();
+            let mut state = self.node.lock();
             // All VMs of a deployment use the same ports.
             let seeds = self.node.settings.seeds.iter();
             let seeds = seeds.map(|seed| SocketAddr::new(seed.ip(), own.port()));
@@ -353,7 +353,9 @@
             let unknown = others
                 .into_iter()
                 .filter(|address| *address != own && !state.vms.contains_address(address));
-            unknown.collect()
+            let unknown: Vec<SocketAddr> = unknown.collect();
+            state.unheard_vms = unknown.len();
+            unknown
         };
         if !unknown.is_empty() {
             let report = VmReport {
--- a/crates/verbenaring-core/src/observe/metrics.rs
+++ b/crates/verbenaring-core/src/observe/metrics.rs
@@ -32,6 +32,8 @@
     /// Absolute difference between the predicted and the actual time to the
     /// first event, in seconds.
     pub forecast_error: Histogram,
+    /// Calls sent to cold servers.
+    pub paced_calls: IntCounter,
     /// New connections to servers and VMs.
     pub connections: IntCounter,
     /// Calls to the platform store by operation and result.
@@ -65,14 +67,12 @@
             "verbenaring_forecast_error_seconds",
             "Absolute difference between predicted and seen time to the first event",
         );
-        let ended_servers = IntCounter::new(
-            "verbenaring_servers_ended_total",
-            "Servers that ended while they answered a call",
-        );
-        let connections = IntCounter::new(
-            "verbenaring_connections_total",
-            "New connections to servers and VMs",
-        );
+        let counter = |name: &str, help: &str| {
+            register(
+                &registry,
+                IntCounter::new(name, help).expect("valid metric"),
+            )
+        };
         Self {
             calls: counters("verbenaring_calls_total", "Calls by outcome", &["outcome"]),
             refusals: counters(
@@ -90,7 +90,14 @@
                 "Streams that ended without a connection error, by framing and position",
                 &["framing", "position"],
             ),
-            ended_servers: register(&registry, ended_servers.expect("valid metric")),
+            ended_servers: counter(
+                "verbenaring_servers_ended_total",
+                "Servers that ended while they answered a call",
+            ),
+            paced_calls: counter(
+                "verbenaring_paced_calls_total",
+                "Calls sent to cold servers",
+            ),
             quarantined_parts: gauge(
                 "verbenaring_quarantined_parts",
                 "Requests and parts of prompts whose calls are refused",
@@ -103,7 +110,10 @@
                 &registry,
                 Histogram::with_opts(forecast_error).expect("valid metric"),
             ),
-            connections: register(&registry, connections.expect("valid metric")),
+            connections: counter(
+                "verbenaring_connections_total",
+                "New connections to servers and VMs",
+            ),
             store_calls: counters(
                 "verbenaring_store_calls_total",
                 "Calls to the platform store",
--- a/crates/verbenaring-core/src/path/choose.rs
+++ b/crates/verbenaring-core/src/path/choose.rs
@@ -9,7 +9,6 @@
 
 use rand::Rng;
 use rand::seq::IndexedRandom;
-use verbenaring_policy::dispatch::ownership::RegionView;
 use verbenaring_policy::dispatch::place::{Placement, PlacementError};
 use verbenaring_policy::dispatch::presence::VmRecord;
 use verbenaring_policy::dispatch::server::InFlightCall;
@@ -162,15 +161,11 @@
         if !call.route.allows(&self.location.region) {
             return Err(PlacementError::NoServer);
         }
-        let view = state.region_view(now);
-        let discovery_time = match view.live.len() < self.settings.tuning.relay.direct_vms {
-            true => VM_DISCOVERY_TIME,
-            false => RELAYED_DISCOVERY_TIME,
-        };
-        let vms = RegionView {
-            peers_known: now.since(Moment::default()) >= discovery_time,
-            ..view
+        let discovery_time = match self.is_relayed() {
+            true => RELAYED_DISCOVERY_TIME,
+            false => VM_DISCOVERY_TIME,
         };
+        let vms = state.region_view(discovery_time, now);
         state
             .servers
             .place(&call.placement_request(&tried.servers), &vms, now)
@@ -195,6 +190,13 @@
                 forecast_ms = placement.forecast.as_millis() as u64,
                 copied = placement.cache_source.is_some(), suppressed_lines = suppressed; "call placed");
         }
+        if placement.paced {
+            self.metrics.paced_calls.inc();
+            let view = state.region_view(Duration::ZERO, now);
+            log::info!(request = call.metadata.attempt_id.as_str(), server:% = id,
+                live_vms = view.live.len(), expected_vms = view.expected;
+                "call sent to a cold server");
+        }
         let request = call.placement_request(&tried.servers);
         let work = state.servers.record_sent(placement, &request, now);
         Some(CallTarget::Server(ChosenServer {
--- a/crates/verbenaring-core/src/state.rs
+++ b/crates/verbenaring-core/src/state.rs
@@ -4,6 +4,7 @@
 //! kept in the node, replaced as a whole and read without the lock.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use verbenaring_policy::dispatch::evidence::CallParts;
 use verbenaring_policy::dispatch::ownership::RegionView;
@@ -33,6 +34,8 @@
     pub suspects: SuspectTable,
     /// Other VMs, as their reports describe them.
     pub vms: PresenceTable,
+    /// Addresses of VMs that are expected and have not been heard yet.
+    pub unheard_vms: usize,
     /// Calls recently forwarded to other regions.
     pub spilled_calls: SpillTracker,
     /// Revision of the operators' configuration in force; 0 if none is known.
@@ -61,6 +64,7 @@
             runs: RunTable::default(),
             suspects: SuspectTable::default(),
             vms: PresenceTable::default(),
+            unheard_vms: settings.seeds.len(),
             spilled_calls: SpillTracker::default(),
             operator_revision: 0,
             watcher_election: WatcherElection::default(),
@@ -78,9 +82,15 @@
         self.vm_hash
     }
 
-    /// Live VMs of the region, as this VM sees them.
-    pub fn region_view(&self, now: Moment) -> RegionView {
-        RegionView::new(self.vm_hash, &self.region, &self.vms, now)
+    /// The region, as this VM sees it. `discovery_time` is the time that this VM must
+    /// have run to know the others.
+    pub fn region_view(&self, discovery_time: Duration, now: Moment) -> RegionView {
+        let view = RegionView::new(self.vm_hash, &self.region, &self.vms, now);
+        RegionView {
+            expected: view.expected + self.unheard_vms,
+            peers_known: now.since(Moment::default()) >= discovery_time,
+            ..view
+        }
     }
 
     /// Records that newer configuration could not be fetched from another VM. A
--- a/crates/verbenaring-policy/src/dispatch/ownership.rs
+++ b/crates/verbenaring-policy/src/dispatch/ownership.rs
@@ -1,14 +1,24 @@
 //! Which VM of a region may send calls to a server that tolerates few of them.
 //!
 //! Load pattern: servers return together and cold, and every VM of the region has calls
-//! for them. Each such server has one owner VM, by rendezvous hashing over the live VMs,
-//! so that VMs need not agree on every call.
+//! for them. Each such server has one owner VM, by rendezvous hashing, so that VMs need
+//! not agree on every call. VMs see each other differently while some are cut off, stand
+//! still or are lost, and several may take themselves for the owner. Two things bound
+//! what they send together: an owner that is no longer heard is replaced only after
+//! [`HANDOVER_TIME`], in which views that change at different times become alike, and an
+//! owner that hears less than half of the VMs sends only the part of the limit that
+//! corresponds to what it hears.
 
-use super::presence::PresenceTable;
+use std::time::Duration;
+
+use super::presence::{PresenceTable, VmState};
 use super::prompt::rendezvous_score;
 use crate::id::RegionName;
 use crate::time::Moment;
 
+/// Time for which a VM that is no longer live keeps the servers that it owns.
+pub const HANDOVER_TIME: Duration = Duration::from_millis(1_500);
+
 /// VMs of a region, as one of them sees it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RegionView {
@@ -16,6 +26,10 @@
     pub own: u64,
     /// Name hashes of all live VMs, including this one.
     pub live: Vec<u64>,
+    /// Name hashes of the VMs that were live until recently.
+    pub recent: Vec<u64>,
+    /// VMs that are expected in the region, live or not, including this one.
+    pub expected: usize,
     /// Whether this VM has run long enough to have heard from the others. Before
     /// that, each VM of a restarting region would take itself for the only one.
     pub peers_known: bool,
@@ -24,15 +38,17 @@
 impl RegionView {
     /// View of the VM `own` in `region` that has run long enough to know the others.
     pub fn new(own: u64, region: &RegionName, vms: &PresenceTable, now: Moment) -> Self {
-        let region_vms = vms
-            .live(now)
-            .filter(|(_, record)| record.centre.region == *region);
-        let live = region_vms.map(|(_, record)| record.name_hash).chain([own]);
-        Self {
-            own,
-            live: live.collect(),
-            peers_known: true,
+        let mut view = Self::of_live(own, &[own]);
+        for record in vms.iter().filter(|record| record.centre.region == *region) {
+            if record.is_live(now) {
+                view.live.push(record.name_hash);
+            } else if record.was_live_within(HANDOVER_TIME, now) {
+                view.recent.push(record.name_hash);
+            }
+            let stops = matches!(record.state, VmState::Leaving | VmState::Closing);
+            view.expected += usize::from(!stops);
         }
+        view
     }
 
     /// View in which all of `live` are known to be live.
@@ -40,6 +56,8 @@
         Self {
             own,
             live: live.to_vec(),
+            recent: Vec::new(),
+            expected: live.len(),
             peers_known: true,
         }
     }
@@ -47,6 +65,13 @@
     /// Whether this VM is the one that may send calls to a cold server.
     pub(super) fn is_owner(&self, server: u64) -> bool {
         let rank = |vm: &u64| rendezvous_score(server, *vm);
-        self.peers_known && self.live.iter().all(|vm| rank(vm) <= rank(&self.own))
+        let own = rank(&self.own);
+        let mut rivals = self.live.iter().chain(&self.recent);
+        self.peers_known && rivals.all(|vm| rank(vm) <= own)
+    }
+
+    /// Fraction of the expected VMs that are live, at most 1.
+    pub(super) fn live_share(&self) -> f64 {
+        (self.live.len() as f64 / self.expected.max(1) as f64).min(1.0)
     }
 }
--- a/crates/verbenaring-policy/src/dispatch/pace.rs
+++ b/crates/verbenaring-policy/src/dispatch/pace.rs
@@ -3,8 +3,9 @@
 //! Load pattern: servers return together, with empty caches, and every VM has
 //! calls for them. A cold server crashes under more than a few calls per second
 //! from all VMs together. Each cold server therefore has one owner VM, chosen by
-//! rendezvous hashing over the live VMs. The owner sends at most half of the
-//! limit, so that two VMs that both believe to be the owner stay within it.
+//! rendezvous hashing over the live VMs ([`super::ownership`]). The owner sends at
+//! most half of the limit, so that two VMs that both believe to be the owner stay
+//! within it.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -14,6 +15,9 @@
 /// Sliding window of the rate limit.
 const PACE_WINDOW: Duration = Duration::from_secs(1);
 
+/// Largest part of the limit that one owner uses.
+const MAX_OWNER_SHARE: f64 = 0.5;
+
 /// Limit on the calls to a cold server from all VMs, derived from its tolerated rate.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct PaceLimits {
@@ -34,9 +38,14 @@
 }
 
 impl PaceLimits {
-    /// Calls that the owner may send per second; `rate` is the tolerated rate.
-    pub fn calls_per_owner(&self, rate: f64) -> usize {
-        ((rate * self.factor + self.slack) / 2.0).max(0.0) as usize
+    /// Calls that an owner may send per second; `rate` is the tolerated rate,
+    /// `live_share` the fraction of the region's VMs that the owner hears.
+    ///
+    /// Owners that do not hear each other hear different VMs, so that their parts add up
+    /// to the limit at most.
+    pub fn calls_per_owner(&self, rate: f64, live_share: f64) -> usize {
+        let limit = (rate * self.factor + self.slack).max(0.0);
+        (limit * live_share.min(MAX_OWNER_SHARE)) as usize
     }
 }
 
--- a/crates/verbenaring-policy/src/dispatch/place.rs
+++ b/crates/verbenaring-policy/src/dispatch/place.rs
@@ -124,6 +124,8 @@
     pub forecast: Duration,
     /// Fraction of its time that the server spends reading prompts.
     pub busy: f64,
+    /// Whether the server is cold, so that only this VM sends calls to it.
+    pub paced: bool,
     /// Server from which the shared parts can be copied, if the chosen server
     /// does not have them cached.
     pub cache_source: Option<SocketAddr>,
@@ -216,6 +218,7 @@
             queued_ahead: best.queued_ahead,
             forecast: best.forecast,
             busy: best.busy,
+            paced: self.servers[best.key].is_paced(request.settings, now),
             cache_source: cache_source.map(|source| self.servers[source].entry.address),
         })
     }
@@ -227,7 +230,9 @@
         vms: &RegionView,
         now: Moment,
     ) -> Result<Vec<ServerKey>, PlacementError> {
-        let pace_limit = self.pace.calls_per_owner(request.settings.cold_rate);
+        let pace_limit = self
+            .pace
+            .calls_per_owner(request.settings.cold_rate, vms.live_share());
         let busy_limit = self.settings.busy_limit(request.rank);
         let mut usable = Vec::new();
         let mut busy_servers = Vec::new();
--- a/crates/verbenaring-policy/src/dispatch/presence.rs
+++ b/crates/verbenaring-policy/src/dispatch/presence.rs
@@ -125,6 +125,11 @@
         now.since(self.received_at) < (self.interval * MISSED_REPORTS).max(MIN_SILENCE)
     }
 
+    /// Whether reports of the VM still arrived at most `time` ago.
+    pub fn was_live_within(&self, time: Duration, now: Moment) -> bool {
+        self.is_live(now - time)
+    }
+
     /// Whether calls may be forwarded to the VM.
     pub fn takes_calls(&self, now: Moment) -> bool {
         self.state == VmState::Ready && self.is_live(now)
