Treat a VM that stood still like one that has just started

What callers would have seen: a cold server flooded by VMs that go on after a standstill.

Either the others' reports are unread and all of them seem lost, or its clock stood still as well and it does not know that others have taken over.

Change: gaps between ticks, and time that the system counts but the VM's clock does not, are noticed, also before the first tick; ownership then waits as after a start.

--- a/crates/verbenaring-core/src/clock.rs
+++ b/crates/verbenaring-core/src/clock.rs
@@ -2,9 +2,18 @@
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use rustix::time::{ClockId, clock_gettime};
 use tokio::time::Instant;
 use verbenaring_policy::time::Moment;
 
+/// Time since the system started, including the time in which it was suspended.
+pub(crate) fn system_time() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+    let nanos = u32::try_from(time.tv_nsec).unwrap_or_default();
+    Duration::new(seconds, nanos)
+}
+
 /// Converts the runtime's clock to [`Moment`]s since the start and to Unix time.
 #[derive(Debug, Clone, Copy)]
 pub struct NodeClock {
--- a/crates/verbenaring-core/src/cluster/peers.rs
+++ b/crates/verbenaring-core/src/cluster/peers.rs
@@ -8,6 +8,7 @@
 use verbenaring_policy::id::VmId;
 use verbenaring_policy::time::Moment;
 
+use crate::clock::system_time;
 use crate::node::FrontNode;
 use crate::wire::WireProtocol;
 
@@ -60,6 +61,15 @@
         self.is_relay.store(plan.is_relay, Ordering::Relaxed);
     }
 
+    /// Records that this VM runs.
+    pub(crate) fn record_tick(&self) {
+        let now = self.clock.now();
+        let gap = self.lock().standstill.record_tick(system_time(), now);
+        if let Some(gap) = gap {
+            log::warn!(gap_ms = gap.as_millis() as u64; "VM stood still");
+        }
+    }
+
     /// Whether this VM hears another one, or has run for so long that there is none.
     pub(crate) fn has_heard_others(&self) -> bool {
         let now = self.clock.now();
--- a/crates/verbenaring-core/src/cluster/report.rs
+++ b/crates/verbenaring-core/src/cluster/report.rs
@@ -187,6 +187,7 @@
 
     /// Datagrams that are due now.
     fn datagrams(&mut self) -> Datagrams {
+        self.node.record_tick();
         if self.plan_schedule.is_due(PLAN_INTERVAL) {
             self.update_plan();
         }
--- a/crates/verbenaring-core/src/path/choose.rs
+++ b/crates/verbenaring-core/src/path/choose.rs
@@ -22,8 +22,8 @@
 use crate::state::FrontState;
 use crate::wire::WireProtocol;
 
-/// Time after its start by which a VM has received reports of all others in its
-/// region, even if their first datagrams were lost.
+/// Time after its start, or after it stood still, by which a VM has received reports of
+/// all others in its region, even if their first datagrams were lost.
 const VM_DISCOVERY_TIME: Duration = Duration::from_millis(1_500);
 /// The same where relays describe the others, a few in each datagram.
 const RELAYED_DISCOVERY_TIME: Duration = Duration::from_millis(5_000);
--- a/crates/verbenaring-core/src/state.rs
+++ b/crates/verbenaring-core/src/state.rs
@@ -12,6 +12,7 @@
 use verbenaring_policy::dispatch::prompt::{name_hash, rendezvous_score};
 use verbenaring_policy::dispatch::run::RunTable;
 use verbenaring_policy::dispatch::spill::SpillTracker;
+use verbenaring_policy::dispatch::standstill::StandstillDetector;
 use verbenaring_policy::dispatch::suspect::{PartVerdict, SuspectTable};
 use verbenaring_policy::dispatch::table::ServerTable;
 use verbenaring_policy::dispatch::watcher::{WatchPeer, WatcherElection};
@@ -34,6 +35,8 @@
     pub suspects: SuspectTable,
     /// Other VMs, as their reports describe them.
     pub vms: PresenceTable,
+    /// Whether this VM has run without standing still.
+    pub standstill: StandstillDetector,
     /// Addresses of VMs that are expected and have not been heard yet.
     pub unheard_vms: usize,
     /// Calls recently forwarded to other regions.
@@ -64,6 +67,7 @@
             runs: RunTable::default(),
             suspects: SuspectTable::default(),
             vms: PresenceTable::default(),
+            standstill: StandstillDetector::default(),
             unheard_vms: settings.seeds.len(),
             spilled_calls: SpillTracker::default(),
             operator_revision: 0,
@@ -88,7 +92,7 @@
         let view = RegionView::new(self.vm_hash, &self.region, &self.vms, now);
         RegionView {
             expected: view.expected + self.unheard_vms,
-            peers_known: now.since(Moment::default()) >= discovery_time,
+            peers_known: self.standstill.running_time(now) >= discovery_time,
             ..view
         }
     }
--- a/crates/verbenaring-policy/src/dispatch/mod.rs
+++ b/crates/verbenaring-policy/src/dispatch/mod.rs
@@ -7,7 +7,7 @@
 //! rate-limited ([`pace`]) and sent by one VM ([`ownership`]). Calls whose
 //! prompts crash servers are refused ([`suspect`]), as far as the calls that servers
 //! leave behind when they end ([`run`]) and the [`evidence`] of other VMs show it. Another region is used if it answers
-//! sooner or is much less busy ([`spill`]). [`presence`] tracks the other VMs,
+//! sooner or is much less busy ([`spill`]). [`presence`] tracks the other VMs, [`standstill`] notices when this one did not run,
 //! [`relay`] decides to which of them a VM reports, [`watcher`] decides which VMs watch
 //! the configuration source, and [`changes`] passes their view of the servers on.
 
@@ -28,6 +28,7 @@
 pub mod server;
 pub mod settings;
 pub mod spill;
+pub mod standstill;
 pub mod suspect;
 pub mod table;
 pub mod watcher;
--- a/crates/verbenaring-policy/tests/dispatch/main.rs
+++ b/crates/verbenaring-policy/tests/dispatch/main.rs
@@ -12,5 +12,6 @@
 mod run;
 mod servers;
 mod stale_reports;
+mod standstill;
 mod suspect;
 mod watcher;
