Send nothing to servers that say in an answer that they leave

Cause: only the entry of a server told VMs that it leaves; Server-Leaving was not read. Class: as with limits, a statement that no decision takes into account.

Evidence: the test failed, a server that had said so got 10 more of 40 calls.

Change: the statement holds until the server starts again. It counts wherever the entry's state does: choice, waits told to other regions, and whether a connection's end is that of its server. Answers to other calls and from other servers (421) state nothing.

Measured: the test passes; the test of limits passes.

--- a/crates/verbenaring-core/src/path/exchange.rs
+++ b/crates/verbenaring-core/src/path/exchange.rs
@@ -211,8 +211,9 @@
         if kind == AnswerKind::Ran {
             guard.record_begun(framing);
         }
-        if let (AnswerKind::Ran | AnswerKind::NotRun, Some(server)) = (kind, guard.server()) {
-            self.record_statement(server, P::read_statement(&head.headers));
+        let statement = P::read_statement(head.status, &head.headers, &call.metadata.attempt_id);
+        if let (Some(server), Some(statement)) = (guard.server(), statement) {
+            self.record_statement(server, statement);
         }
         match kind {
             AnswerKind::NotRun | AnswerKind::WrongServer => {
--- a/crates/verbenaring-core/src/path/statement.rs
+++ b/crates/verbenaring-core/src/path/statement.rs
@@ -10,13 +10,17 @@
     /// Records the statement of an answer.
     pub(super) fn record_statement(&self, server: ServerKey, statement: ServerStatement) {
         let now = self.clock.now();
-        let change = self
-            .lock()
-            .servers
-            .record_limit(server, statement.limit, now);
+        let (change, leaves) = {
+            let servers = &mut self.lock().servers;
+            let change = servers.record_limit(server, statement.limit, now);
+            (change, statement.leaving && servers.record_leaving(server))
+        };
         if let Some(change) = change {
             self.log_limit(server, change);
         }
+        if leaves {
+            log::info!(server = self.server_name(server); "server states that it leaves");
+        }
     }
 
     /// Takes over what another VM told about limits of servers.
--- a/crates/verbenaring-core/src/upstream/check.rs
+++ b/crates/verbenaring-core/src/upstream/check.rs
@@ -83,7 +83,7 @@
     fn serving_address(&self, server: ServerKey) -> Option<SocketAddr> {
         let state = self.lock();
         let entry = state.servers.entry(server)?;
-        (!entry.draining).then_some(entry.address)
+        (!state.servers.is_leaving(server)).then_some(entry.address)
     }
 }
 
--- a/crates/verbenaring-core/src/wire.rs
+++ b/crates/verbenaring-core/src/wire.rs
@@ -49,6 +49,8 @@
     /// Requests per second that it takes from all VMs together; `None` if it names no
     /// limit.
     pub limit: Option<f64>,
+    /// Whether it shuts down and takes no new calls.
+    pub leaving: bool,
 }
 
 /// Classification of an answer by its status and headers.
@@ -74,8 +76,14 @@
     fn write_attempt(headers: &mut HeaderMap, metadata: &AttemptMetadata<'_>);
     /// Classifies an answer to the call `attempt_id`.
     fn classify_answer(status: StatusCode, headers: &HeaderMap, attempt_id: &str) -> AnswerKind;
-    /// Reads what a server states about itself; a malformed statement counts as absent.
-    fn read_statement(headers: &HeaderMap) -> ServerStatement;
+    /// Reads what a server states about itself in an answer to the call `attempt_id`; a
+    /// malformed statement counts as absent. `None` if the answer belongs to another call
+    /// or comes from another server.
+    fn read_statement(
+        status: StatusCode,
+        headers: &HeaderMap,
+        attempt_id: &str,
+    ) -> Option<ServerStatement>;
     /// Adds headers to an answer that the gateway generates itself.
     fn write_gateway_answer(headers: &mut HeaderMap, attempt_id: &str);
 }
--- a/crates/verbenaring-policy/src/dispatch/server.rs
+++ b/crates/verbenaring-policy/src/dispatch/server.rs
@@ -145,6 +145,8 @@
     pub(super) cold_until: Moment,
     pub(super) pace: PaceWindow,
     pub(super) limit: ServerLimit,
+    /// Whether an answer stated that the server leaves; its entry may not show it.
+    pub(super) stated_leaving: bool,
     /// Set when the entry is removed; the server takes calls until then.
     pub(super) use_until: Option<Moment>,
 }
@@ -162,12 +164,18 @@
             cold_until: now + entry.cold_left,
             pace: PaceWindow::default(),
             limit: ServerLimit::default(),
+            stated_leaving: false,
             use_until: None,
             changed_revision: entry.revision,
             entry,
         }
     }
 
+    /// Whether the server takes no new calls because it shuts down.
+    pub(super) fn is_leaving(&self) -> bool {
+        self.entry.draining || self.stated_leaving
+    }
+
     /// Short hash of the server and its start.
     pub(super) fn boot_hash(&self) -> u32 {
         rendezvous_score(self.name_hash, self.entry.born.unwrap_or_default()) as u32
--- a/crates/verbenaring-policy/src/dispatch/table.rs
+++ b/crates/verbenaring-policy/src/dispatch/table.rs
@@ -154,6 +154,7 @@
             record.cache.clear();
             record.health.clear();
             record.limit = ServerLimit::default();
+            record.stated_leaving = false;
         }
         if !cold_left.is_zero() {
             record.cold_until = record.cold_until.max(now + cold_left);
@@ -236,6 +237,22 @@
         self.servers.get(key).map(ServerRecord::boot_hash)
     }
 
+    /// Whether a server is known to shut down.
+    pub fn is_leaving(&self, key: ServerKey) -> bool {
+        self.servers.get(key).is_some_and(ServerRecord::is_leaving)
+    }
+
+    /// Records that an answer of a server states that it leaves; returns whether this was
+    /// not known. It holds until the server starts again.
+    pub fn record_leaving(&mut self, server: ServerKey) -> bool {
+        let Some(record) = self.servers.get_mut(server) else {
+            return false;
+        };
+        let known = record.is_leaving();
+        record.stated_leaving = true;
+        !known
+    }
+
     /// Drops idle servers past their grace period and records that have expired.
     pub fn expire(&mut self, now: Moment) {
         let by_id = &mut self.by_id;
@@ -283,7 +300,7 @@
             let entry = &record.entry;
             entry.service == *service
                 && entry.centre.region == *region
-                && !entry.draining
+                && !record.is_leaving()
                 && record.use_until.is_none()
                 && !self.evacuated.contains(&entry.centre.name)
         })
@@ -427,7 +444,7 @@
     pub(super) fn is_usable(&self, record: &ServerRecord, now: Moment) -> bool {
         let entry = &record.entry;
         entry.centre.region == self.region
-            && !entry.draining
+            && !record.is_leaving()
             && record.use_until.is_none_or(|at| now < at)
             && !self.evacuated.contains(&entry.centre.name)
     }
