Leave servers alone for as long as they ask in a refusal

Cause: Retry-After of a server's own 503 was not read; a refusal only counted for the health of the server, which a few good answers outweigh.

Regions do not offer such servers to others.

--- a/crates/verbenaring-core/src/path/statement.rs
+++ b/crates/verbenaring-core/src/path/statement.rs
@@ -13,11 +13,18 @@
         let (change, leaves) = {
             let servers = &mut self.lock().servers;
             let change = servers.record_limit(server, statement.limit, now);
+            if let Some(pause) = statement.pause {
+                servers.record_pause(server, pause, now);
+            }
             (change, statement.leaving && servers.record_leaving(server))
         };
         if let Some(change) = change {
             self.log_limit(server, change);
         }
+        if let Some(pause) = statement.pause {
+            log::info!(server = self.server_name(server), pause_ms = pause.as_millis() as u64;
+                "server wants no calls for some time");
+        }
         if leaves {
             log::info!(server = self.server_name(server); "server states that it leaves");
         }
--- a/crates/verbenaring-core/src/wire.rs
+++ b/crates/verbenaring-core/src/wire.rs
@@ -51,6 +51,8 @@
     pub limit: Option<f64>,
     /// Whether it shuts down and takes no new calls.
     pub leaving: bool,
+    /// Time for which it wants no calls from this VM; `None` if it states none.
+    pub pause: Option<Duration>,
 }
 
 /// Classification of an answer by its status and headers.
--- a/crates/verbenaring-policy/src/dispatch/place.rs
+++ b/crates/verbenaring-policy/src/dispatch/place.rs
@@ -138,9 +138,9 @@
     NoServer,
     /// The eligible servers are cold, and this VM may send them no more calls now.
     Paced,
-    /// The eligible servers name limits, which are used up for now.
+    /// The eligible servers name limits that are used up for now, or want no calls.
     Limited {
-        /// Time until the first of them takes another call.
+        /// Time until the first of them takes a call.
         until: Duration,
     },
     /// Servers are too busy reading prompts, and no other one is usable.
@@ -247,7 +247,7 @@
         for key in self.eligible_servers(request, now) {
             let record = &mut self.servers[key];
             record.limit.update_part(record.name_hash, vms, now);
-            if let Some(wait) = record.limit.wait(now) {
+            if let Some(wait) = record.stated_wait(now) {
                 limited = Some(limited.map_or(wait, |least| least.min(wait)));
                 continue;
             }
--- a/crates/verbenaring-policy/src/dispatch/region_load.rs
+++ b/crates/verbenaring-policy/src/dispatch/region_load.rs
@@ -81,6 +81,7 @@
                         && self.is_usable(record, now)
                         && !record.is_paced(settings, now)
                         && record.limit.rate().is_none()
+                        && record.stated_wait(now).is_none()
                 })
                 .map(|record| {
                     let (_, forecast) = self.forecast(record, settings, 0, true, now);
--- a/crates/verbenaring-policy/src/dispatch/server.rs
+++ b/crates/verbenaring-policy/src/dispatch/server.rs
@@ -147,6 +147,8 @@
     pub(super) limit: ServerLimit,
     /// Whether an answer stated that the server leaves; its entry may not show it.
     pub(super) stated_leaving: bool,
+    /// Time until which the server wants no calls from this VM.
+    pub(super) paused_until: Moment,
     /// Set when the entry is removed; the server takes calls until then.
     pub(super) use_until: Option<Moment>,
 }
@@ -165,6 +167,7 @@
             pace: PaceWindow::default(),
             limit: ServerLimit::default(),
             stated_leaving: false,
+            paused_until: Moment::default(),
             use_until: None,
             changed_revision: entry.revision,
             entry,
@@ -176,6 +179,16 @@
         self.entry.draining || self.stated_leaving
     }
 
+    /// Time until this VM may send a call, as far as the server states it; `None` if it
+    /// may do so now.
+    pub(super) fn stated_wait(&self, now: Moment) -> Option<Duration> {
+        let pause = self.paused_until.since(now);
+        match (pause.is_zero(), self.limit.wait(now)) {
+            (true, wait) => wait,
+            (false, wait) => Some(pause.max(wait.unwrap_or_default())),
+        }
+    }
+
     /// Short hash of the server and its start.
     pub(super) fn boot_hash(&self) -> u32 {
         rendezvous_score(self.name_hash, self.entry.born.unwrap_or_default()) as u32
--- a/crates/verbenaring-policy/src/dispatch/table.rs
+++ b/crates/verbenaring-policy/src/dispatch/table.rs
@@ -155,6 +155,7 @@
             record.health.clear();
             record.limit = ServerLimit::default();
             record.stated_leaving = false;
+            record.paused_until = Moment::default();
         }
         if !cold_left.is_zero() {
             record.cold_until = record.cold_until.max(now + cold_left);
@@ -253,6 +254,13 @@
         !known
     }
 
+    /// Records that a server wants no calls from this VM for `pause`.
+    pub fn record_pause(&mut self, server: ServerKey, pause: Duration, now: Moment) {
+        if let Some(record) = self.servers.get_mut(server) {
+            record.paused_until = record.paused_until.max(now + pause);
+        }
+    }
+
     /// Drops idle servers past their grace period and records that have expired.
     pub fn expire(&mut self, now: Moment) {
         let by_id = &mut self.by_id;
