Bear entries of servers whose numbers are very large

Report of another operator: one odd entry ends the machines that read the list.

What callers would have seen: no answer in debug builds, in release builds a server that is never used.

Cause: the slots of an entry were multiplied without regard for overflow. Class: arithmetic on what others state.

--- a/crates/verbenaring-policy/src/dispatch/place.rs
+++ b/crates/verbenaring-policy/src/dispatch/place.rs
@@ -435,7 +435,10 @@
         let record = &self.servers[key];
         let load = record.load(now);
         match request.settings.cache_tokens {
-            None => u32::from(load.calls) < record.entry.slots * PLAIN_QUEUE_FACTOR,
+            None => {
+                let accepted = record.entry.slots.saturating_mul(PLAIN_QUEUE_FACTOR);
+                u32::from(load.calls) < accepted
+            }
             Some(capacity) => {
                 let memory = u64::from(load.memory_tokens)
                     + u64::from(request.prompt_tokens())
