Do not take a repeated refusal for the answer to the next call

Report of another operator: a faulty server wrote an earlier refusal once more on a kept connection.

What callers saw (REFUSED, TWICE): an order that one server ran was called not run and ran at a second one.

Cause: an answer that names no call was taken for the answer to the call that waits on the connection. Class: an identity inferred from position.

Evidence: the test failed with status 200 from the second server while the first ran the order, where the refusal names no call; where it names another one it was recognised before.

Change: on a connection that may have carried other calls, an answer that does not name its call belongs to none; the outcome of the call is unknown then.

--- a/crates/verbenaring-core/src/path/exchange.rs
+++ b/crates/verbenaring-core/src/path/exchange.rs
@@ -206,12 +206,13 @@
                 _ => (AttemptOutcome::Broken { reason }, "unknown"),
             };
         }
-        let kind = P::classify_answer(head.status, &head.headers, &call.metadata.attempt_id);
+        let attempt_id = &call.metadata.attempt_id;
+        let kind = P::classify_answer(head.status, &head.headers, attempt_id, lease.is_reused());
         let framing = AnswerFraming::of(&head.headers, &body);
         if kind == AnswerKind::Ran {
             guard.record_begun(framing);
         }
-        let statement = P::read_statement(head.status, &head.headers, &call.metadata.attempt_id);
+        let statement = P::read_statement(head.status, &head.headers, attempt_id);
         if let (Some(server), Some(statement)) = (guard.server(), statement) {
             self.record_statement(server, statement);
         }
--- a/crates/verbenaring-core/src/upstream/pool.rs
+++ b/crates/verbenaring-core/src/upstream/pool.rs
@@ -97,9 +97,15 @@
     sender: Option<SendRequest<Full<Bytes>>>,
     task: AbortHandle,
     idle_timeout: Duration,
+    reused: bool,
 }
 
 impl ConnectionLease {
+    /// Whether the connection may have carried other requests before.
+    pub fn is_reused(&self) -> bool {
+        self.reused
+    }
+
     /// Returns the connection to the pool; to be called after a whole answer.
     pub fn release(mut self) {
         let Some(sender) = self.sender.take() else {
@@ -224,6 +230,7 @@
                     sender: Some(connection.sender),
                     task: connection.task,
                     idle_timeout: connection.expires_at - connection.idle_since,
+                    reused: true,
                 });
             }
             connection.task.abort();
@@ -267,6 +274,7 @@
             sender: Some(sender),
             task: task.abort_handle(),
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
+            reused: false,
         })
     }
 
--- a/crates/verbenaring-core/src/wire.rs
+++ b/crates/verbenaring-core/src/wire.rs
@@ -76,8 +76,14 @@
     fn strip_internal_headers(headers: &mut HeaderMap);
     /// Sets the headers of an attempt on top of those of the call.
     fn write_attempt(headers: &mut HeaderMap, metadata: &AttemptMetadata<'_>);
-    /// Classifies an answer to the call `attempt_id`.
-    fn classify_answer(status: StatusCode, headers: &HeaderMap, attempt_id: &str) -> AnswerKind;
+    /// Classifies an answer to the call `attempt_id`. On a connection that is `reused`, an
+    /// answer that names no call may be a repeated one to an earlier call.
+    fn classify_answer(
+        status: StatusCode,
+        headers: &HeaderMap,
+        attempt_id: &str,
+        reused: bool,
+    ) -> AnswerKind;
     /// Reads what a server states about itself in an answer to the call `attempt_id`; a
     /// malformed statement counts as absent. `None` if the answer belongs to another call
     /// or comes from another server.
