Continue a broken stream only with what follows its last event

Report of another operator: a stream broke off, and the next server answered with an error.

Cause: any answer with a success status counted as the rest of the stream. Class: the form of an answer is assumed from the request.

Evidence: the test failed with "data: failed" of a text/plain answer behind the third event; errors with status 500, 404, 503 and 204 and bytes without a head were kept out before.

Change: the answer must have the status and media type of the first one, and its first event an ID behind the last one passed on. Otherwise the stream ends as broken.

--- a/crates/verbenaring-core/src/path/event.rs
+++ b/crates/verbenaring-core/src/path/event.rs
@@ -17,25 +17,41 @@
     incomplete: BytesMut,
     progress: EventProgress,
     last_id: Option<String>,
+    /// Whether the next event must continue the stream after `last_id`.
+    continues: bool,
 }
 
-/// The incomplete event exceeds the buffer limit.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
-#[error("event is longer than {MAX_EVENT_BYTES} bytes")]
-pub struct EventTooLarge;
+/// Why the bytes of a stream cannot be passed on.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum EventError {
+    /// The incomplete event exceeds the buffer limit.
+    #[error("event is longer than {MAX_EVENT_BYTES} bytes")]
+    TooLarge,
+    /// The first event of a resumed stream does not follow the last one before.
+    #[error("event {found:?} does not follow event {last}")]
+    NotNext {
+        /// ID of the last event before the resume.
+        last: String,
+        /// ID of the first event after it, if it has one.
+        found: Option<String>,
+    },
+}
 
 impl EventSplitter {
     /// Adds received bytes and returns the events that are now complete, if any.
-    pub fn push(&mut self, bytes: &Bytes) -> Result<Option<Bytes>, EventTooLarge> {
+    pub fn push(&mut self, bytes: &Bytes) -> Result<Option<Bytes>, EventError> {
         let known = self.incomplete.len();
         self.incomplete.extend_from_slice(bytes);
         let Some(end) = self.progress.push(bytes) else {
             if self.incomplete.len() > MAX_EVENT_BYTES {
-                return Err(EventTooLarge);
+                return Err(EventError::TooLarge);
             }
             return Ok(None);
         };
         let whole = self.incomplete.split_to(known + end).freeze();
+        if std::mem::take(&mut self.continues) {
+            self.check_next(&whole)?;
+        }
         if let Some(id) = find_last_id(&whole) {
             self.last_id = Some(id);
         }
@@ -52,6 +68,32 @@
         self.progress = EventProgress::default();
         self.incomplete.split().freeze()
     }
+
+    /// Expects another stream that continues this one after its last whole event.
+    pub fn continue_elsewhere(&mut self) {
+        self.take_incomplete();
+        self.continues = self.last_id.is_some();
+    }
+
+    /// Checks that events follow the last one. A server that cannot continue a stream may
+    /// state its error in the form of an event.
+    fn check_next(&self, events: &[u8]) -> Result<(), EventError> {
+        let Some(last) = &self.last_id else {
+            return Ok(());
+        };
+        let found = find_first_id(events);
+        let is_next = found.as_ref().is_some_and(|found| {
+            let numbers = found.parse::<u64>().ok().zip(last.parse::<u64>().ok());
+            numbers.map_or(found != last, |(found, last)| found > last)
+        });
+        match is_next {
+            true => Ok(()),
+            false => Err(EventError::NotNext {
+                last: last.clone(),
+                found,
+            }),
+        }
+    }
 }
 
 /// Finds the ends of events in a stream, looking at each byte once.
@@ -145,7 +187,21 @@
 
 fn find_last_id(events: &[u8]) -> Option<String> {
     let mut lines = events.rsplit(|byte| *byte == b'\n');
-    let value = lines.find_map(|line| line.strip_prefix(b"id:"))?;
-    let text = std::str::from_utf8(value).ok()?;
+    lines.find_map(read_id)
+}
+
+/// ID of the first event; `None` if it has none. Comments are no events.
+fn find_first_id(events: &[u8]) -> Option<String> {
+    let lines = events.split(|byte| *byte == b'\n');
+    let mut lines = lines.map(|line| line.strip_suffix(b"\r").unwrap_or(line));
+    let mut fields = lines
+        .by_ref()
+        .skip_while(|line| line.is_empty() || line.starts_with(b":"))
+        .take_while(|line| !line.is_empty());
+    fields.find_map(read_id)
+}
+
+fn read_id(line: &[u8]) -> Option<String> {
+    let text = std::str::from_utf8(line.strip_prefix(b"id:")?).ok()?;
     Some(text.trim().to_owned())
 }
--- a/crates/verbenaring-core/src/path/relay.rs
+++ b/crates/verbenaring-core/src/path/relay.rs
@@ -3,7 +3,8 @@
 //! A stream that completes no event for longer than callers wait counts as broken,
 //! whatever bytes arrive, and so does one that ends inside an event, however its end
 //! is marked, or together with its server if nothing marks it. A broken stream is
-//! resumed at another server if its route allows it. Otherwise the connection to the
+//! resumed at another server if its route allows it and that server goes on after the
+//! last event. Otherwise the connection to the
 //! caller is closed without the last chunk, so that a partial answer never looks
 //! complete. The relay states a regular end explicitly; if it stops for any other
 //! reason, the answer is incomplete.
@@ -14,8 +15,9 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::Response;
-use hyper::header::CONTENT_LENGTH;
+use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE};
+use hyper::http::response::Parts;
+use hyper::{Response, StatusCode};
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 use verbenaring_policy::dispatch::call::CallKind;
 use verbenaring_policy::dispatch::server::{CallOutcome, ServerKey};
@@ -43,6 +45,31 @@
     Broken(String),
 }
 
+/// What the head of an answer states about its body. A stream is continued only by an
+/// answer of the same form.
+#[derive(Debug, PartialEq)]
+struct AnswerForm {
+    status: StatusCode,
+    /// Media type without parameters, in lower case; empty if it is not stated.
+    media_type: String,
+}
+
+impl AnswerForm {
+    fn of(head: &Parts) -> Self {
+        let stated = head.headers.get(CONTENT_TYPE);
+        let stated = stated.and_then(|value| value.to_str().ok());
+        let media_type = stated.and_then(|value| value.split(';').next());
+        Self {
+            status: head.status,
+            media_type: media_type.unwrap_or_default().trim().to_ascii_lowercase(),
+        }
+    }
+
+    fn matches(&self, head: &Parts) -> bool {
+        *self == Self::of(head)
+    }
+}
+
 /// Task that relays one stream, with the figures that are logged at its end.
 pub struct StreamRelay<P: WireProtocol> {
     node: Arc<FrontNode<P>>,
@@ -50,6 +77,7 @@
     tried: TriedTargets,
     sender: PartSender,
     splitter: Option<EventSplitter>,
+    form: AnswerForm,
     progress: EventProgress,
     framing: AnswerFraming,
     first_part_at: Option<Instant>,
@@ -80,6 +108,7 @@
             tried,
             sender,
             splitter: resumable.then(EventSplitter::default),
+            form: AnswerForm::of(&stream.head),
             progress: EventProgress::default(),
             framing: stream.framing,
             first_part_at: None,
@@ -249,7 +278,7 @@
     /// event. `None` if the stream cannot be resumed.
     async fn resume(&mut self) -> Option<Box<UpstreamStream<P>>> {
         let splitter = self.splitter.as_mut()?;
-        drop(splitter.take_incomplete());
+        splitter.continue_elsewhere();
         if !self.call.may_run_again() || self.sender.is_closed() {
             return None;
         }
@@ -260,6 +289,11 @@
             .node
             .try_targets(&self.call, &mut self.tried, last_id.as_deref());
         match timeout_at(self.call.deadline, resuming).await {
+            Ok(Ok(UpstreamAnswer::Stream(stream))) if !self.form.matches(&stream.head) => {
+                log::warn!(request = self.call.metadata.attempt_id.as_str(),
+                    status = stream.head.status.as_u16(); "stream not resumed: answer of another form");
+                None
+            }
             Ok(Ok(UpstreamAnswer::Stream(stream))) => {
                 log::info!(request = self.call.metadata.attempt_id.as_str(),
                     after = last_id.as_deref().unwrap_or("start"); "stream resumed");
