Open watches of verbenaringd again when they may have fallen silent

What callers would have seen: requests judged by a contract that had been replaced, where all watchers' connections fall silent.

Change: a watch without changes for 5 s is opened again from where it stood; the configuration is not listed again for that.

--- a/crates/verbenaring-gateway/src/etcd.rs
+++ b/crates/verbenaring-gateway/src/etcd.rs
@@ -26,8 +26,9 @@
 
 /// Maximum size of an answer of the store; fits 6,800 contracts of a few KB each.
 const MAX_ANSWER_BYTES: usize = 256 * 1024 * 1024;
-/// Time without data after which a watch fails, so that it is opened again.
-const WATCH_IDLE_TIMEOUT: Duration = Duration::from_secs(600);
+/// Time without data after which a watch may be silent. Together with the time limit of
+/// calls it is below the 10 s within which changes must be in force.
+const WATCH_IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Client of the platform store that moves to the next address after a failed call.
 pub struct EtcdStore {
@@ -207,9 +208,11 @@
                 }
                 continue;
             }
-            let frame = tokio::time::timeout(WATCH_IDLE_TIMEOUT, self.body.frame())
-                .await
-                .map_err(|_| StoreError::NoAnswer("watch was silent".into()))?
+            let waiting = tokio::time::timeout(WATCH_IDLE_TIMEOUT, self.body.frame());
+            let Ok(frame) = waiting.await else {
+                return Ok(Vec::new());
+            };
+            let frame = frame
                 .ok_or_else(|| StoreError::NoAnswer("watch was closed".into()))?
                 .map_err(|error| StoreError::NoAnswer(error.to_string()))?;
             if let Some(data) = frame.data_ref() {
--- a/crates/verbenaring-gateway/src/store.rs
+++ b/crates/verbenaring-gateway/src/store.rs
@@ -74,7 +74,9 @@
 
 /// Stream of changes to the keys of a watched prefix.
 pub trait ChangeStream: Send {
-    /// Waits for the next batch of changes; an error ends the stream.
+    /// Waits for the next batch of changes; an error ends the stream. An empty batch
+    /// tells that nothing has arrived for some time: either there were no changes, or the
+    /// stream has fallen silent and must be opened again.
     fn next(&mut self) -> impl Future<Output = StoreResult<Vec<StoreChange>>> + Send;
 }
 
--- a/crates/verbenaring-gateway/src/watcher.rs
+++ b/crates/verbenaring-gateway/src/watcher.rs
@@ -2,7 +2,8 @@
 //!
 //! Two nodes of each data centre watch the store; the others receive the changes
 //! from them. A watcher reads all keys once and then watches them from that
-//! revision. If the store fails, the configuration stays in force and the watcher
+//! revision. A watch without changes for some seconds is opened again, because its
+//! connection may have fallen silent. If the store fails, the configuration stays in force and the watcher
 //! starts over.
 
 use std::sync::Arc;
@@ -71,9 +72,17 @@
             .map(|key| decode_entry(key, answer.revision, None));
         self.replica.merge(present.chain(deleted));
         self.replica.set_loaded();
-        let mut stream = self.store.watch(CONFIG_PREFIX, answer.revision + 1).await?;
+        let mut next_revision = answer.revision + 1;
+        let mut stream = self.store.watch(CONFIG_PREFIX, next_revision).await?;
         loop {
             let changes = stream.next().await?;
+            if changes.is_empty() {
+                drop(stream);
+                stream = self.store.watch(CONFIG_PREFIX, next_revision).await?;
+                continue;
+            }
+            let newest = changes.iter().map(|change| change.revision).max();
+            next_revision = next_revision.max(newest.unwrap_or_default() + 1);
             self.replica.merge(
                 changes.iter().map(|change| {
                     decode_entry(&change.key, change.revision, change.value.as_deref())
--- a/crates/verbenaring-testbed/src/store.rs
+++ b/crates/verbenaring-testbed/src/store.rs
@@ -4,6 +4,7 @@
 //! since the history is never compacted, but only the current one can be read.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -83,6 +84,8 @@
     /// Signals that the revision or the next lease expiry has changed.
     changed: watch::Sender<()>,
     gate: Arc<ConnectionGate>,
+    /// Watches up to this number are silent.
+    silent_watches: AtomicU64,
 }
 
 /// Task that expires the leases; dropping it with the store aborts it.
@@ -113,6 +116,7 @@
             keyspace: Mutex::new(Keyspace::new()),
             changed: watch::channel(()).0,
             gate: ConnectionGate::new(),
+            silent_watches: AtomicU64::new(0),
         });
         let listener = Listener::start(core.clone(), core.gate.clone()).await?;
         let expiry = ExpiryTask(tokio::spawn(run_lease_expiry(core.clone())));
@@ -134,6 +138,12 @@
         *self.core.faults.lock().unwrap() = faults;
     }
 
+    /// Silences the watches that were opened so far: they stay open and send nothing more.
+    pub fn silence_watches(&self) {
+        let opened = self.counters().watches_opened;
+        self.core.silent_watches.store(opened, Ordering::SeqCst);
+    }
+
     /// Expires all leases now, which deletes the keys attached to them.
     pub fn expire_leases(&self) {
         self.core.update(Keyspace::expire_all);
@@ -274,18 +284,29 @@
 }
 
 /// Guard that counts a watch as open until it is dropped.
-struct OpenWatch(Arc<StoreCore>);
+struct OpenWatch {
+    core: Arc<StoreCore>,
+    /// Number of watches opened up to this one.
+    number: u64,
+}
 
 impl OpenWatch {
     fn new(core: Arc<StoreCore>) -> Self {
-        core.counters.lock().unwrap().open_watches += 1;
-        Self(core)
+        let mut counters = core.counters.lock().unwrap();
+        counters.open_watches += 1;
+        let number = counters.watches_opened;
+        drop(counters);
+        Self { core, number }
+    }
+
+    fn is_silent(&self) -> bool {
+        self.number <= self.core.silent_watches.load(Ordering::SeqCst)
     }
 }
 
 impl Drop for OpenWatch {
     fn drop(&mut self) {
-        self.0.counters.lock().unwrap().open_watches -= 1;
+        self.core.counters.lock().unwrap().open_watches -= 1;
     }
 }
 
@@ -300,7 +321,7 @@
 impl WatchCursor {
     /// Line with the new changes that match the watch; `None` if there are none.
     fn next_line(&mut self) -> Option<Bytes> {
-        let keyspace = self.open.0.keyspace.lock().unwrap();
+        let keyspace = self.open.core.keyspace.lock().unwrap();
         let new_changes = &keyspace.history()[self.position..];
         let matching = new_changes
             .iter()
@@ -316,6 +337,9 @@
     stream::unfold(cursor, |mut cursor| async move {
         loop {
             cursor.changed.changed().await.ok()?;
+            if cursor.open.is_silent() {
+                std::future::pending::<()>().await;
+            }
             if let Some(line) = cursor.next_line() {
                 return Some((Ok(line), cursor));
             }
--- a/crates/verbenaring-testbed/tests/cluster.rs
+++ b/crates/verbenaring-testbed/tests/cluster.rs
@@ -19,6 +19,8 @@
 
 #[path = "cluster/pause.rs"]
 mod pause;
+#[path = "cluster/silence.rs"]
+mod silence;
 
 const CONTRACT_KEY: &str = "config/contract/council";
 /// Timeout of waits for a condition, far above what any condition takes.
