Watch as soon as no watcher is heard any more

What callers saw: calls at servers that had left, and in a data centre that had been evacuated, longer than the bound after both (DRAIN, EVAC; 404 for an added route, CONFIG, by the same way).

Cause: where reports go through relays, a VM holds others for live for 5 s without news of them, and so counted on watchers that it did not hear: while all relays of its data centre stand still, or while it is cut off, it waited 5 s before it turned to the store. Class, as with silent connections: silence taken for the absence of changes.

Change: a VM that was not heard for 1.5 s does not count as a watcher or a candidate. Relays have news of the watchers of their region in every digest, 300 ms apart, instead of in turn.

--- a/crates/verbenaring-core/src/cluster/relay.rs
+++ b/crates/verbenaring-core/src/cluster/relay.rs
@@ -10,6 +10,7 @@
 use verbenaring_policy::dispatch::presence::{RegionWaits, VmKey, VmNews, VmRecord};
 use verbenaring_policy::dispatch::prompt::{PromptRecord, name_hash};
 use verbenaring_policy::dispatch::table::MIN_REMOTE_TOKENS;
+use verbenaring_policy::dispatch::watcher::WATCHERS_PER_REGION;
 use verbenaring_policy::time::Moment;
 
 use super::message::{
@@ -32,6 +33,8 @@
 /// Datagrams with descriptions that a relay sends to a VM that has just started,
 /// in every interval of its loads.
 const BRIEFING_DATAGRAMS: usize = 2;
+/// Watchers of the region of which every datagram has news.
+const MAX_WATCHER_NEWS: usize = 2 * WATCHERS_PER_REGION;
 /// Prompt records in one datagram; each takes about 18 bytes.
 const READS_PER_DATAGRAM: usize = 70;
 /// Prompt records that wait to be passed on; an overloaded relay drops others.
@@ -207,8 +210,18 @@
                 chosen.push(key);
             }
         }
-        let news = match members {
-            MEMBERS_PER_DATAGRAM => next_of(&live, &mut self.news_cursor, NEWS_PER_DATAGRAM),
+        // Whether a VM must watch the configuration source itself depends on the watchers
+        // of its region, so that news of them must not wait for their turn.
+        let watchers = state
+            .vms
+            .live(now)
+            .filter(|(_, record)| record.watching && record.centre.region == self.own.region);
+        let watchers = watchers.map(|(key, _)| key).take(MAX_WATCHER_NEWS);
+        let news: Vec<VmKey> = match members {
+            MEMBERS_PER_DATAGRAM => {
+                let others = next_of(&live, &mut self.news_cursor, NEWS_PER_DATAGRAM);
+                watchers.chain(others).collect()
+            }
             _ => Vec::new(),
         };
         let news: Vec<VmNews> = news
--- a/crates/verbenaring-core/src/state.rs
+++ b/crates/verbenaring-core/src/state.rs
@@ -110,6 +110,7 @@
             vm: self.vm_hash,
             capacity: self.capacity,
             watching,
+            heard_ago: Duration::ZERO,
         };
         let region_vms = self.vms.live(now).filter(|(_, record)| {
             record.centre.region == self.region && record.state == VmState::Ready
@@ -119,6 +120,7 @@
                 vm: record.name_hash,
                 capacity: record.capacity,
                 watching: record.watching,
+                heard_ago: now.since(record.received_at),
             })
             .collect();
         self.watcher_election.should_watch(own, &peers, now)
--- a/crates/verbenaring-policy/src/dispatch/watcher.rs
+++ b/crates/verbenaring-policy/src/dispatch/watcher.rs
@@ -20,6 +20,9 @@
 /// How long a VM watches after it could not ask the others. A network path that
 /// works in one direction only delivers their reports, but no answers.
 const QUERY_FAILURE_TIME: Duration = Duration::from_secs(10);
+/// Silence after which a VM does not count, although calls may still go there. A VM that
+/// hears no watcher learns of no changes, and must do so within 3 s.
+const MAX_PEER_SILENCE: Duration = Duration::from_millis(1_500);
 /// Limit of the doublings, at which three thousand VMs try to watch.
 const MAX_DOUBLINGS: u32 = 10;
 
@@ -35,6 +38,8 @@
     pub capacity: u32,
     /// Whether the VM's watches are open and answered.
     pub watching: bool,
+    /// Time since the VM was heard, directly or through a relay.
+    pub heard_ago: Duration,
 }
 
 /// Decides whether this VM watches the configuration source.
@@ -55,6 +60,8 @@
     /// `peers` are the other live VMs. A VM that watches stops only when enough
     /// VMs of higher rank watch.
     pub fn should_watch(&mut self, own: WatchPeer, peers: &[WatchPeer], now: Moment) -> bool {
+        let heard = |peer: &&WatchPeer| peer.heard_ago < MAX_PEER_SILENCE;
+        let peers: Vec<&WatchPeer> = peers.iter().filter(heard).collect();
         let failure_age = self.query_failed_at.map(|at| now.since(at));
         if failure_age.is_some_and(|age| age < QUERY_FAILURE_TIME) {
             return true;
@@ -68,7 +75,7 @@
             }
         };
         let rank = |peer: &WatchPeer| (peer.capacity, rendezvous_score(RANK_SEED, peer.vm));
-        let ranks_higher = |peer: &&WatchPeer| rank(peer) > rank(&own);
+        let ranks_higher = |peer: &&&WatchPeer| rank(peer) > rank(&own);
         let watching_above = peers
             .iter()
             .filter(ranks_higher)
--- a/crates/verbenaring-policy/tests/dispatch/watcher.rs
+++ b/crates/verbenaring-policy/tests/dispatch/watcher.rs
@@ -60,6 +60,7 @@
         vm: vm as u64,
         capacity: 100,
         watching: *watching,
+        heard_ago: ms(0),
     }
 }
 
@@ -125,10 +126,33 @@
         vm: 1,
         capacity: 100,
         watching: false,
+        heard_ago: ms(0),
     };
     assert!(WatcherElection::default().should_watch(own, &[], at(0)));
 }
 
+/// Guards against a VM that counts on watchers that it does not hear any more, while it
+/// still holds them for live.
+#[test]
+fn a_vm_that_hears_no_watcher_watches() {
+    let mut region = WatchRegion::new(30);
+    region.run(2_000);
+    let alone = (0..30).find(|vm| !region.watching[*vm]).expect("30 VMs");
+    let heard = region.watching.iter().enumerate().map(peer);
+    let others: Vec<WatchPeer> = heard.filter(|other| other.vm != alone as u64).collect();
+    let silent: Vec<WatchPeer> = others
+        .iter()
+        .map(|other| WatchPeer {
+            heard_ago: ms(1_500),
+            ..*other
+        })
+        .collect();
+    let own = peer((alone, &false));
+    let mut election = WatcherElection::default();
+    assert!(!election.should_watch(own, &others, at(2_000)));
+    assert!(election.should_watch(own, &silent, at(3_500)));
+}
+
 /// Guards against a network path that works in one direction: reports of watching
 /// VMs arrive, but they cannot be asked, and the VM would never learn of changes.
 #[test]
