--- a/crates/verbenaring-core/src/path/relay.rs
+++ b/crates/verbenaring-core/src/path/relay.rs
@@ -4,10 +4,9 @@
 //! whatever bytes arrive, and so does one that ends inside an event, however its end
 //! is marked, or together with its server if nothing marks it. A broken stream is
 //! resumed at another server if its route allows it and that server goes on after the
-//! last event. Otherwise the connection to the
-//! caller is closed without the last chunk, so that a partial answer never looks
-//! complete. The relay states a regular end explicitly; if it stops for any other
-//! reason, the answer is incomplete.
+//! last event. Otherwise the connection to the caller is closed without the last chunk,
+//! so that a partial answer never looks complete. The relay states a regular end
+//! explicitly; if it stops for any other reason, the answer is incomplete.
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
--- a/crates/verbenaring-core/tests/message.rs
+++ b/crates/verbenaring-core/tests/message.rs
@@ -100,6 +100,8 @@
     let without = encode_report(&report(), &[]).unwrap();
     let datagram = encode_report(&report(), &[update; 500]).unwrap();
     assert!(datagram.starts_with(&without));
+    let read_before: VmReport = postcard::from_bytes(&datagram[1..]).unwrap();
+    assert_eq!(read_before, report());
     assert!(datagram.len() <= MAX_DATAGRAM_BYTES);
     let Ok(VmMessage::Report(_, limits)) = decode(&datagram) else {
         panic!("no report");
--- a/crates/verbenaring-policy/src/dispatch/place.rs
+++ b/crates/verbenaring-policy/src/dispatch/place.rs
@@ -124,7 +124,8 @@
     pub forecast: Duration,
     /// Fraction of its time that the server spends reading prompts.
     pub busy: f64,
-    /// Whether the server is cold, so that only this VM sends calls to it.
+    /// Whether the server is cold, or may have restarted, so that only this VM sends calls
+    /// to it.
     pub paced: bool,
     /// Server from which the shared parts can be copied, if the chosen server
     /// does not have them cached.
