--- a/crates/verbenaring-policy/src/dispatch/mod.rs
+++ b/crates/verbenaring-policy/src/dispatch/mod.rs
@@ -1,16 +1,17 @@
 //! Dispatch of calls to backend servers according to routes.
 //!
 //! A call may arrive at any VM. Its route states how often and where it may run
-//! ([`call`]). A server of the VM's own region is chosen ([`place`]) by the
-//! predicted time to its first event ([`forecast`]) and by its health in earlier
-//! calls ([`health`]). Calls to cold servers are
-//! rate-limited ([`pace`]) and sent by one VM ([`ownership`]), and those to servers that name a
-//! limit by a few ([`limit`]). Calls whose
-//! prompts crash servers are refused ([`suspect`]), as far as the calls that servers
-//! leave behind when they end ([`run`]) and the [`evidence`] of other VMs show it. Another region is used if it answers
-//! sooner or is much less busy ([`spill`]). [`presence`] tracks the other VMs, [`standstill`] notices when this one did not run,
-//! [`relay`] decides to which of them a VM reports, [`watcher`] decides which VMs watch
-//! the configuration source, and [`changes`] passes their view of the servers on.
+//! ([`call`]). A server of the VM's own region is chosen ([`place`]) by the predicted
+//! time to its first event ([`forecast`]) and by its health in earlier calls
+//! ([`health`]). Calls to cold servers are rate-limited ([`pace`]) and sent by one VM
+//! ([`ownership`]), and those to servers that name a limit by a few ([`limit`]); what
+//! else servers say of themselves binds each VM ([`statement`]). Calls whose prompts
+//! crash servers are refused ([`suspect`]), as far as the calls that servers leave behind
+//! when they end ([`run`]) and the [`evidence`] of other VMs show it. Another region is
+//! used if it answers sooner or is much less busy ([`spill`]). [`presence`] tracks the
+//! other VMs, [`standstill`] notices when this one did not run, [`relay`] decides to
+//! which of them a VM reports, [`watcher`] decides which VMs watch the configuration
+//! source, and [`changes`] passes their view of the servers on.
 
 pub mod call;
 pub mod changes;
@@ -31,6 +32,7 @@
 pub mod settings;
 pub mod spill;
 pub mod standstill;
+pub mod statement;
 pub mod suspect;
 pub mod table;
 pub mod watcher;
--- a/crates/verbenaring-policy/src/dispatch/table.rs
+++ b/crates/verbenaring-policy/src/dispatch/table.rs
@@ -238,29 +238,6 @@
         self.servers.get(key).map(ServerRecord::boot_hash)
     }
 
-    /// Whether a server is known to shut down.
-    pub fn is_leaving(&self, key: ServerKey) -> bool {
-        self.servers.get(key).is_some_and(ServerRecord::is_leaving)
-    }
-
-    /// Records that an answer of a server states that it leaves; returns whether this was
-    /// not known. It holds until the server starts again.
-    pub fn record_leaving(&mut self, server: ServerKey) -> bool {
-        let Some(record) = self.servers.get_mut(server) else {
-            return false;
-        };
-        let known = record.is_leaving();
-        record.stated_leaving = true;
-        !known
-    }
-
-    /// Records that a server wants no calls from this VM for `pause`.
-    pub fn record_pause(&mut self, server: ServerKey, pause: Duration, now: Moment) {
-        if let Some(record) = self.servers.get_mut(server) {
-            record.paused_until = record.paused_until.max(now + pause);
-        }
-    }
-
     /// Drops idle servers past their grace period and records that have expired.
     pub fn expire(&mut self, now: Moment) {
         let by_id = &mut self.by_id;
