--- a/crates/verbenaring-policy/tests/dispatch/limit.rs
+++ b/crates/verbenaring-policy/tests/dispatch/limit.rs
@@ -169,3 +169,29 @@
     assert!(vm.send(10_030).is_some());
     assert!(vm.send(10_031).is_some());
 }
+
+/// Guards against a VM that keeps a limit for good, because those that share it have no
+/// calls and nobody tells it that the limit has ended.
+#[test]
+fn a_limit_that_nobody_renews_is_asked_after_by_all_vms() {
+    let mut region = LimitedRegion::new(30, 2.0, 1);
+    region.run(0, 1_000, 40.0);
+    let sends = |vm: &mut TestVm, times: std::ops::Range<u64>| {
+        let sent = times.step_by(10).filter(|now| {
+            let Some(server) = vm.send(*now) else {
+                return false;
+            };
+            vm.servers.record_limit(server, None, at(*now));
+            true
+        });
+        sent.count()
+    };
+    let other = (0..30).find(|vm| sends(&mut region.vms[*vm], 1_000..4_000) == 0);
+    let other = other.expect("few VMs share a limit");
+    for now in (4_000..60_000).step_by(REPORT_MS as usize) {
+        region.report(now);
+    }
+    let vm = &mut region.vms[other];
+    assert!(sends(vm, 60_000..91_000) > 0);
+    assert_eq!(vm.servers.limited_servers(), 0);
+}
--- a/crates/verbenaring-policy/tests/dispatch/ownership.rs
+++ b/crates/verbenaring-policy/tests/dispatch/ownership.rs
@@ -2,6 +2,7 @@
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use verbenaring_policy::dispatch::ownership::RegionView;
 
 use super::fixture::*;
 use super::test_vm::TestVm;
@@ -100,3 +101,24 @@
     let most = most_per_second(&sent);
     assert!(most as f64 <= MAX_CALLS_PER_S, "{most}");
 }
+
+/// Guards against a VM that has heard nobody since its start, and takes itself for all of
+/// its region.
+#[test]
+fn an_owner_that_hears_few_of_the_expected_vms_sends_its_part() {
+    let sent_in_a_second = |expected: usize| {
+        let mut rng = ChaCha8Rng::seed_from_u64(1);
+        let mut vm = region_of_vms(0, &mut rng).remove(0);
+        let view = RegionView {
+            expected,
+            ..RegionView::of_live(1, &[1])
+        };
+        let sent = (0..1_000).filter(|now| vm.send_in(&view, *now).is_some());
+        sent.count()
+    };
+    // Of 4.6 x 1.5 + 3 calls a second, one owner sends half at most.
+    assert_eq!(sent_in_a_second(1), 4);
+    assert_eq!(sent_in_a_second(2), 4);
+    assert_eq!(sent_in_a_second(4), 2);
+    assert_eq!(sent_in_a_second(10), 0);
+}
--- a/crates/verbenaring-policy/tests/dispatch/test_vm.rs
+++ b/crates/verbenaring-policy/tests/dispatch/test_vm.rs
@@ -64,8 +64,13 @@
     /// refused.
     pub fn send(&mut self, now: u64) -> Option<ServerKey> {
         let view = self.view(now);
+        self.send_in(&view, now)
+    }
+
+    /// Like [`Self::send`], in a view that the VM is given.
+    pub fn send_in(&mut self, view: &RegionView, now: u64) -> Option<ServerKey> {
         let call = TestCall::new(1, 0, 10);
-        let placement = self.servers.place(&call.request(), &view, at(now)).ok()?;
+        let placement = self.servers.place(&call.request(), view, at(now)).ok()?;
         let sent = self
             .servers
             .record_sent(&placement, &call.request(), at(now));
