--- a/crates/verbenaring-policy/tests/dispatch/limit.rs
+++ b/crates/verbenaring-policy/tests/dispatch/limit.rs
@@ -127,8 +127,7 @@
     }
 }
 
-/// Guards against a limit that VMs keep after the server names none any more, and against
-/// one that ends because a single answer lacks it.
+/// Guards against a limit that VMs keep after the server names none any more.
 #[test]
 fn a_limit_ends_for_all_vms_when_answers_lack_it() {
     let mut region = LimitedRegion::new(7, 2.0, 1);
@@ -148,6 +147,23 @@
     assert_eq!(limited(&region), 0);
 }
 
+/// Guards against a limit that ends because a single answer lacks it.
+#[test]
+fn a_limit_does_not_end_with_one_answer_that_lacks_it() {
+    let mut vm = TestVm::new("vm-1", table(&["a"]));
+    let server = vm.send(0).unwrap();
+    let mut answer = |limit, now| {
+        vm.servers.record_limit(server, limit, at(now));
+        vm.servers.limited_servers() == 1
+    };
+    assert!(answer(Some(2.0), 0));
+    assert!(answer(None, 500), "first answer without it");
+    assert!(answer(None, 1_400), "less than a second later");
+    assert!(answer(Some(2.0), 1_450));
+    assert!(answer(None, 1_600), "counted anew");
+    assert!(!answer(None, 2_600), "a second later");
+}
+
 /// Guards against a limit that outlives its server, and against one that is never asked
 /// after.
 #[test]
