Send calls again to servers that once refused a connection

Callers of VMs that had lost their path to servers were refused as servers_cold, also after the path was back. Cause: a server that refuses a connection counts as cold until it gives a good answer, because it may have restarted without a new entry, and only its owner VM sends calls to a cold server. A VM that does not own it never gets the good answer.

An entry shows a restart within seconds: it is removed while its server is silent and replaced when the server is back. While entries follow the source, a refusal therefore counts for 10 s; without the source it holds as before.

Ruled out: forgetting it sooner, as the entry of a server that crashes stands for three of its intervals and changes may stay unknown for 2.5 s.

The test fails without the time limit (Paced at 10.01 s).

--- a/crates/verbenaring-core/src/cluster/peers.rs
+++ b/crates/verbenaring-core/src/cluster/peers.rs
@@ -64,7 +64,13 @@
     /// Records that this VM runs.
     pub(crate) fn record_tick(&self) {
         let now = self.clock.now();
-        let gap = self.lock().standstill.record_tick(system_time(), now);
+        let watching = self.is_watching();
+        let mut state = self.lock();
+        let gap = state.standstill.record_tick(system_time(), now);
+        // Entries are as old as the standstill was long.
+        let current = gap.is_none() && (watching || state.hears_watcher(now));
+        state.servers.set_current(current, now);
+        drop(state);
         if let Some(gap) = gap {
             log::warn!(gap_ms = gap.as_millis() as u64; "VM stood still");
         }
--- a/crates/verbenaring-core/src/state.rs
+++ b/crates/verbenaring-core/src/state.rs
@@ -126,6 +126,12 @@
         self.watcher_election.should_watch(own, &peers, now)
     }
 
+    /// Whether another VM of the region follows the configuration source.
+    pub fn hears_watcher(&self, now: Moment) -> bool {
+        let mut live = self.vms.live(now);
+        live.any(|(_, record)| record.centre.region == self.region && record.watching)
+    }
+
     /// Counts a call that a caller sent for a service; it adds to the retry budget.
     pub fn record_call(&mut self, service: &ServiceName, now: Moment) {
         self.retry_budget(service).record_success(now);
--- a/crates/verbenaring-policy/src/dispatch/health.rs
+++ b/crates/verbenaring-policy/src/dispatch/health.rs
@@ -93,9 +93,9 @@
         self.refused_at = Some(now);
     }
 
-    /// Whether a connection was refused since the last good answer.
-    pub fn is_refusing(&self) -> bool {
-        self.refused_at.is_some()
+    /// Time of the last connection that was refused since the last good answer.
+    pub fn refused_at(&self) -> Option<Moment> {
+        self.refused_at
     }
 
     /// Resets the health of a restarted server; calls that wait still count.
--- a/crates/verbenaring-policy/src/dispatch/place.rs
+++ b/crates/verbenaring-policy/src/dispatch/place.rs
@@ -224,7 +224,7 @@
             queued_ahead: best.queued_ahead,
             forecast: best.forecast,
             busy: best.busy,
-            paced: self.servers[best.key].is_paced(request.settings, now),
+            paced: self.servers[best.key].is_paced(request.settings, self.current_since, now),
             cache_source: cache_source.map(|source| self.servers[source].entry.address),
         })
     }
@@ -260,7 +260,7 @@
             }
             let record = &mut self.servers[key];
             let may_send = vms.is_owner(record.name_hash) && record.pace.allows(pace_limit, now);
-            if record.is_paced(request.settings, now) && !may_send {
+            if record.is_paced(request.settings, self.current_since, now) && !may_send {
                 paced = true;
             } else {
                 usable.push(key);
@@ -294,7 +294,8 @@
         let record = &self.servers[key];
         let prompt = request.prompt_tokens();
         let (_, first) = self.forecast(record, request.settings, prompt, true, now);
-        !record.is_paced(request.settings, now) && request.elapsed + first <= request.goal
+        !record.is_paced(request.settings, self.current_since, now)
+            && request.elapsed + first <= request.goal
     }
 
     fn candidate(
--- a/crates/verbenaring-policy/src/dispatch/region_load.rs
+++ b/crates/verbenaring-policy/src/dispatch/region_load.rs
@@ -79,7 +79,7 @@
                 .filter(|record| {
                     record.entry.service == *service
                         && self.is_usable(record, now)
-                        && !record.is_paced(settings, now)
+                        && !record.is_paced(settings, self.current_since, now)
                         && record.limit.rate().is_none()
                         && record.stated_wait(now).is_none()
                 })
--- a/crates/verbenaring-policy/src/dispatch/server.rs
+++ b/crates/verbenaring-policy/src/dispatch/server.rs
@@ -27,6 +27,10 @@
 /// arrive with different delays.
 const COLD_TOLERANCE: Duration = Duration::from_millis(500);
 
+/// Time after which an entry shows that its server has restarted: it is removed when the
+/// server has been silent for some seconds, and replaced when it is back.
+const RESTART_NOTICE_TIME: Duration = Duration::from_secs(10);
+
 /// Published entry of a backend server.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerEntry {
@@ -239,9 +243,19 @@
     }
 
     /// Whether calls must be paced: the server is cold, or it refused a connection
-    /// and may have restarted without a new entry.
-    pub(super) fn is_paced(&self, settings: &ServiceSettings, now: Moment) -> bool {
-        settings.cold_rate > 0.0 && (now < self.cold_until || self.health.is_refusing())
+    /// and may have restarted without a new entry. Entries have been current since
+    /// `current_since`, if they are.
+    pub(super) fn is_paced(
+        &self,
+        settings: &ServiceSettings,
+        current_since: Option<Moment>,
+        now: Moment,
+    ) -> bool {
+        let may_have_restarted = self.health.refused_at().is_some_and(|refused| {
+            let shown = current_since.map(|since| refused.max(since) + RESTART_NOTICE_TIME);
+            shown.is_none_or(|shown| now < shown)
+        });
+        settings.cold_rate > 0.0 && (now < self.cold_until || may_have_restarted)
     }
 
     /// Removes the unread tokens of a call when its first event arrives or it ends.
--- a/crates/verbenaring-policy/src/dispatch/table.rs
+++ b/crates/verbenaring-policy/src/dispatch/table.rs
@@ -61,6 +61,8 @@
     pub(super) evacuated: HashSet<CentreName>,
     pub(super) engine_models: HashMap<ServiceName, FirstEventModel>,
     pub(super) service_time_models: HashMap<ServiceName, ServiceTimeModel>,
+    /// Time since which entries have followed the source; `None` while they do not.
+    pub(super) current_since: Option<Moment>,
     pub(super) revision: u64,
     /// Revision up to which `removed` may lack removals.
     pub(super) pruned_revision: u64,
@@ -83,6 +85,7 @@
             evacuated: HashSet::new(),
             engine_models: HashMap::new(),
             service_time_models: HashMap::new(),
+            current_since: None,
             revision: 0,
             pruned_revision: 0,
             remote_prompts: HashMap::new(),
@@ -123,6 +126,15 @@
         self.revision = self.revision.max(revision);
     }
 
+    /// Records whether this VM follows the source of the entries, itself or through
+    /// another VM.
+    pub fn set_current(&mut self, current: bool, now: Moment) {
+        self.current_since = match current {
+            true => self.current_since.or(Some(now)),
+            false => None,
+        };
+    }
+
     /// Applies a published entry; a restarted server is cold for at least `cold`.
     pub fn apply(&mut self, entry: ServerEntry, cold: Duration, now: Moment) -> EntryChange {
         let removed = self.removed.get(&entry.id);
--- a/crates/verbenaring-policy/tests/dispatch/servers.rs
+++ b/crates/verbenaring-policy/tests/dispatch/servers.rs
@@ -1,6 +1,8 @@
 //! Tests of published entries and of the changes that VMs send each other.
 
+use verbenaring_policy::dispatch::ownership::RegionView;
 use verbenaring_policy::dispatch::place::PlacementError;
+use verbenaring_policy::dispatch::server::CallOutcome;
 use verbenaring_policy::dispatch::table::{EntryChange, ServerTable};
 use verbenaring_policy::id::ServerId;
 use verbenaring_policy::time::Moment;
@@ -169,3 +171,38 @@
     );
     assert_eq!(watcher.changes_since(revision, at(1_100)).entries.len(), 1);
 }
+
+/// Guards against a VM that keeps away from a server for good after one refused
+/// connection, because another VM owns it.
+#[test]
+fn a_server_that_refused_a_connection_once_gets_calls_again() {
+    let mut table = table(&["a"]);
+    table.set_current(true, at(0));
+    let call = TestCall::new(1, 0, 10);
+    let sent = call.send(&mut table, at(0));
+    table.record_end(&sent, false, CallOutcome::Refused, at(10));
+    let other = (2..)
+        .find(|vm| !owns_paced(&mut table, *vm, at(20)))
+        .expect("VM that does not own the server");
+    let place = |table: &mut ServerTable, now| {
+        let view = RegionView::of_live(other, &[1, other]);
+        table.place(&call.request(), &view, now)
+    };
+    assert_eq!(place(&mut table, at(9_000)), Err(PlacementError::Paced));
+    assert!(place(&mut table, at(10_010)).is_ok(), "no new entry");
+    // Without the source, the entry would not show a restart.
+    let sent = call.send(&mut table, at(10_020));
+    table.record_end(&sent, false, CallOutcome::Refused, at(10_030));
+    table.set_current(false, at(10_100));
+    assert_eq!(place(&mut table, at(60_000)), Err(PlacementError::Paced));
+    table.set_current(true, at(60_000));
+    assert_eq!(place(&mut table, at(69_999)), Err(PlacementError::Paced));
+    assert!(place(&mut table, at(70_000)).is_ok());
+}
+
+/// Whether VM `vm`, which hears VM 1, may send calls to a paced server.
+fn owns_paced(table: &mut ServerTable, vm: u64, now: Moment) -> bool {
+    let view = RegionView::of_live(vm, &[1, vm]);
+    let call = TestCall::new(1, 0, 10);
+    table.place(&call.request(), &view, now) != Err(PlacementError::Paced)
+}
