Send calls through another VM of the region while servers cannot be reached

Callers of VMs that had lost their path to the servers were served far worse than the others: each call tried up to six servers for 300 ms each, then it was refused, and calls with homes in the region could not go anywhere.

Cause: a VM forwarded calls only to other regions, and concluded nothing when all servers failed at once.

A VM now counts as without contact to a service when connections to three of its servers (all, if there are fewer) have failed and none was reached in between. Its calls then go to a VM of its region, as does any call that two servers could not be reached for; that VM sends them to a server or refuses them, so that there is one hop more at most. A VM without contact to any service states capacity 0: others do not forward to it or report through it, other regions are told no waits by it, and the directory leaves it out as long as half of the VMs remain. Connections opened every 250 ms show when servers are reached again, and whether a server that is silent for 1.2 s is out of reach. Refusals during the cut then count for nothing if another VM reached the servers meanwhile; if none did, the servers may have restarted cold and stay paced.

--- a/crates/verbenaring-core/src/cluster/directory.rs
+++ b/crates/verbenaring-core/src/cluster/directory.rs
@@ -15,7 +15,8 @@
     /// Addresses of VMs for callers of `host` in `region`.
     ///
     /// If the caller's region has usable VMs, only those are returned, because
-    /// the round trip to another region takes longer than most answers. Otherwise
+    /// the round trip to another region takes longer than most answers. Those that reach
+    /// no servers are left out as long as half of them remain. Otherwise
     /// the VMs of regions in which all calls of the host may run are returned.
     /// While all of these VMs are stopping, those that still accept calls they
     /// can finish are better than VMs that must not handle the calls. Only if
@@ -28,17 +29,30 @@
             self.vm_state(),
             &self.location.region,
             self.settings.caller_address,
+            !state.servers.is_cut_off(now),
         );
-        let other_vms = state
-            .vms
-            .live(now)
-            .map(|(_, record)| (record.state, &record.centre.region, record.caller_address));
+        let other_vms = state.vms.live(now).map(|(_, record)| {
+            let reaches_servers = record.reaches_servers();
+            (
+                record.state,
+                &record.centre.region,
+                record.caller_address,
+                reaches_servers,
+            )
+        });
         let vms: Vec<_> = other_vms.chain([own]).collect();
         let in_state = |wanted: VmState, regions: &[&RegionName]| -> Vec<SocketAddr> {
-            let matching = vms.iter().filter(|(state, region, _)| {
+            let matching = vms.iter().filter(|(state, region, ..)| {
                 *state == wanted && (regions.is_empty() || regions.contains(region))
             });
-            let addresses = matching.map(|(_, _, address)| *address);
+            let (reaching, others): (Vec<_>, Vec<_>) =
+                matching.partition(|(.., reaches_servers)| *reaches_servers);
+            // Few VMs could not take the callers of many.
+            let named = match reaching.len() >= others.len() {
+                true => reaching,
+                false => [reaching, others].concat(),
+            };
+            let addresses = named.iter().map(|(_, _, address, _)| *address);
             addresses.take(MAX_ADDRESSES).collect()
         };
         let caller_region: Vec<&RegionName> = region.into_iter().collect();
--- a/crates/verbenaring-core/src/cluster/message.rs
+++ b/crates/verbenaring-core/src/cluster/message.rs
@@ -56,7 +56,7 @@
     pub servers_revision: u64,
     /// Whether the VM watches the configuration source.
     pub watching: bool,
-    /// Capacity relative to other VMs.
+    /// Capacity relative to other VMs; 0 while the VM reaches no servers.
     pub capacity: u32,
 }
 
--- a/crates/verbenaring-core/src/cluster/peers.rs
+++ b/crates/verbenaring-core/src/cluster/peers.rs
@@ -61,6 +61,12 @@
         self.is_relay.store(plan.is_relay, Ordering::Relaxed);
     }
 
+    /// Capacity that this VM states to others.
+    pub(crate) fn effective_capacity(&self) -> u32 {
+        let now = self.clock.now();
+        self.lock().effective_capacity(now)
+    }
+
     /// Records that this VM runs.
     pub(crate) fn record_tick(&self) {
         let now = self.clock.now();
--- a/crates/verbenaring-core/src/cluster/report.rs
+++ b/crates/verbenaring-core/src/cluster/report.rs
@@ -212,7 +212,7 @@
         let own = OwnVm {
             vm: &settings.vm,
             centre: &self.own,
-            capacity: settings.capacity(),
+            capacity: self.node.effective_capacity(),
             ready: self.node.vm_state().is_serving(),
         };
         let mut state = self.node.lock();
@@ -317,10 +317,16 @@
         }
     }
 
+    /// Waits in the region, as far as this VM can tell: none while it has no contact with
+    /// servers, whose state others know better.
     pub(super) fn own_waits(&self) -> Vec<verbenaring_policy::dispatch::presence::ServiceWait> {
         let now = self.node.clock.now();
         let routes = self.node.routes.load();
-        self.node.lock().servers.waits(routes.services(), now)
+        let state = self.node.lock();
+        match state.servers.lost_services() {
+            0 => state.servers.waits(routes.services(), now),
+            _ => Vec::new(),
+        }
     }
 
     /// Description of this VM with the next sequence number.
@@ -346,7 +352,7 @@
             operator_revision,
             servers_revision,
             watching: node.is_watching(),
-            capacity: settings.capacity(),
+            capacity: self.node.effective_capacity(),
         }
     }
 
--- a/crates/verbenaring-core/src/node.rs
+++ b/crates/verbenaring-core/src/node.rs
@@ -34,6 +34,7 @@
 use crate::state::FrontState;
 use crate::supervisor::supervise;
 use crate::upstream::check::check_servers;
+use crate::upstream::contact::probe_servers;
 use crate::upstream::pool::ConnectionPool;
 use crate::wire::WireProtocol;
 
@@ -268,6 +269,9 @@
             self.metrics
                 .limited_servers
                 .set(state.servers.limited_servers() as i64);
+            self.metrics
+                .unreached_services
+                .set(state.servers.lost_services() as i64);
             drop(state);
             self.log_quarantines();
             let opened = self.pool.opened_connections();
@@ -403,6 +407,10 @@
             let node = node.clone();
             move || check_servers(node.clone())
         });
+        supervise("server probes", {
+            let node = node.clone();
+            move || probe_servers(node.clone())
+        });
         supervise("cleanup", {
             let node = node.clone();
             move || node.clone().run_cleanup()
--- a/crates/verbenaring-core/src/observe/metrics.rs
+++ b/crates/verbenaring-core/src/observe/metrics.rs
@@ -36,6 +36,8 @@
     pub paced_calls: IntCounter,
     /// Servers that name a limit.
     pub limited_servers: IntGauge,
+    /// Services whose servers this VM cannot reach.
+    pub unreached_services: IntGauge,
     /// New connections to servers and VMs.
     pub connections: IntCounter,
     /// Calls to the platform store by operation and result.
@@ -116,6 +118,10 @@
                 "verbenaring_limited_servers",
                 "Servers that name a limit for the requests of all VMs",
             ),
+            unreached_services: gauge(
+                "verbenaring_unreached_services",
+                "Services whose servers this VM cannot reach",
+            ),
             connections: counter(
                 "verbenaring_connections_total",
                 "New connections to servers and VMs",
--- a/crates/verbenaring-core/src/path/call.rs
+++ b/crates/verbenaring-core/src/path/call.rs
@@ -111,6 +111,7 @@
             rank: self.route.rank,
             residency: &self.route.residency,
             excluded,
+            through_peer: false,
             elapsed: self.received_at.elapsed(),
             goal: self.route.goal,
             remaining: self.remaining(),
@@ -123,8 +124,10 @@
 pub struct TriedTargets {
     /// Servers in the region of this VM.
     pub servers: Vec<ServerKey>,
-    /// VMs in other regions.
+    /// Other VMs.
     pub vms: Vec<VmId>,
+    /// How many of the servers could not be reached.
+    pub unreached_servers: usize,
 }
 
 /// Removes hop-by-hop headers and the headers that only VMs exchange.
--- a/crates/verbenaring-core/src/path/choose.rs
+++ b/crates/verbenaring-core/src/path/choose.rs
@@ -1,15 +1,16 @@
 //! Chooses the server or VM that gets a call.
 //!
 //! Servers in the region of this VM are preferred; the rules are in
-//! [`verbenaring_policy::dispatch`]. A call that another VM forwarded is served
-//! in this region or refused, so that no call is forwarded twice.
+//! [`verbenaring_policy::dispatch`]. While this VM does not reach them, a call goes
+//! through another VM of the region. A call that another VM forwarded is sent to a
+//! server of this region or refused, so that no call is forwarded twice.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use rand::Rng;
 use rand::seq::IndexedRandom;
-use verbenaring_policy::dispatch::place::{Placement, PlacementError};
+use verbenaring_policy::dispatch::place::{Placement, PlacementError, PlacementRequest};
 use verbenaring_policy::dispatch::presence::VmRecord;
 use verbenaring_policy::dispatch::server::InFlightCall;
 use verbenaring_policy::dispatch::spill::{RegionForecast, RemoteRegion, TimeBudget, should_spill};
@@ -33,6 +34,14 @@
 /// `Retry-After` while servers are cold: half of the one-second window in which
 /// their calls are counted.
 const PACED_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Servers that a call could not reach, after which another VM of the region tries.
+const MAX_UNREACHED_SERVERS: usize = 2;
+/// `Retry-After` of a VM that does not reach the servers and was asked by another one,
+/// which then asks the next.
+const UNREACHED_RETRY_AFTER: Duration = Duration::from_millis(100);
+/// Age from which the waits that a region stated are not used: its VMs may have lost
+/// contact with their servers since.
+const MAX_WAITS_AGE: Duration = Duration::from_secs(5);
 /// Lower limit of `Retry-After`.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// Largest random extension of `Retry-After`, as a fraction, so that callers
@@ -44,7 +53,7 @@
 pub enum CallTarget {
     /// Backend server in the region of this VM.
     Server(ChosenServer),
-    /// VM in another region, which forwards the call to a server there.
+    /// Other VM, which sends the call to a server of its region.
     Vm(ChosenVm),
 }
 
@@ -64,7 +73,7 @@
     pub cache_source: Option<SocketAddr>,
 }
 
-/// Chosen VM in another region.
+/// Chosen VM that sends the call to a server.
 #[derive(Debug)]
 pub struct ChosenVm {
     /// Name of the VM.
@@ -75,6 +84,16 @@
     pub forecast: Duration,
 }
 
+impl ChosenVm {
+    fn new(record: &VmRecord, forecast: Duration) -> Self {
+        Self {
+            vm: record.vm.clone(),
+            address: record.peer_address,
+            forecast,
+        }
+    }
+}
+
 /// What another region can do for a call.
 #[derive(Debug, Clone, PartialEq)]
 struct RegionOffer {
@@ -99,7 +118,18 @@
         let now = self.clock.now();
         let mut state = self.lock();
         let state = &mut *state;
-        let local = self.place_locally(call, tried, state, now);
+        let has_contact = state.servers.has_contact(&call.service);
+        if call.origin == CallOrigin::Vm && !has_contact {
+            return Err(CallRefusal::busy(
+                "servers_unreached",
+                UNREACHED_RETRY_AFTER,
+            ));
+        }
+        let region_vm = match has_contact && tried.unreached_servers < MAX_UNREACHED_SERVERS {
+            true => None,
+            false => self.pick_vm(call, tried, &self.location.region, state, now),
+        };
+        let local = self.place_locally(call, tried, region_vm.is_some(), state, now);
         let mut excluded = Vec::new();
         loop {
             let offer = match call.origin {
@@ -107,17 +137,18 @@
                 CallOrigin::Vm => None,
             };
             let Some(offer) = offer.filter(|offer| self.should_forward(call, &local, offer)) else {
-                let sent = local
-                    .as_ref()
-                    .map(|placement| self.send_to_server(call, tried, placement, state, now));
-                return match sent {
-                    Ok(Some(target)) => Ok(target),
-                    Ok(None) => Err(refusal_for(call, &PlacementError::NoServer)),
-                    Err(error) => Err(refusal_for(call, error)),
+                let placement = match &local {
+                    Ok(placement) => placement,
+                    Err(error) => return Err(refusal_for(call, error)),
                 };
+                if let Some(vm) = region_vm {
+                    return Ok(self.forward_in_region(call, vm, placement, state, now));
+                }
+                let sent = self.send_to_server(call, tried, placement, state, now);
+                return sent.ok_or_else(|| refusal_for(call, &PlacementError::NoServer));
             };
-            match self.pick_vm(call, tried, &offer, state, now) {
-                Some(vm) => return Ok(self.forward_to_vm(call, vm, &offer, state, now)),
+            match self.pick_vm(call, tried, &offer.region, state, now) {
+                Some(vm) => return Ok(self.forward_to_region(call, vm, &offer, state, now)),
                 None => excluded.push(offer.region),
             }
         }
@@ -155,6 +186,7 @@
         &self,
         call: &PendingCall,
         tried: &TriedTargets,
+        through_peer: bool,
         state: &mut FrontState,
         now: Moment,
     ) -> Result<Placement, PlacementError> {
@@ -166,9 +198,14 @@
             false => VM_DISCOVERY_TIME,
         };
         let vms = state.region_view(discovery_time, now);
-        state
-            .servers
-            .place(&call.placement_request(&tried.servers), &vms, now)
+        let request = match through_peer {
+            true => PlacementRequest {
+                through_peer,
+                ..call.placement_request(&[])
+            },
+            false => call.placement_request(&tried.servers),
+        };
+        state.servers.place(&request, &vms, now)
     }
 
     fn send_to_server(
@@ -208,10 +245,29 @@
         }))
     }
 
-    fn forward_to_vm(
+    /// Forwards a call to a VM of this region, which reaches the servers.
+    fn forward_in_region(
+        &self,
+        call: &PendingCall,
+        record: VmRecord,
+        placement: &Placement,
+        state: &mut FrontState,
+        now: Moment,
+    ) -> CallTarget {
+        let routine_lines = self.settings.tuning.routine_lines_per_s;
+        if let Some(suppressed) = state.routine_lines.try_acquire(routine_lines, now) {
+            log::info!(request = call.metadata.attempt_id.as_str(), route = call.route.name.as_str(),
+                routes_version = self.routes.load().version(), target:% = record.vm,
+                forecast_ms = placement.forecast.as_millis() as u64,
+                suppressed_lines = suppressed; "call forwarded in the region");
+        }
+        CallTarget::Vm(ChosenVm::new(&record, placement.forecast))
+    }
+
+    fn forward_to_region(
         &self,
         call: &PendingCall,
-        vm: ChosenVm,
+        record: VmRecord,
         offer: &RegionOffer,
         state: &mut FrontState,
         now: Moment,
@@ -222,12 +278,12 @@
         let routine_lines = self.settings.tuning.routine_lines_per_s;
         if let Some(suppressed) = state.routine_lines.try_acquire(routine_lines, now) {
             log::info!(request = call.metadata.attempt_id.as_str(), route = call.route.name.as_str(),
-                routes_version = self.routes.load().version(), target:% = vm.vm, region:% = offer.region,
-                busy = offer.busy, forecast_ms = vm.forecast.as_millis() as u64,
+                routes_version = self.routes.load().version(), target:% = record.vm, region:% = offer.region,
+                busy = offer.busy, forecast_ms = offer.forecast.as_millis() as u64,
                 report_age_ms = offer.age.as_millis() as u64,
                 suppressed_lines = suppressed; "call forwarded");
         }
-        CallTarget::Vm(vm)
+        CallTarget::Vm(ChosenVm::new(&record, offer.forecast))
     }
 
     /// Other region that is best for a call.
@@ -256,7 +312,8 @@
         for (region, stated) in state.vms.region_waits() {
             let wait = stated.waits.iter();
             let wait = wait.into_iter().find(|wait| wait.service == call.service);
-            let Some(wait) = wait.filter(|_| eligible(region)) else {
+            let is_fresh = now.since(stated.stated_at) < MAX_WAITS_AGE;
+            let Some(wait) = wait.filter(|_| is_fresh && eligible(region)) else {
                 continue;
             };
             let remote = RemoteRegion {
@@ -291,35 +348,32 @@
         best
     }
 
-    /// Random VM of a region, weighted by capacity. `None` if no VM there takes
-    /// calls.
+    /// Random VM of a region that reaches servers, weighted by capacity. `None` if no VM
+    /// there takes calls.
     fn pick_vm(
         &self,
         call: &PendingCall,
         tried: &TriedTargets,
-        offer: &RegionOffer,
+        region: &RegionName,
         state: &FrontState,
         now: Moment,
-    ) -> Option<ChosenVm> {
-        debug_assert!(call.route.allows(&offer.region));
+    ) -> Option<VmRecord> {
+        if call.origin == CallOrigin::Vm || !call.route.allows(region) {
+            return None;
+        }
         let vms: Vec<&VmRecord> = state
             .vms
             .live(now)
             .filter(|(key, record)| {
-                record.centre.region == offer.region
+                record.centre.region == *region
+                    && record.reaches_servers()
                     && state.vms.is_reachable(*key, now)
                     && !tried.vms.contains(&record.vm)
             })
             .map(|(_, record)| record)
             .collect();
-        let record = vms
-            .choose_weighted(&mut rand::rng(), |record| record.capacity.max(1))
-            .ok()?;
-        Some(ChosenVm {
-            vm: record.vm.clone(),
-            address: record.peer_address,
-            forecast: offer.forecast,
-        })
+        let chosen = vms.choose_weighted(&mut rand::rng(), |record| record.capacity);
+        chosen.ok().map(|record| (*record).clone())
     }
 }
 
--- a/crates/verbenaring-core/src/path/controller.rs
+++ b/crates/verbenaring-core/src/path/controller.rs
@@ -241,6 +241,8 @@
                 } => {
                     call.reached_server
                         .fetch_or(reached_server, Ordering::Relaxed);
+                    let unreached = !reached_server && matches!(target_id, TargetId::Server(_));
+                    tried.unreached_servers += usize::from(unreached);
                     target_id.exclude(tried);
                     reason
                 }
--- a/crates/verbenaring-core/src/path/exchange.rs
+++ b/crates/verbenaring-core/src/path/exchange.rs
@@ -135,6 +135,9 @@
             }
             Err(SendError::NoConnection(reason)) => {
                 guard.set_end(CallOutcome::Refused);
+                if let Some(server) = guard.server() {
+                    self.record_unreached(server);
+                }
                 if let Some(vm) = &vm {
                     let now = self.clock.now();
                     self.lock().vms.record_unreachable(vm, now);
@@ -206,6 +209,11 @@
                 _ => (AttemptOutcome::Broken { reason }, "unknown"),
             };
         }
+        match (guard.server(), &vm) {
+            (Some(server), _) => self.record_reached(server),
+            (None, Some(vm)) => self.record_peer_contact(vm, &call.service),
+            (None, None) => {}
+        }
         let attempt_id = &call.metadata.attempt_id;
         let kind = P::classify_answer(head.status, &head.headers, attempt_id, lease.is_reused());
         let framing = AnswerFraming::of(&head.headers, &body);
--- a/crates/verbenaring-core/src/state.rs
+++ b/crates/verbenaring-core/src/state.rs
@@ -126,6 +126,15 @@
         self.watcher_election.should_watch(own, &peers, now)
     }
 
+    /// Capacity that this VM states: 0 while it reaches no servers, so that the others
+    /// neither forward calls to it nor report through it.
+    pub fn effective_capacity(&self, now: Moment) -> u32 {
+        match self.servers.is_cut_off(now) {
+            true => 0,
+            false => self.capacity,
+        }
+    }
+
     /// Whether another VM of the region follows the configuration source.
     pub fn hears_watcher(&self, now: Moment) -> bool {
         let mut live = self.vms.live(now);
--- /dev/null
+++ b/crates/verbenaring-core/src/upstream/contact.rs
@@ -0,0 +1,108 @@
+//! Notices whether this VM reaches backend servers.
+//!
+//! Calls show it first. Where they do not, because they wait on connections that have
+//! fallen silent or go through other VMs, connections are opened for this purpose, and
+//! kept for later calls. The decision is in [`verbenaring_policy::dispatch::contact`].
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::seq::IteratorRandom;
+use verbenaring_policy::dispatch::contact::ContactChange;
+use verbenaring_policy::dispatch::server::ServerKey;
+use verbenaring_policy::id::{ServiceName, VmId};
+
+use super::pool::ConnectOptions;
+use crate::node::FrontNode;
+use crate::wire::WireProtocol;
+
+/// Time between connections that show whether servers can be reached.
+const PROBE_PERIOD: Duration = Duration::from_millis(250);
+/// Servers to which a connection is opened in each period.
+const PROBED_SERVERS: usize = 2;
+/// Silence of a server while calls wait there, from which it is probed. Sound servers may
+/// be silent for about a second.
+const PROBED_SILENCE: Duration = Duration::from_millis(1_200);
+
+/// Opens connections to servers that may be out of reach, until the process ends.
+pub(crate) async fn probe_servers<P: WireProtocol>(node: Arc<FrontNode<P>>) {
+    loop {
+        tokio::time::sleep(PROBE_PERIOD).await;
+        let now = node.clock.now();
+        let doubtful: Vec<(ServerKey, SocketAddr)> = {
+            let state = node.lock();
+            let doubtful = state.servers.doubtful_servers(PROBED_SILENCE, now);
+            let addressed = doubtful
+                .into_iter()
+                .filter_map(|key| Some((key, state.servers.entry(key)?.address)));
+            addressed.choose_multiple(&mut rand::rng(), PROBED_SERVERS)
+        };
+        let probes = doubtful
+            .into_iter()
+            .map(|(server, address)| node.probe_server(server, address));
+        futures::future::join_all(probes).await;
+    }
+}
+
+impl<P: WireProtocol> FrontNode<P> {
+    async fn probe_server(&self, server: ServerKey, address: SocketAddr) {
+        let options = ConnectOptions {
+            connect_timeout: Duration::from_millis(self.settings.tuning.connect_ms),
+            max_idle: Duration::ZERO,
+            probe: false,
+        };
+        match self.pool.open(address, options).await {
+            Ok(connection) => {
+                self.record_reached(server);
+                connection.release();
+            }
+            Err(error) => {
+                log::debug!(address:% = address, error:% = error; "server not reached");
+                self.record_unreached(server);
+            }
+        }
+    }
+
+    /// Records that a server was reached.
+    pub(crate) fn record_reached(&self, server: ServerKey) {
+        let now = self.clock.now();
+        let change = self.lock().servers.record_reached(server, now);
+        if let Some(ContactChange::Regained { service, away }) = change {
+            self.close_idle_connections(&service);
+            log::info!(service:% = service, away_ms = away.as_millis() as u64;
+                "servers are reached again");
+        }
+    }
+
+    /// Records that no connection to a server could be opened.
+    pub(crate) fn record_unreached(&self, server: ServerKey) {
+        let now = self.clock.now();
+        let change = self.lock().servers.record_unreached(server, now);
+        if let Some(ContactChange::Lost(service)) = change {
+            log::warn!(service:% = service; "servers cannot be reached");
+        }
+    }
+
+    /// Records that another VM has passed on the answer of a server of the service.
+    pub(crate) fn record_peer_contact(&self, vm: &VmId, service: &ServiceName) {
+        let mut state = self.lock();
+        let centre = state.vms.find(vm).map(|record| &record.centre);
+        if centre.is_some_and(|centre| centre.region == self.location.region) {
+            state.servers.record_peer_contact(service);
+        }
+    }
+
+    /// Closes connections that were opened before contact was lost and may be silent.
+    fn close_idle_connections(&self, service: &ServiceName) {
+        let entries: Vec<SocketAddr> = {
+            let state = self.lock();
+            let entries = state.servers.entries();
+            let entries = entries.filter(|entry| entry.service == *service);
+            entries.map(|entry| entry.address).collect()
+        };
+        for address in entries {
+            self.pool.close_idle(address);
+        }
+    }
+}
--- a/crates/verbenaring-core/src/upstream/mod.rs
+++ b/crates/verbenaring-core/src/upstream/mod.rs
@@ -1,4 +1,5 @@
 //! Pooled connections to backend servers and to other VMs.
 
 pub mod check;
+pub mod contact;
 pub mod pool;
--- a/crates/verbenaring-core/src/upstream/pool.rs
+++ b/crates/verbenaring-core/src/upstream/pool.rs
@@ -52,7 +52,7 @@
 
 /// Why no connection was opened.
 #[derive(Debug, thiserror::Error)]
-enum ConnectError {
+pub(crate) enum ConnectError {
     /// The system reported an error.
     #[error("{0}")]
     Failed(#[from] std::io::Error),
@@ -186,6 +186,15 @@
         }
     }
 
+    /// Opens a connection.
+    pub(crate) async fn open(
+        self: &Arc<Self>,
+        address: SocketAddr,
+        options: ConnectOptions,
+    ) -> Result<ConnectionLease, ConnectError> {
+        self.connect(address, options).await
+    }
+
     /// Number of connections opened since the start.
     pub fn opened_connections(&self) -> u64 {
         self.opened_connections
--- a/crates/verbenaring-policy/src/dispatch/health.rs
+++ b/crates/verbenaring-policy/src/dispatch/health.rs
@@ -98,6 +98,20 @@
         self.refused_at
     }
 
+    /// Forgets refused connections, which were not due to the server.
+    pub fn clear_refusal(&mut self) {
+        self.refused_at = None;
+    }
+
+    /// Time for which the server has shown no progress while calls wait for their first
+    /// event.
+    pub fn silence(&self, now: Moment) -> Duration {
+        match self.waiting_calls {
+            0 => Duration::ZERO,
+            _ => now.since(self.silent_since),
+        }
+    }
+
     /// Resets the health of a restarted server; calls that wait still count.
     pub fn clear(&mut self) {
         *self = Self {
@@ -118,12 +132,7 @@
         let decay = self.decay(now);
         let excess_failures = (self.failure_share * decay - TOLERATED_FAILURE_SHARE).max(0.0);
         let broken = self.broken_share * decay;
-        let silence = match self.waiting_calls {
-            0 => Duration::ZERO,
-            _ => now
-                .since(self.silent_since)
-                .saturating_sub(TOLERATED_SILENCE),
-        };
+        let silence = self.silence(now).saturating_sub(TOLERATED_SILENCE);
         FAILURE_PENALTY.mul_f64(excess_failures) + BROKEN_PENALTY.mul_f64(broken) + silence
     }
 
--- a/crates/verbenaring-policy/src/dispatch/mod.rs
+++ b/crates/verbenaring-policy/src/dispatch/mod.rs
@@ -8,13 +8,15 @@
 //! else servers say of themselves binds each VM ([`statement`]). Calls whose prompts
 //! crash servers are refused ([`suspect`]), as far as the calls that servers leave behind
 //! when they end ([`run`]) and the [`evidence`] of other VMs show it. Another region is
-//! used if it answers sooner or is much less busy ([`spill`]). [`presence`] tracks the
+//! used if it answers sooner or is much less busy ([`spill`]), and another VM of the region
+//! if this one has lost [`contact`] with the servers. [`presence`] tracks the
 //! other VMs, [`standstill`] notices when this one did not run, [`relay`] decides to
 //! which of them a VM reports, [`watcher`] decides which VMs watch the configuration
 //! source, and [`changes`] passes their view of the servers on.
 
 pub mod call;
 pub mod changes;
+pub mod contact;
 pub mod evidence;
 pub mod forecast;
 pub mod health;
--- a/crates/verbenaring-policy/src/dispatch/place.rs
+++ b/crates/verbenaring-policy/src/dispatch/place.rs
@@ -71,6 +71,9 @@
     pub residency: &'a [RegionName],
     /// Servers on which the call already failed.
     pub excluded: &'a [ServerKey],
+    /// Whether another VM of the region sends the call, so that it does not matter which
+    /// servers this VM reaches.
+    pub through_peer: bool,
     /// Time since the call arrived.
     pub elapsed: Duration,
     /// Target time, within which an answer is worth the most.
@@ -248,7 +251,7 @@
         for key in self.eligible_servers(request, now) {
             let record = &mut self.servers[key];
             record.limit.update_part(record.name_hash, vms, now);
-            if let Some(wait) = record.stated_wait(now) {
+            if let Some(wait) = record.stated_wait(now).filter(|_| !request.through_peer) {
                 limited = Some(limited.map_or(wait, |least| least.min(wait)));
                 continue;
             }
@@ -260,7 +263,8 @@
             }
             let record = &mut self.servers[key];
             let may_send = vms.is_owner(record.name_hash) && record.pace.allows(pace_limit, now);
-            if record.is_paced(request.settings, self.current_since, now) && !may_send {
+            let is_paced = record.is_paced(request.settings, self.current_since, now);
+            if is_paced && !may_send && !request.through_peer {
                 paced = true;
             } else {
                 usable.push(key);
@@ -308,7 +312,10 @@
         let record = &self.servers[key];
         let busy = self.busy(record, request.settings, now);
         let unread_tokens = self.unread_tokens(key, request, cache_source);
-        let penalty = record.health.penalty(now);
+        let penalty = match request.through_peer {
+            true => Duration::ZERO,
+            false => record.health.penalty(now),
+        };
         let (queued_ahead, first) =
             self.forecast(record, request.settings, unread_tokens, true, now);
         let first = first + penalty;
--- a/crates/verbenaring-policy/src/dispatch/presence.rs
+++ b/crates/verbenaring-policy/src/dispatch/presence.rs
@@ -89,7 +89,7 @@
     pub servers_revision: u64,
     /// Whether the VM watches the configuration source.
     pub watching: bool,
-    /// Capacity of the VM relative to others.
+    /// Capacity of the VM relative to others; 0 while it reaches no servers.
     pub capacity: u32,
     /// Hash of `vm`.
     pub name_hash: u64,
@@ -134,6 +134,11 @@
     pub fn takes_calls(&self, now: Moment) -> bool {
         self.state == VmState::Ready && self.is_live(now)
     }
+
+    /// Whether the VM reaches servers, as far as it has noticed.
+    pub fn reaches_servers(&self) -> bool {
+        self.capacity > 0
+    }
 }
 
 /// Newest report of each known VM, and the waits of the regions.
@@ -148,8 +153,8 @@
 #[derive(Debug)]
 struct KnownVm {
     record: VmRecord,
-    /// Time at which the VM was first heard, or at which its boot, state or watch
-    /// last changed.
+    /// Time at which the VM was first heard, or at which its boot, state, watch or
+    /// capacity last changed.
     changed_at: Moment,
     unreachable_at: Option<Moment>,
 }
@@ -180,7 +185,8 @@
         }
         let changed = report.boot != record.boot
             || report.state != record.state
-            || report.watching != record.watching;
+            || report.watching != record.watching
+            || report.capacity != record.capacity;
         if changed {
             known.changed_at = now;
         }
--- a/crates/verbenaring-policy/src/dispatch/table.rs
+++ b/crates/verbenaring-policy/src/dispatch/table.rs
@@ -10,6 +10,7 @@
 use slotmap::SlotMap;
 
 use super::call::ServiceSettings;
+use super::contact::ServiceContact;
 use super::forecast::{FirstEventModel, FirstEventSample, ServiceTimeModel};
 use super::health::AnswerQuality;
 use super::limit::ServerLimit;
@@ -63,6 +64,7 @@
     pub(super) service_time_models: HashMap<ServiceName, ServiceTimeModel>,
     /// Time since which entries have followed the source; `None` while they do not.
     pub(super) current_since: Option<Moment>,
+    pub(super) contacts: HashMap<ServiceName, ServiceContact>,
     pub(super) revision: u64,
     /// Revision up to which `removed` may lack removals.
     pub(super) pruned_revision: u64,
@@ -86,6 +88,7 @@
             engine_models: HashMap::new(),
             service_time_models: HashMap::new(),
             current_since: None,
+            contacts: HashMap::new(),
             revision: 0,
             pruned_revision: 0,
             remote_prompts: HashMap::new(),
--- a/crates/verbenaring-policy/tests/dispatch/fixture.rs
+++ b/crates/verbenaring-policy/tests/dispatch/fixture.rs
@@ -108,6 +108,7 @@
             rank: 0,
             residency: &[],
             excluded: &[],
+            through_peer: false,
             elapsed: Duration::ZERO,
             goal: ms(1_000),
             remaining: self.remaining,
