Ask no VM for a second whose refusal says that it reaches no server

A VM that has lost contact with one service only states its capacity as before, so that others forwarded call after call of this service to it. Its refusal now says so, and the VM that forwarded the call asks others for a second.

--- a/crates/verbenaring-core/src/path/call.rs
+++ b/crates/verbenaring-core/src/path/call.rs
@@ -28,6 +28,9 @@
 /// Header of a refusal between VMs: present if the call was not run but has
 /// reached a server.
 pub const REACHED_SERVER_HEADER: &str = "x-verbenaring-arrived";
+/// Header of a refusal between VMs: present if the VM has no contact with the servers of
+/// the service.
+pub const NO_CONTACT_HEADER: &str = "x-verbenaring-no-contact";
 
 /// Who sent a call to this VM.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -156,11 +159,12 @@
     for name in fixed {
         headers.remove(name);
     }
-    for name in
-        header::INTERNAL
-            .into_iter()
-            .chain([ELAPSED_HEADER, ATTEMPTS_HEADER, REACHED_SERVER_HEADER])
-    {
+    for name in header::INTERNAL.into_iter().chain([
+        ELAPSED_HEADER,
+        ATTEMPTS_HEADER,
+        REACHED_SERVER_HEADER,
+        NO_CONTACT_HEADER,
+    ]) {
         headers.remove(name);
     }
 }
--- a/crates/verbenaring-core/src/path/choose.rs
+++ b/crates/verbenaring-core/src/path/choose.rs
@@ -120,10 +120,10 @@
         let state = &mut *state;
         let has_contact = state.servers.has_contact(&call.service);
         if call.origin == CallOrigin::Vm && !has_contact {
-            return Err(CallRefusal::busy(
-                "servers_unreached",
-                UNREACHED_RETRY_AFTER,
-            ));
+            return Err(CallRefusal {
+                no_contact: true,
+                ..CallRefusal::busy("servers_unreached", UNREACHED_RETRY_AFTER)
+            });
         }
         let region_vm = match has_contact && tried.unreached_servers < MAX_UNREACHED_SERVERS {
             true => None,
@@ -366,8 +366,8 @@
             .live(now)
             .filter(|(key, record)| {
                 record.centre.region == *region
-                    && record.reaches_servers()
                     && state.vms.is_reachable(*key, now)
+                    && state.vms.may_have_contact(*key, &call.service, now)
                     && !tried.vms.contains(&record.vm)
             })
             .map(|(_, record)| record)
--- a/crates/verbenaring-core/src/path/exchange.rs
+++ b/crates/verbenaring-core/src/path/exchange.rs
@@ -18,7 +18,8 @@
 use verbenaring_protocol::header;
 
 use super::call::{
-    ATTEMPTS_HEADER, ELAPSED_HEADER, PendingCall, REACHED_SERVER_HEADER, strip_connection_headers,
+    ATTEMPTS_HEADER, ELAPSED_HEADER, NO_CONTACT_HEADER, PendingCall, REACHED_SERVER_HEADER,
+    strip_connection_headers,
 };
 use super::choose::{CallTarget, ChosenServer, ChosenVm};
 use super::framing::AnswerFraming;
@@ -197,6 +198,10 @@
         if let Some(outcome) = vm_outcome(&head) {
             let reason = format!("the VM answered {} {outcome:?}", head.status);
             let reached_server = head.headers.contains_key(REACHED_SERVER_HEADER);
+            if let Some(vm) = vm.filter(|_| head.headers.contains_key(NO_CONTACT_HEADER)) {
+                let now = self.clock.now();
+                self.lock().vms.record_no_contact(&vm, &call.service, now);
+            }
             drain(body, lease);
             return match outcome {
                 RunOutcome::NotRun => (
--- a/crates/verbenaring-core/src/path/refusal.rs
+++ b/crates/verbenaring-core/src/path/refusal.rs
@@ -7,7 +7,7 @@
 use verbenaring_policy::outcome::RunOutcome;
 use verbenaring_protocol::header;
 
-use super::call::REACHED_SERVER_HEADER;
+use super::call::{NO_CONTACT_HEADER, REACHED_SERVER_HEADER};
 use crate::caller::body::AnswerBody;
 
 /// Refusal of a call for which no server's answer is passed on.
@@ -24,6 +24,9 @@
     /// Whether the call has reached a server. If so, the VM that forwarded it
     /// counts a further attempt as a retry.
     pub reached_server: bool,
+    /// Whether this VM has no contact with the servers. If so, the VM that forwarded the
+    /// call asks others.
+    pub no_contact: bool,
 }
 
 impl CallRefusal {
@@ -35,6 +38,7 @@
             outcome: RunOutcome::NotRun,
             retry_after: None,
             reached_server: false,
+            no_contact: false,
         }
     }
 
@@ -67,6 +71,9 @@
         if self.reached_server {
             headers.insert(REACHED_SERVER_HEADER, HeaderValue::from_static("1"));
         }
+        if self.no_contact {
+            headers.insert(NO_CONTACT_HEADER, HeaderValue::from_static("1"));
+        }
         if let Some(wait) = self.retry_after {
             let seconds = format!("{:.3}", wait.as_secs_f64());
             if let Ok(value) = HeaderValue::from_str(&seconds) {
--- a/crates/verbenaring-policy/src/dispatch/presence.rs
+++ b/crates/verbenaring-policy/src/dispatch/presence.rs
@@ -23,8 +23,8 @@
 /// Minimum silence before a VM is no longer live. Datagrams get lost, and
 /// processes with a small share of a core pause for a few hundred milliseconds.
 const MIN_SILENCE: Duration = Duration::from_millis(900);
-/// Time for which a VM gets no calls after it could not be reached. Its reports
-/// may still arrive by another way.
+/// Time for which a VM gets no calls after it could not be reached, or none of a service
+/// whose servers it could not reach. Its reports may still arrive by another way.
 const UNREACHABLE_TIME: Duration = Duration::from_secs(1);
 /// Silence after which the record of a VM is dropped.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
@@ -157,6 +157,8 @@
     /// capacity last changed.
     changed_at: Moment,
     unreachable_at: Option<Moment>,
+    /// Services with whose servers the VM had no contact, and when it said so.
+    no_contact: Vec<(ServiceName, Moment)>,
 }
 
 impl PresenceTable {
@@ -172,6 +174,7 @@
                 record: report,
                 changed_at: now,
                 unreachable_at: None,
+                no_contact: Vec::new(),
             });
             self.by_hash.insert(hash, key);
             self.by_short_hash.insert(hash as u32, key);
@@ -237,6 +240,26 @@
         })
     }
 
+    /// Records that a VM refused a call because it has no contact with the servers of
+    /// its service.
+    pub fn record_no_contact(&mut self, vm: &VmId, service: &ServiceName, now: Moment) {
+        let known = self.vms.values_mut();
+        let mut known = known.filter(|known| known.record.vm == *vm);
+        if let Some(known) = known.next() {
+            known.no_contact.retain(|(name, _)| name != service);
+            known.no_contact.push((service.clone(), now));
+        }
+    }
+
+    /// Whether a VM may have contact with the servers of a service.
+    pub fn may_have_contact(&self, key: VmKey, service: &ServiceName, now: Moment) -> bool {
+        self.vms.get(key).is_some_and(|known| {
+            let mut stated = known.no_contact.iter();
+            known.record.reaches_servers()
+                && !stated.any(|(name, at)| name == service && now.since(*at) < UNREACHABLE_TIME)
+        })
+    }
+
     /// Records the waits of a region unless newer ones are known.
     pub fn record_waits(&mut self, region: &RegionName, waits: RegionWaits) {
         match self.regions.get_mut(region) {
