Divide the places of brittle servers among the VMs

Servers that state Server-Brittle kept falling over under the calls that they had to refuse. Cause: the statement was read nowhere, a VM counted on four times the slots of a plain server and did not count places at an engine at all, and each VM learned from its own refusals that a server is full, and went on sending. Class: a shared limit that each VM probes for itself.

While answers state it, a service's servers count as brittle, until answers lack it for a second. Each VM then has a part of a server's slots, less an eighth, by rank, so that all VMs together never have more calls there than run at a time, whatever they know of each other's calls; groups that hear less than half of the others take the parts that they would have among all. A call without a free place goes through a VM of the region that has one, to another region, or is refused at once as servers_brittle. A VM that is refused all the same leaves the server alone for 0.5 s, up to 4 s if it is refused again. Malformed statements are ignored.

Ruled out: a limit on what is known to be outstanding, since a burst of many VMs is over before reports arrive; sharing what was refused, for the same reason; one owner a server, as for cold ones, which cannot use all slots.

--- a/crates/verbenaring-core/src/node.rs
+++ b/crates/verbenaring-core/src/node.rs
@@ -269,6 +269,9 @@
             self.metrics
                 .limited_servers
                 .set(state.servers.limited_servers() as i64);
+            self.metrics
+                .brittle_services
+                .set(state.servers.brittle_services(now) as i64);
             self.metrics
                 .unreached_services
                 .set(state.servers.lost_services() as i64);
--- a/crates/verbenaring-core/src/observe/metrics.rs
+++ b/crates/verbenaring-core/src/observe/metrics.rs
@@ -36,6 +36,8 @@
     pub paced_calls: IntCounter,
     /// Servers that name a limit.
     pub limited_servers: IntGauge,
+    /// Services whose servers state that they are brittle.
+    pub brittle_services: IntGauge,
     /// Services whose servers this VM cannot reach.
     pub unreached_services: IntGauge,
     /// New connections to servers and VMs.
@@ -118,6 +120,10 @@
                 "verbenaring_limited_servers",
                 "Servers that name a limit for the requests of all VMs",
             ),
+            brittle_services: gauge(
+                "verbenaring_brittle_services",
+                "Services whose servers fail when they refuse many calls",
+            ),
             unreached_services: gauge(
                 "verbenaring_unreached_services",
                 "Services whose servers this VM cannot reach",
--- a/crates/verbenaring-core/src/path/choose.rs
+++ b/crates/verbenaring-core/src/path/choose.rs
@@ -36,6 +36,11 @@
 const PACED_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Servers that a call could not reach, after which another VM of the region tries.
 const MAX_UNREACHED_SERVERS: usize = 2;
+/// Other VMs that are asked for a call for which this VM has no place at brittle servers.
+const MAX_PLACE_HOLDERS: usize = 5;
+/// `Retry-After` while all places at brittle servers are taken, in ms: the time of a few
+/// short calls or a part of a long one.
+const BRITTLE_RETRY_AFTER_MS: std::ops::Range<u64> = 200..600;
 /// `Retry-After` of a VM that does not reach the servers and was asked by another one,
 /// which then asks the next.
 const UNREACHED_RETRY_AFTER: Duration = Duration::from_millis(100);
@@ -125,11 +130,23 @@
                 ..CallRefusal::busy("servers_unreached", UNREACHED_RETRY_AFTER)
             });
         }
-        let region_vm = match has_contact && tried.unreached_servers < MAX_UNREACHED_SERVERS {
+        let region = &self.location.region;
+        let mut region_vm = match has_contact && tried.unreached_servers < MAX_UNREACHED_SERVERS {
             true => None,
-            false => self.pick_vm(call, tried, &self.location.region, state, now),
+            false => self.pick_vm(call, tried, region, |_| true, state, now),
         };
-        let local = self.place_locally(call, tried, region_vm.is_some(), state, now);
+        let mut local = self.place_locally(call, tried, region_vm.is_some(), state, now);
+        if local == Err(PlacementError::Brittle) && tried.vms.len() < MAX_PLACE_HOLDERS {
+            let view = state.region_view(Duration::ZERO, now);
+            let has_place = |vm: &VmRecord| {
+                let servers = &state.servers;
+                servers.has_place(&call.service, vm.name_hash, &view, now)
+            };
+            region_vm = self.pick_vm(call, tried, region, has_place, state, now);
+            if region_vm.is_some() {
+                local = self.place_locally(call, tried, true, state, now);
+            }
+        }
         let mut excluded = Vec::new();
         loop {
             let offer = match call.origin {
@@ -147,7 +164,7 @@
                 let sent = self.send_to_server(call, tried, placement, state, now);
                 return sent.ok_or_else(|| refusal_for(call, &PlacementError::NoServer));
             };
-            match self.pick_vm(call, tried, &offer.region, state, now) {
+            match self.pick_vm(call, tried, &offer.region, |_| true, state, now) {
                 Some(vm) => return Ok(self.forward_to_region(call, vm, &offer, state, now)),
                 None => excluded.push(offer.region),
             }
@@ -348,13 +365,14 @@
         best
     }
 
-    /// Random VM of a region that reaches servers, weighted by capacity. `None` if no VM
-    /// there takes calls.
+    /// Random suitable VM of a region that reaches servers, weighted by capacity. `None` if
+    /// no such VM there takes calls.
     fn pick_vm(
         &self,
         call: &PendingCall,
         tried: &TriedTargets,
         region: &RegionName,
+        is_suitable: impl Fn(&VmRecord) -> bool,
         state: &FrontState,
         now: Moment,
     ) -> Option<VmRecord> {
@@ -369,6 +387,7 @@
                     && state.vms.is_reachable(*key, now)
                     && state.vms.may_have_contact(*key, &call.service, now)
                     && !tried.vms.contains(&record.vm)
+                    && is_suitable(record)
             })
             .map(|(_, record)| record)
             .collect();
@@ -390,6 +409,10 @@
         PlacementError::Limited { until } => {
             CallRefusal::busy("servers_limited", retry_after(*until))
         }
+        PlacementError::Brittle => {
+            let wait = rng.random_range(BRITTLE_RETRY_AFTER_MS);
+            CallRefusal::busy("servers_brittle", Duration::from_millis(wait))
+        }
         PlacementError::Saturated { until } => CallRefusal::busy("saturated", retry_after(*until)),
         PlacementError::Overloaded { forecast } => {
             let wait = forecast.saturating_sub(call.route.goal / 2);
--- a/crates/verbenaring-core/src/path/exchange.rs
+++ b/crates/verbenaring-core/src/path/exchange.rs
@@ -214,10 +214,11 @@
                 _ => (AttemptOutcome::Broken { reason }, "unknown"),
             };
         }
-        match (guard.server(), &vm) {
-            (Some(server), _) => self.record_reached(server),
-            (None, Some(vm)) => self.record_peer_contact(vm, &call.service),
-            (None, None) => {}
+        let near_vm = vm.as_ref().is_some_and(|vm| self.is_in_region(vm));
+        if let Some(server) = guard.server() {
+            self.record_reached(server);
+        } else if near_vm {
+            self.lock().servers.record_peer_contact(&call.service);
         }
         let attempt_id = &call.metadata.attempt_id;
         let kind = P::classify_answer(head.status, &head.headers, attempt_id, lease.is_reused());
@@ -226,8 +227,13 @@
             guard.record_begun(framing);
         }
         let statement = P::read_statement(head.status, &head.headers, attempt_id);
-        if let (Some(server), Some(statement)) = (guard.server(), statement) {
-            self.record_statement(server, statement);
+        if let Some(statement) = statement {
+            if guard.server().is_some() || near_vm {
+                self.record_brittleness(&call.service, statement.brittle);
+            }
+            if let Some(server) = guard.server() {
+                self.record_statement(server, statement);
+            }
         }
         match kind {
             AnswerKind::NotRun | AnswerKind::WrongServer => {
@@ -235,6 +241,10 @@
                     AnswerKind::NotRun => CallOutcome::Failed,
                     _ => CallOutcome::Refused,
                 });
+                if let (AnswerKind::NotRun, Some(server)) = (kind, guard.server()) {
+                    let now = self.clock.now();
+                    self.lock().servers.record_call_refused(server, now);
+                }
                 let reason = format!("the server answered {} not run", head.status);
                 drain(body, lease);
                 let reached_server = true;
--- a/crates/verbenaring-core/src/path/statement.rs
+++ b/crates/verbenaring-core/src/path/statement.rs
@@ -1,12 +1,29 @@
 //! Records what servers state about themselves in their answers.
 
+use verbenaring_policy::dispatch::brittle::BrittlenessChange;
 use verbenaring_policy::dispatch::limit::{LimitChange, LimitUpdate, StatementSource};
 use verbenaring_policy::dispatch::server::ServerKey;
+use verbenaring_policy::id::ServiceName;
 
 use crate::node::FrontNode;
 use crate::wire::{ServerStatement, WireProtocol};
 
 impl<P: WireProtocol> FrontNode<P> {
+    /// Records whether a server of the service states that it is brittle.
+    pub(super) fn record_brittleness(&self, service: &ServiceName, stated: bool) {
+        let now = self.clock.now();
+        let change = self.lock().servers.record_brittleness(service, stated, now);
+        match change {
+            Some(BrittlenessChange::Began) => {
+                log::info!(service:% = service; "servers state that they are brittle");
+            }
+            Some(BrittlenessChange::Ended) => {
+                log::info!(service:% = service; "servers are not brittle any more");
+            }
+            None => {}
+        }
+    }
+
     /// Records the statement of an answer.
     pub(super) fn record_statement(&self, server: ServerKey, statement: ServerStatement) {
         let now = self.clock.now();
--- a/crates/verbenaring-core/src/upstream/contact.rs
+++ b/crates/verbenaring-core/src/upstream/contact.rs
@@ -84,13 +84,11 @@
         }
     }
 
-    /// Records that another VM has passed on the answer of a server of the service.
-    pub(crate) fn record_peer_contact(&self, vm: &VmId, service: &ServiceName) {
-        let mut state = self.lock();
-        let centre = state.vms.find(vm).map(|record| &record.centre);
-        if centre.is_some_and(|centre| centre.region == self.location.region) {
-            state.servers.record_peer_contact(service);
-        }
+    /// Whether another VM is in the region of this one.
+    pub(crate) fn is_in_region(&self, vm: &VmId) -> bool {
+        let state = self.lock();
+        let record = state.vms.find(vm);
+        record.is_some_and(|record| record.centre.region == self.location.region)
     }
 
     /// Closes connections that were opened before contact was lost and may be silent.
--- a/crates/verbenaring-core/src/wire.rs
+++ b/crates/verbenaring-core/src/wire.rs
@@ -49,6 +49,8 @@
     /// Requests per second that it takes from all VMs together; `None` if it names no
     /// limit.
     pub limit: Option<f64>,
+    /// Whether it fails when it has to refuse many calls, and lets few wait.
+    pub brittle: bool,
     /// Whether it shuts down and takes no new calls.
     pub leaving: bool,
     /// Time for which it wants no calls from this VM; `None` if it states none.
--- a/crates/verbenaring-policy/src/dispatch/mod.rs
+++ b/crates/verbenaring-policy/src/dispatch/mod.rs
@@ -4,7 +4,8 @@
 //! ([`call`]). A server of the VM's own region is chosen ([`place`]) by the predicted
 //! time to its first event ([`forecast`]) and by its health in earlier calls
 //! ([`health`]). Calls to cold servers are rate-limited ([`pace`]) and sent by one VM
-//! ([`ownership`]), and those to servers that name a limit by a few ([`limit`]); what
+//! ([`ownership`]), those to servers that name a limit by a few ([`limit`]), and those
+//! to servers that fail when they refuse many by each in its own places ([`brittle`]); what
 //! else servers say of themselves binds each VM ([`statement`]). Calls whose prompts
 //! crash servers are refused ([`suspect`]), as far as the calls that servers leave behind
 //! when they end ([`run`]) and the [`evidence`] of other VMs show it. Another region is
@@ -14,6 +15,7 @@
 //! which of them a VM reports, [`watcher`] decides which VMs watch the configuration
 //! source, and [`changes`] passes their view of the servers on.
 
+pub mod brittle;
 pub mod call;
 pub mod changes;
 pub mod contact;
--- a/crates/verbenaring-policy/src/dispatch/ownership.rs
+++ b/crates/verbenaring-policy/src/dispatch/ownership.rs
@@ -32,6 +32,8 @@
     pub live: Vec<u64>,
     /// Name hashes of the VMs that were live until recently.
     pub recent: Vec<u64>,
+    /// Name hashes of the VMs that are expected and have not been live for longer.
+    pub lost: Vec<u64>,
     /// VMs that are expected in the region, live or not, including this one.
     pub expected: usize,
     /// Whether this VM has run long enough to have heard from the others. Before
@@ -44,12 +46,14 @@
     pub fn new(own: u64, region: &RegionName, vms: &PresenceTable, now: Moment) -> Self {
         let mut view = Self::of_live(own, &[own]);
         for record in vms.iter().filter(|record| record.centre.region == *region) {
+            let stops = matches!(record.state, VmState::Leaving | VmState::Closing);
             if record.is_live(now) {
                 view.live.push(record.name_hash);
             } else if record.was_live_within(HANDOVER_TIME, now) {
                 view.recent.push(record.name_hash);
+            } else if !stops {
+                view.lost.push(record.name_hash);
             }
-            let stops = matches!(record.state, VmState::Leaving | VmState::Closing);
             view.expected += usize::from(!stops);
         }
         view
@@ -61,6 +65,7 @@
             own,
             live: live.to_vec(),
             recent: Vec::new(),
+            lost: Vec::new(),
             expected: live.len(),
             peers_known: true,
         }
@@ -97,6 +102,38 @@
         taken / holders as f64
     }
 
+    /// Part of the `places` of a server that falls to this VM. A VM that hears less than
+    /// half of the others takes the part of one of all of them.
+    pub(super) fn places_part(&self, server: u64, places: u32) -> u32 {
+        match self.peers_known {
+            true => self.part_of(self.own, server, places),
+            false => 0,
+        }
+    }
+
+    /// Whether another VM may send calls to a server with so many places.
+    pub(super) fn is_place_holder(&self, vm: u64, server: u64, places: u32) -> bool {
+        self.part_of(vm, server, places) > 0
+    }
+
+    fn part_of(&self, vm: u64, server: u64, places: u32) -> u32 {
+        let rank = |vm: &u64| rendezvous_score(server, *vm);
+        let hears_most = self.live_share() > 0.5;
+        let lost = match hears_most {
+            true => &[][..],
+            false => &self.lost,
+        };
+        let known = self.live.len() + self.recent.len() + lost.len();
+        let holders = match hears_most {
+            true => known,
+            false => known.max(self.expected),
+        };
+        let holders = holders.max(1) as u32;
+        let rivals = self.live.iter().chain(&self.recent).chain(lost);
+        let higher = rivals.filter(|rival| rank(rival) > rank(&vm)).count() as u32;
+        places / holders + u32::from(higher < places % holders)
+    }
+
     /// Fraction of the expected VMs that are live, at most 1.
     pub(super) fn live_share(&self) -> f64 {
         (self.live.len() as f64 / self.expected.max(1) as f64).min(1.0)
--- a/crates/verbenaring-policy/src/dispatch/place.rs
+++ b/crates/verbenaring-policy/src/dispatch/place.rs
@@ -14,6 +14,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::brittle::RESERVE_DIVISOR;
 use super::call::ServiceSettings;
 use super::ownership::RegionView;
 use super::prompt::{PromptPart, PromptRecord, rendezvous_score, short_part_id};
@@ -147,6 +148,8 @@
         /// Time until the first of them takes a call.
         until: Duration,
     },
+    /// The eligible servers are brittle, and this VM has no place free at any of them.
+    Brittle,
     /// Servers are too busy reading prompts, and no other one is usable.
     Saturated {
         /// Time until the least busy one falls below the limit without new calls.
@@ -248,6 +251,8 @@
         let mut paced = false;
         let mut least_busy: Option<f64> = None;
         let mut limited: Option<Duration> = None;
+        let brittle = self.is_brittle(request.service, now) && !request.through_peer;
+        let mut full = false;
         for key in self.eligible_servers(request, now) {
             let record = &mut self.servers[key];
             record.limit.update_part(record.name_hash, vms, now);
@@ -255,6 +260,11 @@
                 limited = Some(limited.map_or(wait, |least| least.min(wait)));
                 continue;
             }
+            let own_calls = u32::from(record.own_share.calls);
+            if brittle && own_calls >= vms.places_part(record.name_hash, record.brittle_places()) {
+                full = true;
+                continue;
+            }
             let busy = self.busy(&self.servers[key], request.settings, now);
             if busy > busy_limit {
                 least_busy = Some(least_busy.map_or(busy, |least| least.min(busy)));
@@ -279,6 +289,9 @@
         if !usable.is_empty() {
             return Ok(usable);
         }
+        if full {
+            return Err(PlacementError::Brittle);
+        }
         Err(match (least_busy, limited, paced) {
             (Some(busy), ..) => PlacementError::Saturated {
                 until: WorkRate::time_to_fall(busy, busy_limit),
@@ -452,6 +465,10 @@
                 let memory = u64::from(load.memory_tokens)
                     + u64::from(request.prompt_tokens())
                     + u64::from(request.answer_tokens);
+                let capacity = match self.is_brittle(request.service, now) {
+                    true => capacity - capacity / u64::from(RESERVE_DIVISOR),
+                    false => capacity,
+                };
                 load.calls == 0 || memory <= capacity
             }
         }
--- a/crates/verbenaring-policy/src/dispatch/server.rs
+++ b/crates/verbenaring-policy/src/dispatch/server.rs
@@ -153,6 +153,8 @@
     pub(super) stated_leaving: bool,
     /// Time until which the server wants no calls from this VM.
     pub(super) paused_until: Moment,
+    /// Calls that the server refused, while it was brittle, since the last good answer.
+    pub(super) refusals: u32,
     /// Set when the entry is removed; the server takes calls until then.
     pub(super) use_until: Option<Moment>,
 }
@@ -172,6 +174,7 @@
             limit: ServerLimit::default(),
             stated_leaving: false,
             paused_until: Moment::default(),
+            refusals: 0,
             use_until: None,
             changed_revision: entry.revision,
             entry,
--- a/crates/verbenaring-policy/src/dispatch/table.rs
+++ b/crates/verbenaring-policy/src/dispatch/table.rs
@@ -9,6 +9,7 @@
 
 use slotmap::SlotMap;
 
+use super::brittle::ServiceBrittleness;
 use super::call::ServiceSettings;
 use super::contact::ServiceContact;
 use super::forecast::{FirstEventModel, FirstEventSample, ServiceTimeModel};
@@ -64,6 +65,7 @@
     pub(super) service_time_models: HashMap<ServiceName, ServiceTimeModel>,
     /// Time since which entries have followed the source; `None` while they do not.
     pub(super) current_since: Option<Moment>,
+    pub(super) brittle: HashMap<ServiceName, ServiceBrittleness>,
     pub(super) contacts: HashMap<ServiceName, ServiceContact>,
     pub(super) revision: u64,
     /// Revision up to which `removed` may lack removals.
@@ -88,6 +90,7 @@
             engine_models: HashMap::new(),
             service_time_models: HashMap::new(),
             current_since: None,
+            brittle: HashMap::new(),
             contacts: HashMap::new(),
             revision: 0,
             pruned_revision: 0,
@@ -171,6 +174,7 @@
             record.limit = ServerLimit::default();
             record.stated_leaving = false;
             record.paused_until = Moment::default();
+            record.refusals = 0;
         }
         if !cold_left.is_zero() {
             record.cold_until = record.cold_until.max(now + cold_left);
@@ -433,7 +437,10 @@
         own.memory_tokens = own.memory_tokens.saturating_sub(call.memory_tokens);
         own.calls = own.calls.saturating_sub(1);
         match end {
-            CallOutcome::Good => record.health.record_answer(AnswerQuality::Good, now),
+            CallOutcome::Good => {
+                record.health.record_answer(AnswerQuality::Good, now);
+                record.refusals = 0;
+            }
             CallOutcome::Failed => record.health.record_answer(AnswerQuality::Failed, now),
             CallOutcome::Broken => record.health.record_answer(AnswerQuality::Broken, now),
             CallOutcome::Refused => record.health.record_refused(now),
--- a/crates/verbenaring-policy/tests/dispatch/main.rs
+++ b/crates/verbenaring-policy/tests/dispatch/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the dispatch decisions under the load or failure that each one is for.
 
+mod brittle;
 mod components;
 mod contact;
 mod fixture;
