Order what the store says across its restorations

A store that comes back from a copy gives out revisions again. Changes that were confirmed afterwards were not in force in time, and requests on new routes got 404: a VM ignores operators' changes up to the highest revision that it has applied, and server entries older than those that it has. Class: an order that its source can reset.

Store-Era rises with each restoration. Items that the copy holds keep the place that they had before; what they say never replaces what is known to be newer. A watch whose answer is of another era is listed again, even if the store still has its revision. Until servers and operators have written again what was lost, 10 s at most, evacuations that are missing go on and servers that are missing have their grace period; then the scope is listed once more.

Ruled out: starting anew after a restoration, which would take the copy for the present: a server that has left or an evacuation would come back.

--- a/crates/verbenaring-core/src/config/quarantine.rs
+++ b/crates/verbenaring-core/src/config/quarantine.rs
@@ -25,8 +25,14 @@
     source: Arc<S>,
 ) {
     let mut published = read_quarantines(&node, &*source).await;
+    let mut restorations = source.restorations();
     loop {
         tokio::time::sleep(PUBLISH_INTERVAL).await;
+        if source.restorations() != restorations {
+            // The source may have lost what was published.
+            restorations = source.restorations();
+            published.clear();
+        }
         let quarantines = node.own_quarantines();
         for entry in &quarantines {
             if !published.contains(&entry.part) {
--- a/crates/verbenaring-core/src/config/source.rs
+++ b/crates/verbenaring-core/src/config/source.rs
@@ -60,10 +60,14 @@
 pub struct ConfigBatch {
     /// Changes in the order in which they apply.
     pub changes: Vec<ConfigChange>,
-    /// Revision from which a watch continues.
+    /// Revision from which a watch continues. Revisions rise also when the source comes
+    /// back from an older state.
     pub revision: u64,
     /// Highest revision among the changes; 0 if there are none.
     pub newest_revision: u64,
+    /// Whether the source came back from an older state a short time ago, so that what
+    /// was written since may be missing.
+    pub incomplete: bool,
 }
 
 /// Why the source did not provide what was asked for.
@@ -72,6 +76,9 @@
     /// The source no longer keeps the changes after the given revision.
     #[error("changes after the requested revision are no longer available")]
     Compacted,
+    /// The source came back from an older state; its changes are to be listed again.
+    #[error("the source came back from an older state")]
+    Restored,
     /// The source did not answer in time; open connections to it may be dead.
     #[error("{0}")]
     NoAnswer(String),
@@ -116,6 +123,9 @@
         hold: Duration,
     ) -> impl Future<Output = Result<ConfigBatch, SourceError>> + Send;
 
+    /// Number of times that the source is known to have come back from an older state.
+    fn restorations(&self) -> u64;
+
     /// Announces a VM, or renews its announcement. It expires after `ttl`.
     fn announce(
         &self,
--- a/crates/verbenaring-core/src/config/sync.rs
+++ b/crates/verbenaring-core/src/config/sync.rs
@@ -9,6 +9,10 @@
 //! Open connections can fall silent without an error, and a watch whose connection is
 //! silent looks like one without changes. A watch that is not answered in time therefore
 //! ends the other one too.
+//!
+//! A source that came back from an older state lacks changes that have been in force.
+//! Until they are written again, nothing is taken back because it is missing; then the
+//! scope is listed once more.
 
 use std::collections::HashSet;
 use std::sync::Arc;
@@ -46,6 +50,9 @@
 /// Time after the return of the source in which servers restore entries that
 /// expired meanwhile; until then they are kept.
 const LAPSED_ENTRY_GRACE: Duration = Duration::from_millis(2_200);
+/// Time after a listing of a source that came back from an older state, after which it is
+/// listed again. By then, what was missing has been written again.
+const REWRITE_TIME: Duration = Duration::from_secs(10);
 /// Time to live of an announcement; allows for some failed renewals.
 const ANNOUNCEMENT_TTL: Duration = Duration::from_secs(15);
 /// Time from the start by which a VM has found others through its seeds.
@@ -99,10 +106,11 @@
                     log::info!(scope = scope.name(), away_ms = since.elapsed().as_millis() as u64,
                         revision = batch.revision; "platform store regained");
                 }
-                let grace = match regained {
-                    Some(_) => LAPSED_ENTRY_GRACE,
-                    None => Duration::ZERO,
+                let grace = match regained.is_some() || batch.incomplete {
+                    true => LAPSED_ENTRY_GRACE,
+                    false => Duration::ZERO,
                 };
+                let relist_at = batch.incomplete.then(|| Instant::now() + REWRITE_TIME);
                 let revision = batch.revision;
                 node.apply_listing(scope, batch, grace);
                 // VMs that start together all list; most need not watch.
@@ -112,18 +120,24 @@
                 node.status(scope).watched.store(true, Ordering::Relaxed);
                 pause = MIN_RETRY_PAUSE;
                 let grace_until = Instant::now() + grace;
-                let outcome = watch(&node, &*source, scope, revision, grace_until).await;
+                let watching = watch(&node, &*source, scope, revision, grace_until);
+                let outcome = match relist_at {
+                    Some(at) => tokio::time::timeout_at(at, watching).await,
+                    None => Ok(watching.await),
+                };
                 node.status(scope).watched.store(false, Ordering::Relaxed);
                 match outcome {
-                    WatchOutcome::NotNeeded => {
+                    Err(_) => continue,
+                    Ok(WatchOutcome::NotNeeded) => {
                         log::info!(scope = scope.name(); "watch left to other VMs");
                         continue;
                     }
-                    WatchOutcome::Error(SourceError::Compacted) => {
+                    Ok(WatchOutcome::Error(SourceError::Compacted)) => {
                         log::info!(scope = scope.name(); "platform store no longer has the history, listing again");
                         continue;
                     }
-                    WatchOutcome::Error(error) => {
+                    Ok(WatchOutcome::Error(SourceError::Restored)) => continue,
+                    Ok(WatchOutcome::Error(error)) => {
                         if matches!(error, SourceError::NoAnswer(_)) {
                             node.source_silent.notify_waiters();
                         }
@@ -257,7 +271,10 @@
     pub fn apply_listing(&self, scope: ConfigScope, batch: ConfigBatch, grace: Duration) {
         let (revision, newest) = (batch.revision, batch.newest_revision);
         let mut listed: HashSet<ServerId> = HashSet::new();
-        let mut evacuated: HashSet<CentreName> = HashSet::new();
+        let mut evacuated: HashSet<CentreName> = match batch.incomplete {
+            true => self.lock().servers.evacuated().clone(),
+            false => HashSet::new(),
+        };
         for change in batch.changes {
             match change {
                 ConfigChange::Evacuated(centre) => {
--- a/crates/verbenaring-core/src/node.rs
+++ b/crates/verbenaring-core/src/node.rs
@@ -16,7 +16,7 @@
 use verbenaring_policy::dispatch::call::RouteTable;
 use verbenaring_policy::dispatch::presence::VmState;
 use verbenaring_policy::dispatch::server::ServerKey;
-use verbenaring_policy::id::DataCentre;
+use verbenaring_policy::id::{CentreName, DataCentre};
 use verbenaring_policy::time::Moment;
 
 use crate::caller::body::AnswerBody;
@@ -170,6 +170,11 @@
         self.lock().should_watch(self.is_watching(), now)
     }
 
+    /// Data centres whose servers take no calls.
+    pub fn evacuated_centres(&self) -> Vec<CentreName> {
+        self.lock().servers.evacuated().iter().cloned().collect()
+    }
+
     /// Highest revision of the servers that has been applied.
     pub fn servers_revision(&self) -> u64 {
         self.lock().servers.applied_revision()
