Answer every open call before a stop ends

Another operator reports calls that came late in a planned stop, were passed on and cut without an answer. It can happen here where the time from the signal to the kill is short: a stop was announced for 2.9 s or all of that time, and while it is announced, calls are taken whatever their deadline; what was open at the end was cut.

A stop is now announced for 0.4 of the time at most, which leaves 2.9 s at the 8 s of the users' deployments, and 0.2 s before the process ends, calls without an answer get their final one: not run if they were not sent, else unknown.

Streams that have begun are still cut at the end if they last longer than the stop.

--- a/crates/verbenaring-core/src/node.rs
+++ b/crates/verbenaring-core/src/node.rs
@@ -47,8 +47,13 @@
 /// Time for which a stop is announced while calls are still accepted. Callers
 /// use an answer of the directory for up to three times its time to live, 1 s.
 const STOP_ANNOUNCEMENT_TIME: Duration = Duration::from_millis(2_900);
+/// Largest part of the time until the exit for which a stop is announced. Calls that are
+/// accepted later must be able to end before the process does.
+const MAX_ANNOUNCEMENT_SHARE: f64 = 0.4;
 /// Safety margin between the end of the last call and the kill.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
+/// Time before the exit by which open calls get their final answers.
+const FINAL_ANSWER_MARGIN: Duration = Duration::from_millis(200);
 /// Limit on log lines per second about refusals and failed attempts.
 const FAILURE_LINES_PER_S: u32 = 200;
 
@@ -175,6 +180,11 @@
         self.lock().servers.evacuated().iter().cloned().collect()
     }
 
+    /// Number of servers whose entries are known.
+    pub fn listed_servers(&self) -> usize {
+        self.lock().servers.entries().count()
+    }
+
     /// Highest revision of the servers that has been applied.
     pub fn servers_revision(&self) -> u64 {
         self.lock().servers.applied_revision()
@@ -189,11 +199,25 @@
     /// VM closes, it must be able to end before the process does.
     pub fn can_finish(&self, deadline: Instant) -> bool {
         let closing = *self.shutdown_phase.borrow() >= ShutdownPhase::Closing;
-        !closing
-            || self
-                .exit_deadline
-                .get()
-                .is_some_and(|exit| deadline < *exit)
+        !closing || self.last_answer_at().is_some_and(|last| deadline < last)
+    }
+
+    /// Time of the last answers; `None` as long as no stop has begun.
+    fn last_answer_at(&self) -> Option<Instant> {
+        let exit = self.exit_deadline.get()?;
+        Some(*exit - FINAL_ANSWER_MARGIN)
+    }
+
+    /// Waits until open calls must be answered, because the process is about to end.
+    pub(crate) async fn wait_for_last_answers(&self) {
+        let mut phase = self.shutdown_phase.subscribe();
+        let stopping = phase.wait_for(|phase| *phase != ShutdownPhase::Serving);
+        // The sender lives as long as the node.
+        let _ = stopping.await.is_ok();
+        // Set before the phase.
+        if let Some(last) = self.last_answer_at() {
+            tokio::time::sleep_until(last).await;
+        }
     }
 
     pub(crate) fn server_name(&self, key: ServerKey) -> String {
@@ -462,7 +486,8 @@
             self.node
                 .shutdown_phase
                 .send_replace(ShutdownPhase::Announced);
-            tokio::time::sleep(STOP_ANNOUNCEMENT_TIME.min(grace)).await;
+            let announcement = grace.mul_f64(MAX_ANNOUNCEMENT_SHARE);
+            tokio::time::sleep(STOP_ANNOUNCEMENT_TIME.min(announcement)).await;
             self.node
                 .shutdown_phase
                 .send_replace(ShutdownPhase::Closing);
--- a/crates/verbenaring-core/src/path/controller.rs
+++ b/crates/verbenaring-core/src/path/controller.rs
@@ -173,18 +173,21 @@
         let mut tried = TriedTargets::default();
         let last_event_id = call.metadata.last_event_id.as_deref();
         let answering = self.try_targets(&call, &mut tried, last_event_id);
-        let answered = timeout_at(call.deadline, answering).await;
+        let answered = tokio::select! {
+            answered = timeout_at(call.deadline, answering) => answered.ok(),
+            () = self.wait_for_last_answers() => None,
+        };
         match answered {
-            Ok(Ok(UpstreamAnswer::Stream(stream))) => {
+            Some(Ok(UpstreamAnswer::Stream(stream))) => {
                 StreamRelay::start(self, &call, tried, stream)
             }
-            Ok(Ok(UpstreamAnswer::Whole(answer))) => {
+            Some(Ok(UpstreamAnswer::Whole(answer))) => {
                 self.observe_first_event(&call);
                 self.report_answer(&call, answer.status());
                 answer.map(AnswerBody::whole)
             }
-            Ok(Err(refusal)) => self.refuse_call(&call, refusal),
-            Err(_) => {
+            Some(Err(refusal)) => self.refuse_call(&call, refusal),
+            None => {
                 let refusal = match call.maybe_running.load(Ordering::Relaxed) {
                     true => CallRefusal::unknown(StatusCode::GATEWAY_TIMEOUT, "timed_out"),
                     false => CallRefusal::busy("not_sent_in_time", UNSENT_RETRY_AFTER),
