--- a/crates/verbenaring-cli/src/logs/explain.rs
+++ b/crates/verbenaring-cli/src/logs/explain.rs
@@ -204,6 +204,10 @@
         "overloaded" => "no server can answer in time",
         "saturated" => "the engines read prompts nearly all of the time",
         "no_server" => "no server that may run the call takes calls",
+        "servers_brittle" => {
+            "the servers fail when they refuse many calls, and all their places are taken"
+        }
+        "servers_unreached" => "this VM reaches no server of the service",
         "servers_limited" => "the servers that may run the call take no more of them for now",
         "servers_cold" => "the servers that may run the call have just started",
         "repeat_budget" => "the budget of repeats is used up",
