Review case 1: streams of a crashed server end as complete

Cause: the check by a new connection is answered by the listening socket of the dying process, which the kernel closes after its channels.

--- a/review/standins.rs
+++ b/review/standins.rs
@@ -189,13 +189,15 @@
     lease: u64,
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct StoreState {
     rev: u64,
     items: BTreeMap<String, Item>,
     events: Vec<(u64, String, String)>,
     leases: BTreeMap<u64, (Instant, Duration)>,
     next_lease: u64,
+    era: u64,
+    away: bool,
 }
 
 impl StoreState {
@@ -285,17 +287,47 @@
     }
 
     fn put(&self, key: &str, value: &str) -> u64 {
+        if self.state.0.lock().unwrap().away {
+            return 0;
+        }
         let rev = self.state.0.lock().unwrap().put(key, base64(value.as_bytes()), 0);
         self.state.1.notify_all();
         rev
     }
 
+    fn copy(&self) -> StoreState {
+        self.state.0.lock().unwrap().clone()
+    }
+
+    fn set_away(&self) {
+        self.state.0.lock().unwrap().away = true;
+        self.state.1.notify_all();
+    }
+
+    /// Comes back from a copy: what was written since is gone.
+    fn restore(&self, copy: StoreState) {
+        let mut state = self.state.0.lock().unwrap();
+        let era = state.era + 1;
+        *state = copy;
+        state.era = era;
+        state.away = false;
+        drop(state);
+        self.state.1.notify_all();
+    }
+
+    fn remove(&self, key: &str) {
+        self.state.0.lock().unwrap().remove(key);
+        self.state.1.notify_all();
+    }
+
     fn serve(&self, mut stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let mut buffer = Vec::new();
         while let Some(request) = read_request(&mut stream, &mut buffer) {
             let (status, body) = self.handle(&request);
-            let answer = reply(status, "Content-Type: application/json\r\nStore-Era: 1\r\n", &body);
+            let era = self.state.0.lock().unwrap().era + 1;
+            let head = format!("Content-Type: application/json\r\nStore-Era: {era}\r\n");
+            let answer = reply(status, &head, &body);
             if stream.write_all(answer.as_bytes()).is_err() {
                 return;
             }
@@ -309,6 +341,9 @@
         let prefix = query.get("pathPrefix").cloned().unwrap_or_default();
         let body = String::from_utf8_lossy(&request.body).into_owned();
         let mut state = self.state.0.lock().unwrap();
+        if state.away {
+            return ("503 Service Unavailable", "{}".to_owned());
+        }
         match path.as_str() {
             "/api/kv-range" => {
                 let after = query.get("after").cloned().unwrap_or_default();
@@ -325,7 +360,14 @@
                 let after: u64 = query.get("after").and_then(|v| v.parse().ok()).unwrap_or(0);
                 let wait: u64 = query.get("waitMs").and_then(|v| v.parse().ok()).unwrap_or(0);
                 let until = Instant::now() + ms(wait);
+                let era = state.era;
                 loop {
+                    if state.away {
+                        return ("503 Service Unavailable", "{}".to_owned());
+                    }
+                    if state.era != era || after > state.rev {
+                        return ("410 Gone", "{}".to_owned());
+                    }
                     let events: Vec<String> = state
                         .events
                         .iter()
@@ -463,6 +505,13 @@
         }
     }
 
+    /// Lets the server fall silent for some time.
+    fn fall_silent(&self, millis: u64) {
+        if let Some(input) = self.child.lock().unwrap().stdin.as_mut() {
+            let _ = input.write_all(format!("silent {millis}\n").as_bytes());
+        }
+    }
+
     /// Tells the server to state in all its answers that it leaves.
     fn leave(&self) {
         if let Some(input) = self.child.lock().unwrap().stdin.as_mut() {
@@ -481,7 +530,33 @@
     )
 }
 
-/// The process of a backend server.
+/// Whether the peer has closed the connection.
+fn is_closed(stream: &TcpStream) -> bool {
+    let _ = stream.set_nonblocking(true);
+    let closed = match stream.peek(&mut [0]) {
+        Ok(count) => count == 0,
+        Err(error) => error.kind() != std::io::ErrorKind::WouldBlock,
+    };
+    let _ = stream.set_nonblocking(false);
+    closed
+}
+
+/// Until when the server is silent: it reads and writes nothing, and works on.
+static SILENT: Mutex<Option<Instant>> = Mutex::new(None);
+
+/// Waits while the server is silent.
+fn wait_silence() {
+    while let Some(until) = *SILENT.lock().unwrap() {
+        let left = until.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return;
+        }
+        thread::sleep(left.min(ms(2)));
+    }
+}
+
+/// The process of a backend server. It stops work on a request when it finds the
+/// connection closed, or at the time limit that the request states.
 fn backend(arguments: &[String]) -> ! {
     let [id, events, pause, unframed] = arguments else { exit(2) };
     let number = |text: &String| text.parse::<u32>().unwrap_or(0);
@@ -494,7 +569,11 @@
         let mut line = String::new();
         // The input ends with the starter; the server then ends too.
         while std::io::stdin().read_line(&mut line).unwrap_or(0) > 0 {
-            input.store(true, Ordering::Relaxed);
+            match line.trim().strip_prefix("silent ").and_then(|time| time.parse().ok()) {
+                Some(time) => *SILENT.lock().unwrap() = Some(Instant::now() + ms(time)),
+                None => input.store(true, Ordering::Relaxed),
+            }
+            line.clear();
         }
         exit(0);
     });
@@ -517,6 +596,11 @@
                     let _ = stream.write_all(reply("421 Misdirected Request", &head, "").as_bytes());
                     continue;
                 }
+                wait_silence();
+                if is_closed(&stream) {
+                    return;
+                }
+                let begun = Instant::now();
                 let limit = request.header("deadline-ms").and_then(|v| v.parse().ok()).unwrap_or(60_000);
                 let until = Instant::now() + ms(limit);
                 let turn = count.fetch_add(1, Ordering::Relaxed) + 1;
@@ -525,12 +609,17 @@
                 let state = if leaving.load(Ordering::Relaxed) { "Server-Leaving: 1\r\n" } else { "" };
                 let framing = if plain { "Connection: close\r\n" } else { "Transfer-Encoding: chunked\r\n" };
                 let head = format!("HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nServer-Stamp: stamp.{id}.{attempt}\r\n{state}Content-Type: text/event-stream\r\n{framing}\r\n");
-                let mut ok = stream.write_all(head.as_bytes()).is_ok();
+                // The head goes out with the first event.
+                let mut out = head.into_bytes();
+                let mut ok = true;
                 for event in 1..=events {
-                    thread::sleep(pause);
+                    thread::sleep((begun + pause * event).saturating_duration_since(Instant::now()));
+                    wait_silence();
                     let text = format!("id: {event}\ndata: piece {event}\n\n");
                     let text = if plain { text } else { format!("{:x}\r\n{text}\r\n", text.len()) };
-                    ok = ok && Instant::now() < until && stream.write_all(text.as_bytes()).is_ok();
+                    out.extend_from_slice(text.as_bytes());
+                    ok = Instant::now() < until && !is_closed(&stream) && stream.write_all(&out).is_ok();
+                    out.clear();
                     if !ok {
                         break;
                     }
@@ -698,6 +787,9 @@
 #[derive(Clone)]
 struct Try {
     id: String,
+    vm: SocketAddr,
+    /// When an answer with `Server-Leaving` began to arrive.
+    leaving: Option<f64>,
     /// When its last byte was sent.
     sent: f64,
     ended: f64,
@@ -725,7 +817,7 @@
 /// Sends one request on a channel of its own.
 fn send(vm: SocketAddr, call: &Call, record: &Record) -> Try {
     let id = new_id();
-    let mut result = Try { id: id.clone(), sent: record.now(), ended: 0.0, end: End::NoChannel, events: 0 };
+    let mut result = Try { id: id.clone(), vm, leaving: None, sent: record.now(), ended: 0.0, end: End::NoChannel, events: 0 };
     let begun = Instant::now();
     if let Ok(mut stream) = TcpStream::connect_timeout(&vm, ms(1_000)) {
         let _ = stream.set_nodelay(true);
@@ -747,6 +839,7 @@
         result.end = match read_head(&mut stream, &mut buffer) {
             Ok(Some(mut answer)) => {
                 let status = answer.status();
+                result.leaving = answer.header("server-leaving").map(|_| record.now());
                 let whole = read_body(&mut stream, &mut buffer, &mut answer, |_| {});
                 result.events = String::from_utf8_lossy(&answer.body).matches("\n\n").count();
                 match whole {
@@ -832,8 +925,11 @@
         exit(2);
     });
     let code = match case.as_str() {
+        "crash" => crash(&setting),
         "spot" => spot(&setting),
         "memory" => memory(&setting),
+        "restored" => restored(&setting),
+        "silence" => silence(&setting),
         _ => 2,
     };
     end_all();
