Wait for the answers of servers that stand still

Callers saw streams that ran at two servers (TWICE), repeats that piled up (BUDGET) and, where no other server was left, requests that ended with 502 although their server went on (LOST), while sound servers were silent for about a second.

Cause: an answer that was overdue by three times its forecast and 400 ms counted as lost. It was given up even with no other server, or no repeat, to turn to. Class: a silence is taken for the failure of one call. Ruled out: broken connections, which end at once.

Change: policy/dispatch/silence.rs judges overdue answers by the signs of their server. One that cannot be reached is left; one that is heard again has as much time again, at most 1 s, because what has queued up comes first; one that is silent is checked with a status request, and waited for up to 4 s. Calls that may overlap are repeated as before. No call is given up that has no place elsewhere, or no repeat in the budget. A VM leaves a forwarded stream to the VM that reaches the server, which judges it likewise.

--- a/crates/verbenaring-core/src/path/call.rs
+++ b/crates/verbenaring-core/src/path/call.rs
@@ -25,6 +25,9 @@
 pub const ELAPSED_HEADER: &str = "x-verbenaring-elapsed-ms";
 /// Header of a forwarded call: number of servers on which it may still run.
 pub const ATTEMPTS_HEADER: &str = "x-verbenaring-attempts";
+/// Header of a forwarded call: present if the VM that forwards it may send it to another
+/// server if this one does not answer.
+pub const REPEATABLE_HEADER: &str = "x-verbenaring-repeatable";
 /// Header of a refusal between VMs: present if the call was not run but has
 /// reached a server.
 pub const REACHED_SERVER_HEADER: &str = "x-verbenaring-arrived";
@@ -72,6 +75,8 @@
     pub deadline: Instant,
     /// Number of servers on which the call may run.
     pub max_attempts: u32,
+    /// Whether the VM that forwarded the call may send it to another server.
+    pub forwarded_repeatable: bool,
     /// Number of servers on which the call may have run.
     pub runs: AtomicU32,
     /// Whether the latest attempt may be running, or may have run. Decides
@@ -162,6 +167,7 @@
     for name in header::INTERNAL.into_iter().chain([
         ELAPSED_HEADER,
         ATTEMPTS_HEADER,
+        REPEATABLE_HEADER,
         REACHED_SERVER_HEADER,
         NO_CONTACT_HEADER,
     ]) {
--- a/crates/verbenaring-core/src/path/choose.rs
+++ b/crates/verbenaring-core/src/path/choose.rs
@@ -101,7 +101,7 @@
 
 /// What another region can do for a call.
 #[derive(Debug, Clone, PartialEq)]
-struct RegionOffer {
+pub(super) struct RegionOffer {
     region: RegionName,
     /// Predicted time to the first event or the whole answer.
     forecast: Duration,
@@ -199,7 +199,7 @@
         should_spill(settings, local_forecast, remote_forecast, times, session)
     }
 
-    fn place_locally(
+    pub(super) fn place_locally(
         &self,
         call: &PendingCall,
         tried: &TriedTargets,
@@ -307,7 +307,7 @@
     ///
     /// Among regions that meet the goal of the call the least busy one is best,
     /// otherwise the one with the earliest predicted answer.
-    fn best_region(
+    pub(super) fn best_region(
         &self,
         call: &PendingCall,
         tried: &TriedTargets,
--- a/crates/verbenaring-core/src/path/controller.rs
+++ b/crates/verbenaring-core/src/path/controller.rs
@@ -20,7 +20,7 @@
 use verbenaring_policy::dispatch::suspect::PartVerdict;
 
 use super::call::{
-    ATTEMPTS_HEADER, CallOrigin, ELAPSED_HEADER, PendingCall, TriedTargets,
+    ATTEMPTS_HEADER, CallOrigin, ELAPSED_HEADER, PendingCall, REPEATABLE_HEADER, TriedTargets,
     strip_connection_headers,
 };
 use super::choose::CallTarget;
@@ -129,6 +129,8 @@
         }
         let max_attempts =
             header_number(ATTEMPTS_HEADER).map_or(route.attempts, |attempts| attempts as u32);
+        let forwarded_repeatable =
+            origin == CallOrigin::Vm && parts.headers.contains_key(REPEATABLE_HEADER);
         let call_parts = call_parts(&parts.method, host, &parts.uri, &body, &metadata);
         let mut headers = parts.headers;
         P::strip_internal_headers(&mut headers);
@@ -146,6 +148,7 @@
             received_at: started.checked_sub(elapsed).unwrap_or(started),
             deadline,
             max_attempts: max_attempts.max(1),
+            forwarded_repeatable,
             runs: AtomicU32::new(0),
             maybe_running: AtomicBool::new(false),
             reached_server: AtomicBool::new(false),
@@ -235,7 +238,7 @@
             }
             let name = target_name(&target);
             let target_id = TargetId::of(&target);
-            let reason = match self.attempt(call, target, last_event_id).await {
+            let reason = match self.attempt(call, target, tried, last_event_id).await {
                 AttemptOutcome::Whole(answer) => return Ok(UpstreamAnswer::Whole(answer)),
                 AttemptOutcome::Stream(stream) => return Ok(UpstreamAnswer::Stream(stream)),
                 AttemptOutcome::NotRun {
--- a/crates/verbenaring-core/src/path/exchange.rs
+++ b/crates/verbenaring-core/src/path/exchange.rs
@@ -11,7 +11,6 @@
 use hyper::http::response::Parts;
 use hyper::{Request, Response};
 use tokio::sync::Semaphore;
-use tokio::time::Instant;
 use verbenaring_policy::dispatch::server::CallOutcome;
 use verbenaring_policy::id::VmId;
 use verbenaring_policy::outcome::RunOutcome;
@@ -19,7 +18,7 @@
 
 use super::call::{
     ATTEMPTS_HEADER, ELAPSED_HEADER, NO_CONTACT_HEADER, PendingCall, REACHED_SERVER_HEADER,
-    strip_connection_headers,
+    REPEATABLE_HEADER, TriedTargets, strip_connection_headers,
 };
 use super::choose::{CallTarget, ChosenServer, ChosenVm};
 use super::framing::AnswerFraming;
@@ -38,12 +37,6 @@
 const UNREPEATABLE_MAX_IDLE: Duration = Duration::from_millis(500);
 /// Idle time after which a connection is not reused for other calls.
 const MAX_IDLE: Duration = Duration::from_secs(15);
-/// Time without an answer after which a repeatable call is retried elsewhere, as
-/// a multiple of the predicted time to its first event or answer.
-const RESPONSE_TIMEOUT_FACTOR: u32 = 3;
-/// Time added to that multiple, because predictions do not include calls that
-/// other VMs have just sent.
-const RESPONSE_TIMEOUT_SLACK: Duration = Duration::from_millis(400);
 /// Engine priority of an urgent call, to which the rank of its route is added.
 /// Lower priorities run first.
 const URGENT_BASE_PRIORITY: u8 = 2;
@@ -91,12 +84,12 @@
 }
 
 /// Request of an attempt with its destination.
-struct AttemptRequest {
-    request: Request<Full<Bytes>>,
-    address: std::net::SocketAddr,
-    options: ConnectOptions,
-    vm: Option<VmId>,
-    forecast: Duration,
+pub(super) struct AttemptRequest {
+    pub(super) request: Request<Full<Bytes>>,
+    pub(super) address: std::net::SocketAddr,
+    pub(super) options: ConnectOptions,
+    pub(super) vm: Option<VmId>,
+    pub(super) forecast: Duration,
 }
 
 impl<P: WireProtocol> FrontNode<P> {
@@ -106,6 +99,7 @@
         self: &Arc<Self>,
         call: &PendingCall,
         target: CallTarget,
+        tried: &TriedTargets,
         last_event_id: Option<&str>,
     ) -> AttemptOutcome<P> {
         let (attempt, mut guard) = match target {
@@ -120,14 +114,9 @@
         };
         let vm = attempt.vm.clone();
         let target = if vm.is_some() { "vm" } else { "server" };
-        let response_timeout = call.may_run_again().then(|| {
-            let next = call.runs.load(Ordering::Relaxed) + 1;
-            let limit = attempt.forecast * RESPONSE_TIMEOUT_FACTOR + RESPONSE_TIMEOUT_SLACK;
-            (next < call.max_attempts).then_some(limit)
-        });
         call.maybe_running.store(true, Ordering::Relaxed);
         let sent = self
-            .await_answer(call, attempt, response_timeout.flatten())
+            .await_answer(call, tried, guard.server(), attempt)
             .await;
         let (outcome, result) = match sent {
             Ok((answer, lease)) => {
@@ -165,27 +154,6 @@
         outcome
     }
 
-    async fn await_answer(
-        self: &Arc<Self>,
-        call: &PendingCall,
-        attempt: AttemptRequest,
-        response_timeout: Option<Duration>,
-    ) -> Result<(Response<Incoming>, ConnectionLease), SendError> {
-        let sending = self
-            .pool
-            .send(attempt.address, attempt.request, attempt.options);
-        tokio::pin!(sending);
-        let timeout_at = response_timeout.map(|timeout| Instant::now() + timeout);
-        let timed_out = tokio::time::sleep_until(timeout_at.unwrap_or(call.deadline));
-        tokio::pin!(timed_out);
-        tokio::select! {
-            sent = sending.as_mut() => sent,
-            () = timed_out.as_mut(), if timeout_at.is_some() => {
-                Err(SendError::Broken(format!("no answer within {response_timeout:?}")))
-            }
-        }
-    }
-
     async fn read_answer(
         self: &Arc<Self>,
         call: &PendingCall,
@@ -217,6 +185,8 @@
         let near_vm = vm.as_ref().is_some_and(|vm| self.is_in_region(vm));
         if let Some(server) = guard.server() {
             self.record_reached(server);
+            let now = self.clock.now();
+            self.lock().servers.record_heard(server, now);
         } else if near_vm {
             self.lock().servers.record_peer_contact(&call.service);
         }
@@ -371,6 +341,9 @@
         headers.insert(ELAPSED_HEADER, HeaderValue::from(elapsed));
         // Only this VM retries; the other one sends the call once.
         headers.insert(ATTEMPTS_HEADER, HeaderValue::from(1));
+        if call.may_repeat_after_attempt() {
+            headers.insert(REPEATABLE_HEADER, HeaderValue::from(1));
+        }
         AttemptRequest {
             request,
             address: vm.address,
--- a/crates/verbenaring-core/src/path/relay.rs
+++ b/crates/verbenaring-core/src/path/relay.rs
@@ -185,6 +185,7 @@
                 },
             };
             self.record_part();
+            stream.guard.record_part();
             if self.progress.push(&data).is_some() {
                 stream.guard.record_first_event();
                 stall.as_mut().reset(Instant::now() + max_pause);
--- a/crates/verbenaring-core/src/path/work.rs
+++ b/crates/verbenaring-core/src/path/work.rs
@@ -13,12 +13,17 @@
 use crate::node::FrontNode;
 use crate::wire::WireProtocol;
 
+/// Interval at which it is recorded that a server is heard.
+const HEARD_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Removes the work of an attempt from the load of its server when dropped.
 pub struct WorkGuard<P: WireProtocol> {
     node: Arc<FrontNode<P>>,
     work: Option<InFlightCall>,
     run: Option<RunKey>,
     sent: Instant,
+    /// When it was last recorded that the server is heard.
+    heard: Instant,
     forecast: Duration,
     answered: bool,
     framing: Option<AnswerFraming>,
@@ -50,6 +55,7 @@
             work: None,
             run: None,
             sent: Instant::now(),
+            heard: Instant::now(),
             forecast,
             answered: false,
             framing: None,
@@ -83,6 +89,19 @@
         metrics.forecast_error.observe(error.as_secs_f64());
     }
 
+    /// Records that a part of the answer has arrived.
+    pub(super) fn record_part(&mut self) {
+        let Some(work) = &self.work else {
+            return;
+        };
+        let now = Instant::now();
+        if now.saturating_duration_since(self.heard) >= HEARD_INTERVAL {
+            self.heard = now;
+            let now = self.node.clock.now();
+            self.node.lock().servers.record_heard(work.key, now);
+        }
+    }
+
     /// Sets the result that is recorded for the server on drop;
     /// [`CallOutcome::Abandoned`] if it is never set.
     pub fn set_end(&mut self, end: CallOutcome) {
--- a/crates/verbenaring-core/src/state.rs
+++ b/crates/verbenaring-core/src/state.rs
@@ -148,18 +148,23 @@
 
     /// Takes one retry from this VM's share of the retry budget of a service.
     /// Returns false if the share is used up.
+    pub fn try_take_retry(&mut self, service: &ServiceName, now: Moment) -> bool {
+        let allowed = self.allows_retry(service, now);
+        if allowed {
+            self.retry_budget(service).record_retry(now);
+        }
+        allowed
+    }
+
+    /// Whether this VM's share of the retry budget of a service allows a retry.
     ///
     /// The budget is divided among all known VMs. Those that send no reports
     /// count as well, because they may be cut off and still retry calls.
-    pub fn try_take_retry(&mut self, service: &ServiceName, now: Moment) -> bool {
+    pub fn allows_retry(&mut self, service: &ServiceName, now: Moment) -> bool {
         let terms = self.budget_terms.per_vm(self.vms.iter().count() + 1);
         let budget = self.retry_budget(service);
         budget.set_terms(terms);
-        let allowed = budget.allows(now);
-        if allowed {
-            budget.record_retry(now);
-        }
-        allowed
+        budget.allows(now)
     }
 
     /// Decides on a call by its parts. A VM that forwards a call
--- a/crates/verbenaring-core/src/upstream/contact.rs
+++ b/crates/verbenaring-core/src/upstream/contact.rs
@@ -8,12 +8,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use http_body_util::{BodyExt, Limited};
 use rand::seq::IteratorRandom;
 use verbenaring_policy::dispatch::contact::ContactChange;
 use verbenaring_policy::dispatch::server::ServerKey;
 use verbenaring_policy::id::{ServiceName, VmId};
 
-use super::pool::ConnectOptions;
+use super::pool::{ConnectOptions, SendError};
 use crate::node::FrontNode;
 use crate::wire::WireProtocol;
 
@@ -25,6 +26,11 @@
 /// be silent for about a second.
 const PROBED_SILENCE: Duration = Duration::from_millis(1_200);
 
+/// Time limit for the answer of a silent server that is checked, and for its body.
+const STATUS_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Limit on the body of that answer; the connection of a longer one is closed.
+const MAX_STATUS_BYTES: usize = 64 * 1024;
+
 /// Opens connections to servers that may be out of reach, until the process ends.
 pub(crate) async fn probe_servers<P: WireProtocol>(node: Arc<FrontNode<P>>) {
     loop {
@@ -46,6 +52,42 @@
 }
 
 impl<P: WireProtocol> FrontNode<P> {
+    /// Checks whether a silent server can be reached and answers.
+    pub(crate) async fn check_silent_server(self: Arc<Self>, server: ServerKey) {
+        let known = {
+            let state = self.lock();
+            let entry = state.servers.entry(server);
+            entry.map(|entry| (entry.id.clone(), entry.address))
+        };
+        let Some((id, address)) = known else {
+            return;
+        };
+        let options = ConnectOptions {
+            connect_timeout: Duration::from_millis(self.settings.tuning.connect_ms),
+            max_idle: Duration::ZERO,
+            probe: false,
+        };
+        let sent = self.pool.send(address, P::status_request(&id), options);
+        let answered = match tokio::time::timeout(STATUS_TIMEOUT, sent).await {
+            Ok(Ok((answer, connection))) => {
+                self.record_reached(server);
+                let now = self.clock.now();
+                self.lock().servers.record_heard(server, now);
+                let body = Limited::new(answer.into_body(), MAX_STATUS_BYTES).collect();
+                if let Ok(Ok(_)) = tokio::time::timeout(STATUS_TIMEOUT, body).await {
+                    connection.release();
+                }
+                true
+            }
+            Ok(Err(SendError::NoConnection(_))) => {
+                self.record_unreached(server);
+                false
+            }
+            Ok(Err(SendError::Broken(_))) | Err(_) => false,
+        };
+        log::info!(server:% = id, answered = answered; "silent server checked");
+    }
+
     async fn probe_server(&self, server: ServerKey, address: SocketAddr) {
         let options = ConnectOptions {
             connect_timeout: Duration::from_millis(self.settings.tuning.connect_ms),
--- a/crates/verbenaring-core/src/wire.rs
+++ b/crates/verbenaring-core/src/wire.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use hyper::{HeaderMap, StatusCode};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{HeaderMap, Request, StatusCode};
 use verbenaring_policy::dispatch::prompt::PromptPart;
 use verbenaring_policy::id::{ModelName, ServerId};
 
@@ -94,6 +96,8 @@
         headers: &HeaderMap,
         attempt_id: &str,
     ) -> Option<ServerStatement>;
+    /// Request by which a server shows that it answers; it takes no place of a call.
+    fn status_request(server: &ServerId) -> Request<Full<Bytes>>;
     /// Adds headers to an answer that the gateway generates itself.
     fn write_gateway_answer(headers: &mut HeaderMap, attempt_id: &str);
 }
--- a/crates/verbenaring-policy/src/dispatch/call.rs
+++ b/crates/verbenaring-policy/src/dispatch/call.rs
@@ -31,6 +31,11 @@
         )
     }
 
+    /// Whether a call may run at two servers at the same time.
+    pub fn may_overlap(self) -> bool {
+        self == CallKind::Idempotent
+    }
+
     /// Whether the answer is a stream of events.
     pub fn is_stream(self) -> bool {
         matches!(self, CallKind::Stream { .. })
--- a/crates/verbenaring-policy/src/dispatch/contact.rs
+++ b/crates/verbenaring-policy/src/dispatch/contact.rs
@@ -47,7 +47,9 @@
 impl ServerTable {
     /// Records that a server was reached: it accepted a connection or answered.
     pub fn record_reached(&mut self, server: ServerKey, now: Moment) -> Option<ContactChange> {
-        let service = self.servers.get(server)?.entry.service.clone();
+        let record = self.servers.get_mut(server)?;
+        record.signs.unreached_at = None;
+        let service = record.entry.service.clone();
         let contact = std::mem::take(self.contacts.get_mut(&service)?);
         let lost_since = contact.lost_since?;
         if contact.peer_reached {
@@ -64,7 +66,9 @@
 
     /// Records that no connection to a server could be opened.
     pub fn record_unreached(&mut self, server: ServerKey, now: Moment) -> Option<ContactChange> {
-        let service = self.servers.get(server)?.entry.service.clone();
+        let record = self.servers.get_mut(server)?;
+        record.signs.unreached_at = Some(now);
+        let service = record.entry.service.clone();
         let servers = self
             .servers
             .values()
--- a/crates/verbenaring-policy/src/dispatch/mod.rs
+++ b/crates/verbenaring-policy/src/dispatch/mod.rs
@@ -34,6 +34,7 @@
 pub mod run;
 pub mod server;
 pub mod settings;
+pub mod silence;
 pub mod spill;
 pub mod standstill;
 pub mod statement;
--- a/crates/verbenaring-policy/src/dispatch/server.rs
+++ b/crates/verbenaring-policy/src/dispatch/server.rs
@@ -12,6 +12,7 @@
 use super::pace::PaceWindow;
 use super::prompt::{PromptCache, name_hash, rendezvous_score};
 use super::rate::WorkRate;
+use super::silence::ServerSigns;
 use crate::id::{DataCentre, ModelName, ServerId, ServiceName};
 use crate::time::Moment;
 
@@ -145,6 +146,7 @@
     /// replaces `peer_loads`.
     pub(super) region_load: Option<(LoadShare, Moment)>,
     pub(super) health: ServerHealth,
+    pub(super) signs: ServerSigns,
     pub(super) cache: PromptCache,
     pub(super) cold_until: Moment,
     pub(super) pace: PaceWindow,
@@ -168,6 +170,7 @@
             peer_loads: Vec::new(),
             region_load: None,
             health: ServerHealth::default(),
+            signs: ServerSigns::default(),
             cache: PromptCache::default(),
             cold_until: now + entry.cold_left,
             pace: PaceWindow::default(),
--- a/crates/verbenaring-policy/src/dispatch/table.rs
+++ b/crates/verbenaring-policy/src/dispatch/table.rs
@@ -20,6 +20,7 @@
 use super::prompt::PromptRecord;
 use super::server::{CallOutcome, InFlightCall, ServerEntry, ServerKey, ServerRecord};
 use super::settings::DispatchSettings;
+use super::silence::ServerSigns;
 use crate::id::{CentreName, RegionName, ServerId, ServiceName};
 use crate::time::Moment;
 
@@ -171,6 +172,7 @@
         if restarted {
             record.cache.clear();
             record.health.clear();
+            record.signs = ServerSigns::default();
             record.limit = ServerLimit::default();
             record.stated_leaving = false;
             record.paused_until = Moment::default();
--- a/crates/verbenaring-policy/tests/dispatch/main.rs
+++ b/crates/verbenaring-policy/tests/dispatch/main.rs
@@ -14,6 +14,7 @@
 mod routes;
 mod run;
 mod servers;
+mod silence;
 mod stale_reports;
 mod standstill;
 mod suspect;
