Keep what servers state beyond their entries

Cause: statements of answers (leaving, limit, pause) were kept in the record of the entry.

Ruled out: that the statement is not read; the VM had heeded it until the entry went.

Change: statements form a value of their own. A server that states no start is told apart by its address.

--- a/crates/verbenaring-policy/src/dispatch/brittle.rs
+++ b/crates/verbenaring-policy/src/dispatch/brittle.rs
@@ -88,10 +88,10 @@
             return;
         };
         // Calls that were sent before the pause say nothing new.
-        let pauses = now < record.paused_until;
+        let pauses = now < record.statements.paused_until;
         if self.brittle.contains_key(&record.entry.service) && !pauses {
             let pause = REFUSAL_PAUSE * (1 << record.refusals.min(MAX_DOUBLINGS));
-            record.paused_until = now + pause;
+            record.statements.paused_until = now + pause;
             record.refusals += 1;
         }
     }
--- a/crates/verbenaring-policy/src/dispatch/limit.rs
+++ b/crates/verbenaring-policy/src/dispatch/limit.rs
@@ -201,7 +201,7 @@
         now: Moment,
     ) -> Option<LimitChange> {
         let record = self.servers.get_mut(server)?;
-        record.limit.record_answer(stated, now)
+        record.statements.limit.record_answer(stated, now)
     }
 
     /// Takes over what another VM told about limits; returns the servers whose limits
@@ -217,7 +217,7 @@
             let known = self.servers.iter_mut();
             let mut known = known.filter(|(_, record)| record.boot_hash() == update.server);
             if let Some((key, record)) = known.next() {
-                let change = record.limit.merge(update, source, now);
+                let change = record.statements.limit.merge(update, source, now);
                 changes.extend(change.map(|change| (key, change)));
             }
         }
@@ -228,11 +228,11 @@
     /// sources up to `source`.
     pub fn limit_updates(&self, source: StatementSource, now: Moment) -> Vec<LimitUpdate> {
         let told = |record: &&ServerRecord| {
-            let newest = record.limit.newest;
+            let newest = record.statements.limit.newest;
             newest.is_some_and(|newest| newest.source <= source)
         };
         let told = self.servers.values().filter(told);
-        told.filter_map(|record| record.limit.update(record.boot_hash(), now))
+        told.filter_map(|record| record.statements.limit.update(record.boot_hash(), now))
             .collect()
     }
 
@@ -240,7 +240,7 @@
     pub fn limited_servers(&self) -> usize {
         let mut limited = 0;
         for record in self.servers.values() {
-            limited += usize::from(record.limit.rate().is_some());
+            limited += usize::from(record.statements.limit.rate().is_some());
         }
         limited
     }
--- a/crates/verbenaring-policy/src/dispatch/place.rs
+++ b/crates/verbenaring-policy/src/dispatch/place.rs
@@ -255,8 +255,15 @@
         let mut full = false;
         for key in self.eligible_servers(request, now) {
             let record = &mut self.servers[key];
-            record.limit.update_part(record.name_hash, vms, now);
-            if let Some(wait) = record.stated_wait(now).filter(|_| !request.through_peer) {
+            record
+                .statements
+                .limit
+                .update_part(record.name_hash, vms, now);
+            if let Some(wait) = record
+                .statements
+                .wait(now)
+                .filter(|_| !request.through_peer)
+            {
                 limited = Some(limited.map_or(wait, |least| least.min(wait)));
                 continue;
             }
--- a/crates/verbenaring-policy/src/dispatch/region_load.rs
+++ b/crates/verbenaring-policy/src/dispatch/region_load.rs
@@ -80,8 +80,8 @@
                     record.entry.service == *service
                         && self.is_usable(record, now)
                         && !record.is_paced(settings, self.current_since, now)
-                        && record.limit.rate().is_none()
-                        && record.stated_wait(now).is_none()
+                        && record.statements.limit.rate().is_none()
+                        && record.statements.wait(now).is_none()
                 })
                 .map(|record| {
                     let (_, forecast) = self.forecast(record, settings, 0, true, now);
--- a/crates/verbenaring-policy/src/dispatch/server.rs
+++ b/crates/verbenaring-policy/src/dispatch/server.rs
@@ -8,11 +8,11 @@
 
 use super::call::ServiceSettings;
 use super::health::ServerHealth;
-use super::limit::ServerLimit;
 use super::pace::PaceWindow;
 use super::prompt::{PromptCache, name_hash, rendezvous_score};
 use super::rate::WorkRate;
 use super::silence::ServerSigns;
+use super::statement::ServerStatements;
 use crate::id::{DataCentre, ModelName, ServerId, ServiceName};
 use crate::time::Moment;
 
@@ -150,11 +150,7 @@
     pub(super) cache: PromptCache,
     pub(super) cold_until: Moment,
     pub(super) pace: PaceWindow,
-    pub(super) limit: ServerLimit,
-    /// Whether an answer stated that the server leaves; its entry may not show it.
-    pub(super) stated_leaving: bool,
-    /// Time until which the server wants no calls from this VM.
-    pub(super) paused_until: Moment,
+    pub(super) statements: ServerStatements,
     /// Calls that the server refused, while it was brittle, since the last good answer.
     pub(super) refusals: u32,
     /// Set when the entry is removed; the server takes calls until then.
@@ -174,9 +170,7 @@
             cache: PromptCache::default(),
             cold_until: now + entry.cold_left,
             pace: PaceWindow::default(),
-            limit: ServerLimit::default(),
-            stated_leaving: false,
-            paused_until: Moment::default(),
+            statements: ServerStatements::default(),
             refusals: 0,
             use_until: None,
             changed_revision: entry.revision,
@@ -186,22 +180,21 @@
 
     /// Whether the server takes no new calls because it shuts down.
     pub(super) fn is_leaving(&self) -> bool {
-        self.entry.draining || self.stated_leaving
+        self.entry.draining || self.statements.leaving
     }
 
-    /// Time until this VM may send a call, as far as the server states it; `None` if it
-    /// may do so now.
-    pub(super) fn stated_wait(&self, now: Moment) -> Option<Duration> {
-        let pause = self.paused_until.since(now);
-        match (pause.is_zero(), self.limit.wait(now)) {
-            (true, wait) => wait,
-            (false, wait) => Some(pause.max(wait.unwrap_or_default())),
-        }
-    }
-
-    /// Short hash of the server and its start.
+    /// Short hash of the server and its start. A server that does not state its start is
+    /// told apart by its address.
     pub(super) fn boot_hash(&self) -> u32 {
-        rendezvous_score(self.name_hash, self.entry.born.unwrap_or_default()) as u32
+        let entry = &self.entry;
+        let start = entry.born;
+        let start = start.unwrap_or_else(|| match entry.address {
+            SocketAddr::V4(address) => {
+                u64::from(address.ip().to_bits()) << 16 | u64::from(address.port())
+            }
+            SocketAddr::V6(address) => address.ip().to_bits() as u64 ^ u64::from(address.port()),
+        });
+        rendezvous_score(self.name_hash, start) as u32
     }
 
     /// Whether `entry` only renews the current one. The remaining cold time shrinks
--- a/crates/verbenaring-policy/src/dispatch/table.rs
+++ b/crates/verbenaring-policy/src/dispatch/table.rs
@@ -14,13 +14,13 @@
 use super::contact::ServiceContact;
 use super::forecast::{FirstEventModel, FirstEventSample, ServiceTimeModel};
 use super::health::AnswerQuality;
-use super::limit::ServerLimit;
 use super::pace::PaceLimits;
 use super::place::{Placement, PlacementRequest};
 use super::prompt::PromptRecord;
 use super::server::{CallOutcome, InFlightCall, ServerEntry, ServerKey, ServerRecord};
 use super::settings::DispatchSettings;
 use super::silence::ServerSigns;
+use super::statement::FormerStatements;
 use crate::id::{CentreName, RegionName, ServerId, ServiceName};
 use crate::time::Moment;
 
@@ -62,6 +62,7 @@
     pub(super) by_id: HashMap<ServerId, ServerKey>,
     pub(super) removed: HashMap<ServerId, (u64, Moment)>,
     pub(super) evacuated: HashSet<CentreName>,
+    pub(super) former_statements: FormerStatements,
     pub(super) engine_models: HashMap<ServiceName, FirstEventModel>,
     pub(super) service_time_models: HashMap<ServiceName, ServiceTimeModel>,
     /// Time since which entries have followed the source; `None` while they do not.
@@ -88,6 +89,7 @@
             by_id: HashMap::new(),
             removed: HashMap::new(),
             evacuated: HashSet::new(),
+            former_statements: FormerStatements::default(),
             engine_models: HashMap::new(),
             service_time_models: HashMap::new(),
             current_since: None,
@@ -173,16 +175,19 @@
             record.cache.clear();
             record.health.clear();
             record.signs = ServerSigns::default();
-            record.limit = ServerLimit::default();
-            record.stated_leaving = false;
-            record.paused_until = Moment::default();
             record.refusals = 0;
+            let earlier = std::mem::take(&mut record.statements);
+            self.former_statements
+                .keep(record.boot_hash(), earlier, now);
         }
         if !cold_left.is_zero() {
             record.cold_until = record.cold_until.max(now + cold_left);
         }
         let leaves = entry.draining && !record.entry.draining;
         record.entry = entry;
+        if restarted {
+            record.statements = self.former_statements.take(record.boot_hash());
+        }
         record.use_until = None;
         match (restarted, leaves) {
             (true, _) => EntryChange::Restarted,
@@ -193,7 +198,8 @@
 
     fn insert(&mut self, entry: ServerEntry, now: Moment) {
         let id = entry.id.clone();
-        let record = ServerRecord::new(entry, now);
+        let mut record = ServerRecord::new(entry, now);
+        record.statements = self.former_statements.take(record.boot_hash());
         let key = self.servers.insert(record);
         self.by_id.insert(id, key);
     }
@@ -249,6 +255,11 @@
         listed.map(|record| &record.entry)
     }
 
+    /// Key of a server by ID.
+    pub fn key_of(&self, id: &ServerId) -> Option<ServerKey> {
+        self.by_id.get(id).copied()
+    }
+
     /// Published entry of a server; `None` once the server is dropped.
     pub fn entry(&self, key: ServerKey) -> Option<&ServerEntry> {
         self.servers.get(key).map(|record| &record.entry)
@@ -262,14 +273,18 @@
     /// Drops idle servers past their grace period and records that have expired.
     pub fn expire(&mut self, now: Moment) {
         let by_id = &mut self.by_id;
+        let former_statements = &mut self.former_statements;
         self.servers.retain(|_, record| {
             let idle = record.own_share.calls == 0;
             let drop = idle && record.use_until.is_some_and(|at| now >= at);
             if drop {
                 by_id.remove(&record.entry.id);
+                let statements = std::mem::take(&mut record.statements);
+                former_statements.keep(record.boot_hash(), statements, now);
             }
             !drop
         });
+        former_statements.expire(now);
         let pruned_revision = &mut self.pruned_revision;
         self.removed.retain(|_, (revision, at)| {
             let keep = now.since(*at) < REMOVAL_RETENTION;
@@ -381,7 +396,7 @@
         record.rate.add(placement.unread_tokens, now);
         record.health.record_sent(now);
         record.pace.record(now);
-        record.limit.record_sent(now);
+        record.statements.limit.record_sent(now);
         if let Some(capacity) = call.settings.cache_tokens {
             let prompt = call.prompt_record(record.name_hash);
             record.cache.record(&prompt, capacity, now);
--- a/crates/verbenaring-policy/tests/dispatch/main.rs
+++ b/crates/verbenaring-policy/tests/dispatch/main.rs
@@ -17,6 +17,7 @@
 mod silence;
 mod stale_reports;
 mod standstill;
+mod statements;
 mod suspect;
 mod test_vm;
 mod watcher;
