Heed a leaving that another VM passes on

A VM that reached no servers passed on an answer with Server-Leaving from another VM, and sent a call to that server itself once it reached servers again (DRAIN).

Cause: statements were taken down only from answers of servers; an answer that came through another VM did not name its server. Limits are told between VMs already.

Change: answers between VMs name their server, and the VM that passes one on records that the server leaves.

--- a/crates/verbenaring-core/src/path/call.rs
+++ b/crates/verbenaring-core/src/path/call.rs
@@ -28,6 +28,8 @@
 /// Header of a forwarded call: present if the VM that forwards it may send it to another
 /// server if this one does not answer.
 pub const REPEATABLE_HEADER: &str = "x-verbenaring-repeatable";
+/// Header of an answer between VMs: ID of the server that gave it.
+pub const SERVER_HEADER: &str = "x-verbenaring-server";
 /// Header of a refusal between VMs: present if the call was not run but has
 /// reached a server.
 pub const REACHED_SERVER_HEADER: &str = "x-verbenaring-arrived";
@@ -168,6 +170,7 @@
         ELAPSED_HEADER,
         ATTEMPTS_HEADER,
         REPEATABLE_HEADER,
+        SERVER_HEADER,
         REACHED_SERVER_HEADER,
         NO_CONTACT_HEADER,
     ]) {
--- a/crates/verbenaring-core/src/path/exchange.rs
+++ b/crates/verbenaring-core/src/path/exchange.rs
@@ -201,8 +201,9 @@
             if guard.server().is_some() || near_vm {
                 self.record_brittleness(&call.service, statement.brittle);
             }
-            if let Some(server) = guard.server() {
-                self.record_statement(server, statement);
+            match guard.server() {
+                Some(server) => self.record_statement(server, statement),
+                None => self.record_passed_statement(&head.headers, statement),
             }
         }
         match kind {
@@ -243,7 +244,7 @@
                 (AttemptOutcome::Stream(Box::new(stream)), "stream")
             }
             AnswerKind::Ran => {
-                self.read_whole_answer(head, body, framing, lease, guard)
+                self.read_whole_answer(call, head, body, framing, lease, guard)
                     .await
             }
         }
@@ -251,6 +252,7 @@
 
     async fn read_whole_answer(
         &self,
+        call: &PendingCall,
         mut head: Parts,
         body: Incoming,
         framing: AnswerFraming,
@@ -272,6 +274,7 @@
         guard.record_first_event();
         lease.release();
         strip_connection_headers(&mut head.headers);
+        self.name_server(call, guard.server(), &mut head.headers);
         head.headers.remove(CONTENT_LENGTH);
         let failed = head.status.is_server_error();
         let answer = Response::from_parts(head, body);
--- a/crates/verbenaring-core/src/path/relay.rs
+++ b/crates/verbenaring-core/src/path/relay.rs
@@ -95,6 +95,7 @@
     ) -> Response<AnswerBody> {
         let (sender, body) = AnswerBody::parts();
         strip_connection_headers(&mut stream.head.headers);
+        node.name_server(call, stream.guard.server(), &mut stream.head.headers);
         // A resumed stream may have another length than its first server stated.
         stream.head.headers.remove(CONTENT_LENGTH);
         let mut answer = Response::new(body);
--- a/crates/verbenaring-core/src/path/statement.rs
+++ b/crates/verbenaring-core/src/path/statement.rs
@@ -1,10 +1,13 @@
 //! Records what servers state about themselves in their answers.
 
+use hyper::HeaderMap;
+use hyper::header::HeaderValue;
 use verbenaring_policy::dispatch::brittle::BrittlenessChange;
 use verbenaring_policy::dispatch::limit::{LimitChange, LimitUpdate, StatementSource};
 use verbenaring_policy::dispatch::server::ServerKey;
-use verbenaring_policy::id::ServiceName;
+use verbenaring_policy::id::{ServerId, ServiceName};
 
+use super::call::{CallOrigin, PendingCall, SERVER_HEADER};
 use crate::node::FrontNode;
 use crate::wire::{ServerStatement, WireProtocol};
 
@@ -24,16 +27,50 @@
         }
     }
 
+    /// Names the server of an answer to the VM that forwarded the call.
+    pub(super) fn name_server(
+        &self,
+        call: &PendingCall,
+        server: Option<ServerKey>,
+        headers: &mut HeaderMap,
+    ) {
+        let Some(server) = server.filter(|_| call.origin == CallOrigin::Vm) else {
+            return;
+        };
+        let state = self.lock();
+        let entry = state.servers.entry(server);
+        if let Some(id) = entry.and_then(|entry| HeaderValue::from_str(entry.id.as_str()).ok()) {
+            headers.insert(SERVER_HEADER, id);
+        }
+    }
+
+    /// Records the statement of an answer that came through another VM. This VM may send
+    /// calls to the server as well.
+    pub(super) fn record_passed_statement(&self, headers: &HeaderMap, statement: ServerStatement) {
+        let named = headers.get(SERVER_HEADER);
+        let named = named.and_then(|id| ServerId::new(id.to_str().ok()?).ok());
+        let server = named.and_then(|id| self.lock().servers.key_of(&id));
+        if let Some(server) = server {
+            self.record_leaving(server, statement.leaving);
+        }
+    }
+
+    fn record_leaving(&self, server: ServerKey, leaving: bool) {
+        if leaving && self.lock().servers.record_leaving(server) {
+            log::info!(server = self.server_name(server); "server states that it leaves");
+        }
+    }
+
     /// Records the statement of an answer.
     pub(super) fn record_statement(&self, server: ServerKey, statement: ServerStatement) {
         let now = self.clock.now();
-        let (change, leaves) = {
+        let change = {
             let servers = &mut self.lock().servers;
             let change = servers.record_limit(server, statement.limit, now);
             if let Some(pause) = statement.pause {
                 servers.record_pause(server, pause, now);
             }
-            (change, statement.leaving && servers.record_leaving(server))
+            change
         };
         if let Some(change) = change {
             self.log_limit(server, change);
@@ -42,9 +79,7 @@
             log::info!(server = self.server_name(server), pause_ms = pause.as_millis() as u64;
                 "server wants no calls for some time");
         }
-        if leaves {
-            log::info!(server = self.server_name(server); "server states that it leaves");
-        }
+        self.record_leaving(server, statement.leaving);
     }
 
     /// Takes over what another VM told about limits of servers.
