Bound the events of all streams together

Cause: the limit on an incomplete event, 1 MB, held for each stream by itself. Class: a limit for one that does not bound all. Ruled out: heads (the HTTP library bounds them, at 417 KB, now at the 64 KB of our own listeners), bodies of whole answers (an eighth of the memory together), bodies of refusals (16 KB).

Change: what an incomplete event takes beyond 16 KB comes out of the memory for long answers, which whole answers share already; a stream that finds none is broken.

--- a/crates/verbenaring-core/src/caller/listener.rs
+++ b/crates/verbenaring-core/src/caller/listener.rs
@@ -32,9 +32,9 @@
 pub const TCP_USER_TIMEOUT: Duration = Duration::from_secs(6);
 /// Pause after a failed accept, for example when descriptors run out.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
-/// Largest read buffer of one connection, which holds a request head of the
+/// Largest read buffer of one connection, which holds the head of a message of the
 /// usual size limit and a chunk of a body.
-const READ_BUFFER_BYTES: usize = 64 * 1024;
+pub const READ_BUFFER_BYTES: usize = 64 * 1024;
 
 /// Phase of the shutdown of a VM.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/verbenaring-core/src/node.rs
+++ b/crates/verbenaring-core/src/node.rs
@@ -81,8 +81,8 @@
     pub reports: ReportTargets,
     /// Tasks that relay streams.
     pub stream_tasks: TaskTracker,
-    /// Memory for long answers that are buffered as a whole: a permit per byte.
-    pub(crate) answer_memory: Semaphore,
+    /// Memory for long answers and events that are buffered: a permit per byte.
+    pub(crate) answer_memory: Arc<Semaphore>,
     /// Idle timeout of connections from callers.
     pub(crate) caller_idle_timeout: Arc<IdleTimeout>,
     /// Notified when servers are to be checked.
@@ -115,7 +115,7 @@
             metrics: Arc::default(),
             reports: ReportTargets::default(),
             stream_tasks: TaskTracker::new(),
-            answer_memory: Semaphore::new(settings.resources.answer_memory_bytes()),
+            answer_memory: Arc::new(Semaphore::new(settings.resources.answer_memory_bytes())),
             caller_idle_timeout: Arc::default(),
             server_check: Notify::new(),
             source_silent: Notify::new(),
--- a/crates/verbenaring-core/src/path/event.rs
+++ b/crates/verbenaring-core/src/path/event.rs
@@ -58,6 +58,11 @@
         Ok(Some(whole))
     }
 
+    /// Number of bytes of the incomplete event.
+    pub fn incomplete_bytes(&self) -> usize {
+        self.incomplete.len()
+    }
+
     /// Last id among the whole events; `None` if none had one.
     pub fn last_id(&self) -> Option<&str> {
         self.last_id.as_deref()
--- a/crates/verbenaring-core/src/path/exchange.rs
+++ b/crates/verbenaring-core/src/path/exchange.rs
@@ -23,6 +23,7 @@
 };
 use super::choose::{CallTarget, ChosenServer, ChosenVm};
 use super::framing::AnswerFraming;
+use super::reserve::AnswerReserve;
 use super::work::WorkGuard;
 use crate::node::FrontNode;
 use crate::upstream::pool::{ConnectOptions, ConnectionLease, SendError};
@@ -435,9 +436,12 @@
 
 /// Collects a body. Beyond [`FREE_WHOLE_BYTES`], it takes its part of `memory`, so
 /// that servers that send without end cannot exhaust the memory of the process.
-async fn collect_answer(mut body: Incoming, memory: &Semaphore) -> Result<Bytes, CollectError> {
+async fn collect_answer(
+    mut body: Incoming,
+    memory: &Arc<Semaphore>,
+) -> Result<Bytes, CollectError> {
     let mut collected = BytesMut::new();
-    let mut permits = Vec::new();
+    let mut reserve = AnswerReserve::new(memory, FREE_WHOLE_BYTES);
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame?.into_data() else {
             continue;
@@ -445,9 +449,8 @@
         if collected.len() + data.len() > MAX_WHOLE_BYTES {
             return Err(CollectError::TooLong);
         }
-        if collected.len() + data.len() > FREE_WHOLE_BYTES {
-            let permit = memory.try_acquire_many(data.len() as u32);
-            permits.push(permit.map_err(|_| CollectError::NoMemory)?);
+        if !reserve.hold(collected.len() + data.len()) {
+            return Err(CollectError::NoMemory);
         }
         collected.extend_from_slice(&data);
     }
--- a/crates/verbenaring-core/src/path/mod.rs
+++ b/crates/verbenaring-core/src/path/mod.rs
@@ -11,5 +11,6 @@
 pub mod overdue;
 pub mod refusal;
 pub mod relay;
+pub mod reserve;
 pub mod statement;
 pub mod work;
--- a/crates/verbenaring-core/src/path/relay.rs
+++ b/crates/verbenaring-core/src/path/relay.rs
@@ -27,10 +27,15 @@
 use super::event::{EventProgress, EventSplitter};
 use super::exchange::UpstreamStream;
 use super::framing::AnswerFraming;
+use super::reserve::AnswerReserve;
 use crate::caller::body::{AnswerBody, AnswerPart, PartSender};
 use crate::node::FrontNode;
 use crate::wire::WireProtocol;
 
+/// Bytes of an incomplete event that take no part of the memory for answers; nearly all
+/// events are smaller.
+const FREE_EVENT_BYTES: usize = 16 * 1024;
+
 /// Why relaying a stream ended.
 enum RelayOutcome {
     /// The whole stream was passed on.
@@ -77,6 +82,8 @@
     tried: TriedTargets,
     sender: PartSender,
     splitter: Option<EventSplitter>,
+    /// Memory for the incomplete event.
+    reserve: AnswerReserve,
     form: AnswerForm,
     progress: EventProgress,
     framing: AnswerFraming,
@@ -110,6 +117,7 @@
             tried,
             sender,
             splitter: resumable.then(EventSplitter::default),
+            reserve: AnswerReserve::new(&node.answer_memory, FREE_EVENT_BYTES),
             form: AnswerForm::of(&stream.head),
             progress: EventProgress::default(),
             framing: stream.framing,
@@ -200,6 +208,13 @@
                     Err(error) => return RelayOutcome::Broken(error.to_string()),
                 },
             };
+            let incomplete = self.splitter.as_ref();
+            if !self
+                .reserve
+                .hold(incomplete.map_or(0, EventSplitter::incomplete_bytes))
+            {
+                return RelayOutcome::Broken("no memory is left for long events".to_owned());
+            }
             if let Some(whole) = whole {
                 self.bind(stream.build);
                 if !self.send_data(whole).await {
--- a/crates/verbenaring-core/src/upstream/pool.rs
+++ b/crates/verbenaring-core/src/upstream/pool.rs
@@ -22,7 +22,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
-use crate::caller::listener::set_socket_options;
+use crate::caller::listener::{READ_BUFFER_BYTES, set_socket_options};
 
 /// Idle time after which a connection is closed if the server states no
 /// timeout. Some of those servers close after less than a second, others after
@@ -269,7 +269,10 @@
             Ok(Err(error)) => return Err(error.into()),
             Err(_) => return Err(ConnectError::TimedOut(timeout)),
         };
-        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(READ_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await?;
         let task = tokio::spawn(async move {
             if let Err(error) = connection.await {
                 log::debug!(error:% = error; "server connection ended");
