Do not take a full queue of new connections for a server that has vanished

Cause: one connection that was not accepted in time gave up all streams that waited at the server. The queue of new connections of a server that stands still fills up; the stand-in's held one. Class: a single sign counts for more than it shows. Ruled out: the time limits of the checks, which gave up nothing by themselves.

Change: a server counts as gone for the streams that wait there when connections to it have failed for 1 s without one that worked. Connections that break end their streams as before.

--- a/crates/verbenaring-policy/src/dispatch/contact.rs
+++ b/crates/verbenaring-policy/src/dispatch/contact.rs
@@ -48,7 +48,7 @@
     /// Records that a server was reached: it accepted a connection or answered.
     pub fn record_reached(&mut self, server: ServerKey, now: Moment) -> Option<ContactChange> {
         let record = self.servers.get_mut(server)?;
-        record.signs.unreached_at = None;
+        record.signs.unreached_since = None;
         let service = record.entry.service.clone();
         let contact = std::mem::take(self.contacts.get_mut(&service)?);
         let lost_since = contact.lost_since?;
@@ -67,7 +67,7 @@
     /// Records that no connection to a server could be opened.
     pub fn record_unreached(&mut self, server: ServerKey, now: Moment) -> Option<ContactChange> {
         let record = self.servers.get_mut(server)?;
-        record.signs.unreached_at = Some(now);
+        record.signs.unreached_since.get_or_insert(now);
         let service = record.entry.service.clone();
         let servers = self
             .servers
--- a/crates/verbenaring-policy/src/dispatch/silence.rs
+++ b/crates/verbenaring-policy/src/dispatch/silence.rs
@@ -17,6 +17,9 @@
 /// Silence after which a server that can be reached counts as stuck. Sound servers are
 /// silent for a second or so.
 const MAX_SILENCE: Duration = Duration::from_secs(4);
+/// Time without a connection after which a server counts as gone. The queue of new
+/// connections of a server that stands still may be full for a while.
+const UNREACHED_TIME: Duration = Duration::from_millis(1_000);
 /// Most time that an answer gets after its server was heard again.
 const MAX_EXTENSION: Duration = Duration::from_millis(1_000);
 /// Age up to which a check whether a server can be reached is not repeated.
@@ -27,8 +30,8 @@
 pub struct ServerSigns {
     /// When a byte of an answer last arrived from it.
     pub heard_at: Option<Moment>,
-    /// When a connection to it failed, unless it was heard or reached since.
-    pub unreached_at: Option<Moment>,
+    /// When connections to it began to fail; `None` if it was heard or reached since.
+    pub unreached_since: Option<Moment>,
     /// When it was last checked whether it can be reached.
     pub(super) checked_at: Option<Moment>,
 }
@@ -86,12 +89,13 @@
 
     /// Judges the wait by the signs of the server.
     pub fn judge(&mut self, signs: ServerSigns, now: Moment) -> WaitVerdict {
-        if signs.unreached_at.is_some_and(|at| at > self.sent_at) {
-            return WaitVerdict::GiveUp;
-        }
         if now < self.due_at {
             return WaitVerdict::Wait;
         }
+        let unreached = signs.unreached_since;
+        if unreached.is_some_and(|since| now.since(since) >= UNREACHED_TIME) {
+            return WaitVerdict::GiveUp;
+        }
         match signs.heard_at.filter(|heard| *heard >= self.due_at) {
             Some(_) if self.extended => WaitVerdict::GiveUp,
             Some(heard) => {
@@ -110,7 +114,7 @@
     pub fn record_heard(&mut self, server: ServerKey, now: Moment) {
         if let Some(record) = self.servers.get_mut(server) {
             record.signs.heard_at = Some(now);
-            record.signs.unreached_at = None;
+            record.signs.unreached_since = None;
         }
     }
 
