--- a/crates/verbenaring-core/src/path/relay.rs
+++ b/crates/verbenaring-core/src/path/relay.rs
@@ -160,6 +160,7 @@
             drop(stream);
             log::warn!(request = self.call.metadata.attempt_id.as_str(), target = target.as_str(),
                 reason = reason.as_str(), parts = self.parts,
+                build = self.call.build.get().map_or(0, |build| build.0),
                 resumable = self.splitter.is_some(); "stream broke");
             stream = match self.resume().await {
                 Some(stream) => stream,
--- a/crates/verbenaring-policy/src/dispatch/mod.rs
+++ b/crates/verbenaring-policy/src/dispatch/mod.rs
@@ -23,6 +23,7 @@
 pub mod evidence;
 pub mod forecast;
 pub mod health;
+pub mod in_flight;
 pub mod limit;
 pub mod origin;
 pub mod ownership;
