Tell a VM that it may give up a forwarded stream only while the budget allows a repeat

Read in the code: a VM gives a forwarded stream up for the one that forwarded it, which then may find its retry budget used up and answer 502. The header is now left out in that case. The options of connections that show whether a server can be reached stand in one place. The tests of software versions, silent servers, VMs that are cut off and regions hold.

--- a/crates/verbenaring-core/src/path/exchange.rs
+++ b/crates/verbenaring-core/src/path/exchange.rs
@@ -352,7 +352,8 @@
         }
         // Only this VM retries; the other one sends the call once.
         headers.insert(ATTEMPTS_HEADER, HeaderValue::from(1));
-        if call.may_repeat_after_attempt() {
+        let now = self.clock.now();
+        if call.may_repeat_after_attempt() && self.lock().allows_retry(&call.service, now) {
             headers.insert(REPEATABLE_HEADER, HeaderValue::from(1));
         }
         AttemptRequest {
--- a/crates/verbenaring-core/src/path/origin.rs
+++ b/crates/verbenaring-core/src/path/origin.rs
@@ -15,6 +15,7 @@
 use verbenaring_policy::dispatch::build::BuildId;
 use verbenaring_policy::dispatch::origin::{OriginRecord, StreamId};
 use verbenaring_policy::dispatch::prompt::rendezvous_score;
+use verbenaring_policy::time::Moment;
 
 use super::call::{CallOrigin, PendingCall};
 use super::refusal::CallRefusal;
@@ -152,7 +153,7 @@
     pub(crate) fn origin_holders(
         &self,
         stream: StreamId,
-        now: verbenaring_policy::time::Moment,
+        now: Moment,
     ) -> impl Iterator<Item = (SocketAddr, SocketAddr)> {
         let score = |vm: u64| rendezvous_score(stream.0, vm);
         let live = self.vms.live(now);
--- a/crates/verbenaring-core/src/upstream/contact.rs
+++ b/crates/verbenaring-core/src/upstream/contact.rs
@@ -62,12 +62,8 @@
         let Some((id, address)) = known else {
             return;
         };
-        let options = ConnectOptions {
-            connect_timeout: Duration::from_millis(self.settings.tuning.connect_ms),
-            max_idle: Duration::ZERO,
-            probe: false,
-        };
-        let sent = self.pool.send(address, P::status_request(&id), options);
+        let request = P::status_request(&id);
+        let sent = self.pool.send(address, request, self.probe_options());
         let answered = match tokio::time::timeout(STATUS_TIMEOUT, sent).await {
             Ok(Ok((answer, connection))) => {
                 self.record_reached(server);
@@ -88,13 +84,17 @@
         log::info!(server:% = id, answered = answered; "silent server checked");
     }
 
-    async fn probe_server(&self, server: ServerKey, address: SocketAddr) {
-        let options = ConnectOptions {
+    /// Options of a new connection that shows whether a server can be reached.
+    fn probe_options(&self) -> ConnectOptions {
+        ConnectOptions {
             connect_timeout: Duration::from_millis(self.settings.tuning.connect_ms),
             max_idle: Duration::ZERO,
             probe: false,
-        };
-        match self.pool.open(address, options).await {
+        }
+    }
+
+    async fn probe_server(&self, server: ServerKey, address: SocketAddr) {
+        match self.pool.open(address, self.probe_options()).await {
             Ok(connection) => {
                 self.record_reached(server);
                 connection.release();
