Spread the declarations of versions when many VMs start together

Read in the code: at the first start of a deployment, VMs that hear no others each take themselves for the one that declares, and all of them declare after the same second. With 195 VMs that is some 400 writes at once, the store's limit. They now wait until they hear others, take over after a random 1 to 3 s, and pause after a failure. The tests of software versions hold; how many calls a large start takes was not measured.

--- a/crates/verbenaring-core/src/config/builds.rs
+++ b/crates/verbenaring-core/src/config/builds.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::Rng;
 use tokio::time::Instant;
 use verbenaring_policy::dispatch::build::{DeclaredBuild, STREAM_LIFETIME};
 use verbenaring_policy::dispatch::prompt::name_hash;
@@ -21,8 +22,12 @@
 
 /// Time between checks whether a version is to be declared or withdrawn.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// Time after which a VM declares a version itself, if the one that should has not.
-const TAKEOVER_TIME: Duration = Duration::from_secs(1);
+/// Time after which a VM declares a version itself, if the one that should has not. It is
+/// random, so that not all VMs do so at the same time.
+const TAKEOVER_TIME: std::ops::Range<Duration> = Duration::from_secs(1)..Duration::from_secs(3);
+/// Pause after a failed call to the source.
+const RETRY_PAUSE: std::ops::Range<Duration> =
+    Duration::from_millis(200)..Duration::from_millis(1_000);
 
 /// Reads the declarations, then makes and withdraws those for which this VM is
 /// responsible, until the process ends.
@@ -31,6 +36,11 @@
     source: Arc<S>,
 ) {
     read_declarations(&node, &*source).await;
+    // VMs that start together do not know yet which of them is responsible.
+    while !node.has_heard_others() {
+        tokio::time::sleep(CHECK_INTERVAL).await;
+    }
+    let takeover_time = rand::rng().random_range(TAKEOVER_TIME);
     let mut missing_since: HashMap<DeclaredBuild, Instant> = HashMap::new();
     let mut lost: HashSet<DeclaredBuild> = HashSet::new();
     let mut restorations = source.restorations();
@@ -48,10 +58,14 @@
             let since = *missing_since
                 .entry(declared.clone())
                 .or_insert_with(Instant::now);
-            if (node.is_declarer(&declared.service) || since.elapsed() >= TAKEOVER_TIME)
-                && node.declare_build(&declared, &*source).await
-            {
-                lost.remove(&declared);
+            if !node.is_declarer(&declared.service) && since.elapsed() < takeover_time {
+                continue;
+            }
+            match node.declare_build(&declared, &*source).await {
+                true => {
+                    lost.remove(&declared);
+                }
+                false => pause_after_failure().await,
             }
         }
         for ended in node.ended_builds() {
@@ -59,6 +73,7 @@
                 && let Err(error) = source.withdraw_build(&ended).await
             {
                 log::debug!(service:% = ended.service, error:% = error; "failed to withdraw a version");
+                pause_after_failure().await;
                 continue;
             }
             node.forget_build(&ended);
@@ -81,10 +96,15 @@
             }
             Err(error) => log::debug!(error:% = error; "failed to read declared versions"),
         }
-        tokio::time::sleep(CHECK_INTERVAL).await;
+        pause_after_failure().await;
     }
 }
 
+async fn pause_after_failure() {
+    let pause = rand::rng().random_range(RETRY_PAUSE);
+    tokio::time::sleep(pause).await;
+}
+
 impl<P: WireProtocol> FrontNode<P> {
     /// Number of software versions that this VM knows to be declared.
     pub fn declared_builds(&self) -> usize {
