Write down what copies of refusals do to calls, with hypotheses

A case with real processes (standins copies) has servers that are full by turns, repeat their refusals and work on when a connection closes.

Every copy appears in the logs as an answer that is not to the call that waits.

The judgement of overlapping runs is now shared with the case silence.

--- a/review/cases.rs
+++ b/review/cases.rs
@@ -196,6 +196,34 @@
     }
 }
 
+/// TWICE, model servers: how many requests went on at another server while the server before
+/// still worked on them 400 ms later.
+fn overlapping_runs(servers: &[ServerProcess], record: &Record) -> usize {
+    let mut runs: BTreeMap<String, Vec<(f64, f64, String)>> = BTreeMap::new();
+    for server in servers {
+        let told = server.told.lock().unwrap();
+        for (at, _, id) in told.iter().filter(|(_, event, _)| event.starts_with("runs")) {
+            let ended = told.iter().find(|(_, event, other)| (event == "done" || event == "stops") && other == id);
+            let ended = ended.map_or(f64::INFINITY, |(at, _, _)| *at);
+            runs.entry(id.clone()).or_default().push((*at, ended, server.id.clone()));
+        }
+    }
+    let mut broken = 0;
+    for (id, mut list) in runs {
+        list.sort_by(|a, b| a.0.total_cmp(&b.0));
+        for pair in list.windows(2) {
+            let overlap = pair[0].1 - pair[1].0;
+            let counts = overlap > 0.4;
+            broken += usize::from(counts);
+            record.say(&format!(
+                "{}: {id} at {} from {:.3} to {:.3}, at {} from {:.3}: both for {overlap:.3} s",
+                if counts { "TWICE" } else { "not counted" }, pair[0].2, pair[0].0, pair[0].1, pair[1].2, pair[1].0
+            ));
+        }
+    }
+    broken
+}
+
 /// A model server falls silent for a second or so while it works on requests that may be
 /// resumed.
 fn silence(setting: &Setting) -> i32 {
@@ -254,30 +282,7 @@
     tasks.into_iter().for_each(|task| drop(task.join()));
     thread::sleep(ms(500));
     end_all();
-    // TWICE, model servers: the request goes on at another server while the server before
-    // still works on it 400 ms later.
-    let mut runs: BTreeMap<String, Vec<(f64, f64, String)>> = BTreeMap::new();
-    for server in &servers {
-        let told = server.told.lock().unwrap();
-        for (at, _, id) in told.iter().filter(|(_, event, _)| event.starts_with("runs")) {
-            let ended = told.iter().find(|(_, event, other)| !event.starts_with("runs") && other == id);
-            let ended = ended.map_or(f64::INFINITY, |(at, _, _)| *at);
-            runs.entry(id.clone()).or_default().push((*at, ended, server.id.clone()));
-        }
-    }
-    let mut broken = 0;
-    for (id, mut list) in runs {
-        list.sort_by(|a, b| a.0.total_cmp(&b.0));
-        for pair in list.windows(2) {
-            let overlap = pair[0].1 - pair[1].0;
-            let counts = overlap > 0.4;
-            broken += usize::from(counts);
-            record.say(&format!(
-                "{}: {id} at {} from {:.3} to {:.3}, at {} from {:.3}: both for {overlap:.3} s",
-                if counts { "TWICE" } else { "not counted" }, pair[0].2, pair[0].0, pair[0].1, pair[1].2, pair[1].0
-            ));
-        }
-    }
+    let broken = overlapping_runs(&servers, record);
     let tries = tries.lock().unwrap().clone();
     let whole = tries.iter().filter(|r| r.end == End::Whole(200) && r.events == EVENTS as usize).count();
     let summary = format!("streams {}, whole {whole}, at work at two servers for over 400 ms {broken}", tries.len());
@@ -290,6 +295,94 @@
     }
 }
 
+/// Model servers are full for seconds; copies of their refusals arrive where later answers
+/// are due, and they work on when a channel closes.
+fn copies(setting: &Setting) -> i32 {
+    const EVENTS: u32 = 12;
+    let record = &setting.record;
+    let zones = r#"{"north-a":"north"}"#;
+    let ips: Vec<String> = (1..=4).map(|n| format!("127.0.14.{n}")).collect();
+    let ports = Ports::find(&ips);
+    let routes = route("queries", "streaming", "model", 2, 6_000, 800, "")
+        .replace(r#""resumable":false"#, r#""resumable":true"#);
+    let plain_routes = route("orders", "streaming", "model", 1, 6_000, 800, "");
+    setting.store.put("op/config", &manifest(&format!("{routes},{plain_routes}"), 7));
+    // The first event after 60 ms, twelve events in 0.72 s.
+    let servers: Vec<ServerProcess> = (1..=3)
+        .map(|n| ServerProcess::start(&format!("i-{n}"), "north-a", EVENTS, 60, 0, &setting.store, record))
+        .collect();
+    let vms: Vec<Vm> = ips.iter().enumerate().map(|(n, ip)| {
+        Vm::new(&format!("north-{}", n + 1), ip, zones, "north-a", &ips, ports, &setting.store, &setting.folder)
+    }).collect();
+    for vm in &vms {
+        vm.start(&setting.front, &setting.folder, record);
+    }
+    if !wait_ready(&vms, ports, record) {
+        return 2;
+    }
+    thread::sleep(ms(5_500));
+    let callers: Vec<SocketAddr> = vms.iter().map(|vm| vm.caller(ports)).collect();
+    let tries: Shared<Vec<(bool, Try)>> = Arc::default();
+    let begun = Instant::now();
+    let mut tasks = Vec::new();
+    let mut busy = false;
+    for turn in 0usize.. {
+        if begun.elapsed() > ms(20_000) {
+            break;
+        }
+        // Full by turns for 3 s of 6.
+        let full = setting.trouble && begun.elapsed().as_secs() % 6 >= 3;
+        if full != busy {
+            busy = full;
+            record.say(if full { "servers are full" } else { "servers have room" });
+            servers.iter().for_each(|server| server.refuse_beyond(if full { 12 } else { 1_000 }));
+        }
+        let (vm, tries, record) = (callers[turn % callers.len()], tries.clone(), record.clone());
+        let resumable = turn % 4 != 0;
+        tasks.push(thread::spawn(move || {
+            let call = Call {
+                method: "POST",
+                path: if resumable { "/queries/2f" } else { "/orders/2f" },
+                headers: "Model: m\r\nToken-Count: 1460,280\r\n",
+                limit: ms(6_000),
+                body: b"a prompt",
+                rate: None,
+            };
+            let result = send(vm, &call, &record);
+            tries.lock().unwrap().push((resumable, result));
+        }));
+        thread::sleep(ms(10));
+    }
+    tasks.into_iter().for_each(|task| drop(task.join()));
+    thread::sleep(ms(1_500));
+    end_all();
+    let overlapping = overlapping_runs(&servers, record);
+    let told = |event: &str| -> Vec<String> {
+        let all = servers.iter().flat_map(|server| server.told.lock().unwrap().clone());
+        all.filter(|(_, told, _)| told == event).map(|(_, _, id)| id).collect()
+    };
+    let (runs, copied) = (told("runs"), told("copies").len());
+    let count = |id: &String| runs.iter().filter(|run| *run == id).count();
+    let tries = tries.lock().unwrap().clone();
+    let twice = tries.iter().filter(|(resumable, r)| !resumable && count(&r.id) > 1).count();
+    let promised = |r: &Try| matches!(r.end, End::Whole(408 | 421 | 429 | 503));
+    let refused = tries.iter().filter(|(_, r)| promised(r) && count(&r.id) > 0).count();
+    let whole = tries.iter().filter(|(_, r)| r.end == End::Whole(200) && r.events == EVENTS as usize).count();
+    let ran = tries.iter().filter(|(_, r)| count(&r.id) > 0).count();
+    let summary = format!(
+        "streams {}, ran {ran}, whole {whole}, copies of refusals {copied}; at work at two servers for over 400 ms {overlapping}, not resumable and run twice {twice}, refused although run {refused}",
+        tries.len()
+    );
+    record.say(&summary);
+    println!("{summary}");
+    let served = whole * 20 >= ran * 19;
+    match (overlapping + twice + refused, served, whole) {
+        (0, _, 0) => 2,
+        (0, true, _) => 0,
+        _ => 1,
+    }
+}
+
 /// The store comes back from a copy while a VM starts, after a server has left.
 fn restored(setting: &Setting) -> i32 {
     const EVENTS: u32 = 10;
--- a/review/standins.rs
+++ b/review/standins.rs
@@ -512,6 +512,15 @@
         }
     }
 
+    /// Lets the server run so many requests at a time and refuse the others. It sends each
+    /// refusal once more when the next request arrives on the channel, and works on when a
+    /// channel closes.
+    fn refuse_beyond(&self, running: u64) {
+        if let Some(input) = self.child.lock().unwrap().stdin.as_mut() {
+            let _ = input.write_all(format!("busy {running}\n").as_bytes());
+        }
+    }
+
     /// Tells the server to state in all its answers that it leaves.
     fn leave(&self) {
         if let Some(input) = self.child.lock().unwrap().stdin.as_mut() {
@@ -541,6 +550,11 @@
     closed
 }
 
+/// How many requests the server runs at a time; 0: all. With a limit, it repeats refusals
+/// and works on for closed channels.
+static BUSY_LIMIT: AtomicU64 = AtomicU64::new(0);
+static RUNNING: AtomicU64 = AtomicU64::new(0);
+
 /// Until when the server is silent: it reads and writes nothing, and works on.
 static SILENT: Mutex<Option<Instant>> = Mutex::new(None);
 
@@ -569,9 +583,10 @@
         let mut line = String::new();
         // The input ends with the starter; the server then ends too.
         while std::io::stdin().read_line(&mut line).unwrap_or(0) > 0 {
-            match line.trim().strip_prefix("silent ").and_then(|time| time.parse().ok()) {
-                Some(time) => *SILENT.lock().unwrap() = Some(Instant::now() + ms(time)),
-                None => input.store(true, Ordering::Relaxed),
+            match line.trim().split_once(' ').and_then(|(word, n)| Some((word, n.parse().ok()?))) {
+                Some(("silent", time)) => *SILENT.lock().unwrap() = Some(Instant::now() + ms(time)),
+                Some(("busy", running)) => BUSY_LIMIT.store(running, Ordering::Relaxed),
+                _ => input.store(true, Ordering::Relaxed),
             }
             line.clear();
         }
@@ -584,6 +599,7 @@
             let mut stream = stream;
             let _ = stream.set_nodelay(true);
             let mut buffer = Vec::new();
+            let mut refusal: Option<String> = None;
             while let Some(mut request) = read_request(&mut stream, &mut buffer) {
                 let length = std::mem::take(&mut request.body).len();
                 let Some(attempt) = request.header("attempt-id").map(str::to_owned) else {
@@ -600,6 +616,22 @@
                 if is_closed(&stream) {
                     return;
                 }
+                let busy_limit = BUSY_LIMIT.load(Ordering::Relaxed);
+                if let Some(copy) = refusal.take() {
+                    println!("copies {attempt}");
+                    let _ = stream.write_all(copy.as_bytes());
+                }
+                if busy_limit > 0 && RUNNING.load(Ordering::Relaxed) >= busy_limit {
+                    let head = format!("Attempt-Id: {attempt}\r\nNot-Run: 1\r\nKeep-Alive: timeout=15\r\n");
+                    let text = reply("503 Service Unavailable", &head, "full");
+                    println!("refuses {attempt}");
+                    if stream.write_all(text.as_bytes()).is_err() {
+                        return;
+                    }
+                    refusal = Some(text);
+                    continue;
+                }
+                RUNNING.fetch_add(1, Ordering::Relaxed);
                 let begun = Instant::now();
                 let limit = request.header("deadline-ms").and_then(|v| v.parse().ok()).unwrap_or(60_000);
                 let until = Instant::now() + ms(limit);
@@ -620,10 +652,11 @@
                     out.extend_from_slice(text.as_bytes());
                     ok = Instant::now() < until && !is_closed(&stream) && stream.write_all(&out).is_ok();
                     out.clear();
-                    if !ok {
+                    if !ok && busy_limit == 0 {
                         break;
                     }
                 }
+                RUNNING.fetch_sub(1, Ordering::Relaxed);
                 if ok && !plain {
                     ok = stream.write_all(b"0\r\n\r\n").is_ok();
                 }
@@ -930,6 +963,7 @@
         "memory" => memory(&setting),
         "restored" => restored(&setting),
         "silence" => silence(&setting),
+        "copies" => copies(&setting),
         _ => 2,
     };
     end_all();
