Skip copies of earlier answers instead of giving up the call that waits

Cause: the answer that arrives next on a connection was taken for the one that is due. A copy that names another call ended the attempt, whose server works on; a copy that names the call itself, sent again on the connection, was believed. Class: an identity inferred from position.

Ruled out: closing connections after refusals (a new channel for each, and no help against copies of other answers).

Change: a filter between the socket and hyper drops answers that name an earlier call of the connection, while another is awaited. No call is sent on a connection that has carried it. Connections of status checks, whose answers name no call, are not kept. Copies are counted and logged.

--- a/crates/verbenaring-core/src/node.rs
+++ b/crates/verbenaring-core/src/node.rs
@@ -111,7 +111,7 @@
             clock,
             routes: ArcSwap::default(),
             routes_known: AtomicBool::new(false),
-            pool: Arc::default(),
+            pool: Arc::new(ConnectionPool::with_call_ids(P::call_id_header())),
             metrics: Arc::default(),
             reports: ReportTargets::default(),
             stream_tasks: TaskTracker::new(),
--- a/crates/verbenaring-core/src/observe/metrics.rs
+++ b/crates/verbenaring-core/src/observe/metrics.rs
@@ -42,6 +42,8 @@
     pub unreached_services: IntGauge,
     /// New connections to servers and VMs.
     pub connections: IntCounter,
+    /// Copies of earlier answers that preceded the answer to a call.
+    pub skipped_answers: IntCounter,
     /// Calls to the platform store by operation and result.
     pub store_calls: IntCounterVec,
     /// Version of the routes in force.
@@ -132,6 +134,10 @@
                 "verbenaring_connections_total",
                 "New connections to servers and VMs",
             ),
+            skipped_answers: counter(
+                "verbenaring_skipped_answers_total",
+                "Copies of earlier answers that preceded the answer to a call",
+            ),
             store_calls: counters(
                 "verbenaring_store_calls_total",
                 "Calls to the platform store",
--- a/crates/verbenaring-core/src/path/exchange.rs
+++ b/crates/verbenaring-core/src/path/exchange.rs
@@ -124,6 +124,7 @@
             .await;
         let (outcome, result) = match sent {
             Ok((answer, lease)) => {
+                self.report_skipped(call, &lease);
                 self.read_answer(call, answer, lease, vm.clone(), guard)
                     .await
             }
@@ -158,6 +159,18 @@
         outcome
     }
 
+    fn report_skipped(&self, call: &PendingCall, lease: &ConnectionLease) {
+        let skipped = lease.take_skipped_answers();
+        self.metrics.skipped_answers.inc_by(u64::from(skipped));
+        if skipped == 0 {
+            return;
+        }
+        if let Some(suppressed) = self.allow_log_line(true) {
+            log::info!(request = call.metadata.attempt_id.as_str(), copies = skipped,
+                suppressed_lines = suppressed; "copies of earlier answers skipped");
+        }
+    }
+
     async fn read_answer(
         self: &Arc<Self>,
         call: &PendingCall,
--- a/crates/verbenaring-core/src/upstream/contact.rs
+++ b/crates/verbenaring-core/src/upstream/contact.rs
@@ -8,7 +8,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http_body_util::{BodyExt, Limited};
 use rand::seq::IteratorRandom;
 use verbenaring_policy::dispatch::contact::ContactChange;
 use verbenaring_policy::dispatch::server::ServerKey;
@@ -26,10 +25,8 @@
 /// be silent for about a second.
 const PROBED_SILENCE: Duration = Duration::from_millis(1_200);
 
-/// Time limit for the answer of a silent server that is checked, and for its body.
+/// Time limit for the answer of a silent server that is checked.
 const STATUS_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Limit on the body of that answer; the connection of a longer one is closed.
-const MAX_STATUS_BYTES: usize = 64 * 1024;
 
 /// Opens connections to servers that may be out of reach, until the process ends.
 pub(crate) async fn probe_servers<P: WireProtocol>(node: Arc<FrontNode<P>>) {
@@ -69,10 +66,8 @@
                 self.record_reached(server);
                 let now = self.clock.now();
                 self.lock().servers.record_heard(server, now);
-                let body = Limited::new(answer.into_body(), MAX_STATUS_BYTES).collect();
-                if let Ok(Ok(_)) = tokio::time::timeout(STATUS_TIMEOUT, body).await {
-                    connection.release();
-                }
+                // A copy of this answer would name no call, so the connection is not kept.
+                drop((answer, connection));
                 true
             }
             Ok(Err(SendError::NoConnection(_))) => {
--- a/crates/verbenaring-core/src/upstream/mod.rs
+++ b/crates/verbenaring-core/src/upstream/mod.rs
@@ -2,4 +2,6 @@
 
 pub mod check;
 pub mod contact;
+mod filter;
+pub mod history;
 pub mod pool;
--- a/crates/verbenaring-core/src/upstream/pool.rs
+++ b/crates/verbenaring-core/src/upstream/pool.rs
@@ -3,6 +3,8 @@
 //! A connection serves one call at a time. It returns to the pool only after a
 //! whole answer and is closed otherwise, so that a late answer cannot be taken
 //! for that of the next call, and the server stops work that nobody waits for.
+//! Copies of earlier answers are skipped on a connection that is used again, and
+//! no call is sent on a connection that has carried it.
 
 use std::collections::HashMap;
 use std::io::ErrorKind;
@@ -15,13 +17,17 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::HeaderName;
 use hyper::{HeaderMap, Request, Response};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
+use super::filter::AnswerFilter;
+use super::history::{CallHash, CallHistory};
 use crate::caller::listener::{READ_BUFFER_BYTES, set_socket_options};
 
 /// Idle time after which a connection is closed if the server states no
@@ -67,6 +73,7 @@
 struct IdleConnection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    history: CallHistory,
     expires_at: Instant,
     idle_since: Instant,
 }
@@ -76,6 +83,9 @@
 pub struct ConnectionPool {
     idle: Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>,
     opened_connections: std::sync::atomic::AtomicU64,
+    /// Header that identifies a call in its request and its answer; without one, no answer
+    /// can be told from a copy of another one.
+    id_header: Option<HeaderName>,
 }
 
 /// Which connection a request may use.
@@ -96,6 +106,7 @@
     address: SocketAddr,
     sender: Option<SendRequest<Full<Bytes>>>,
     task: AbortHandle,
+    history: CallHistory,
     idle_timeout: Duration,
     reused: bool,
 }
@@ -106,8 +117,16 @@
         self.reused
     }
 
+    /// Copies of earlier answers that preceded the answer.
+    pub fn take_skipped_answers(&self) -> u32 {
+        self.history.take_skipped()
+    }
+
     /// Returns the connection to the pool; to be called after a whole answer.
     pub fn release(mut self) {
+        if self.history.is_full() {
+            return;
+        }
         let Some(sender) = self.sender.take() else {
             return;
         };
@@ -118,6 +137,7 @@
         let connection = IdleConnection {
             sender,
             task: self.task.clone(),
+            history: self.history.clone(),
             expires_at: now + self.idle_timeout,
             idle_since: now,
         };
@@ -140,6 +160,14 @@
 }
 
 impl ConnectionPool {
+    /// Creates a pool for calls that `id_header` identifies in requests and answers.
+    pub fn with_call_ids(id_header: HeaderName) -> Self {
+        Self {
+            id_header: Some(id_header),
+            ..Self::default()
+        }
+    }
+
     /// Sends a request and waits for the head of its answer.
     ///
     /// Tries idle connections first, and the next one as long as no byte of the
@@ -150,8 +178,9 @@
         mut request: Request<Full<Bytes>>,
         options: ConnectOptions,
     ) -> Result<(Response<Incoming>, ConnectionLease), SendError> {
-        while let Some(mut lease) = self.reuse(address, options.max_idle) {
-            match lease.try_send(request).await {
+        let call = self.call_hash(request.headers());
+        while let Some(mut lease) = self.reuse(address, options.max_idle, call) {
+            match lease.try_send(request, call).await {
                 Ok(answer) => return Ok((answer, lease)),
                 Err((_, Some(unsent))) => request = *unsent,
                 Err((reason, None)) => return Err(SendError::Broken(reason)),
@@ -161,7 +190,7 @@
             .connect(address, options)
             .await
             .map_err(|error| SendError::NoConnection(error.to_string()))?;
-        match lease.try_send(request).await {
+        match lease.try_send(request, call).await {
             Ok(answer) => Ok((answer, lease)),
             Err((reason, Some(_))) => Err(SendError::NoConnection(reason)),
             Err((reason, None)) => Err(SendError::Broken(reason)),
@@ -225,11 +254,26 @@
         }
     }
 
-    fn reuse(self: &Arc<Self>, address: SocketAddr, max_idle: Duration) -> Option<ConnectionLease> {
+    fn call_hash(&self, headers: &HeaderMap) -> Option<CallHash> {
+        let id = headers.get(self.id_header.as_ref()?)?;
+        id.to_str().ok().map(CallHash::of)
+    }
+
+    /// Idle connection, the last used first, that has not carried `call`.
+    fn reuse(
+        self: &Arc<Self>,
+        address: SocketAddr,
+        max_idle: Duration,
+        call: Option<CallHash>,
+    ) -> Option<ConnectionLease> {
         let now = Instant::now();
         let mut idle = self.lock();
         let connections = idle.get_mut(&address)?;
-        while let Some(mut connection) = connections.pop() {
+        let may_carry = |connection: &IdleConnection| {
+            call.is_none_or(|call| !connection.history.contains(call))
+        };
+        while let Some(last) = connections.iter().rposition(may_carry) {
+            let mut connection = connections.remove(last);
             let ready = matches!(connection.sender.ready().now_or_never(), Some(Ok(())));
             let unexpired = now < connection.expires_at && now < connection.idle_since + max_idle;
             if ready && unexpired {
@@ -238,6 +282,7 @@
                     address,
                     sender: Some(connection.sender),
                     task: connection.task,
+                    history: connection.history,
                     idle_timeout: connection.expires_at - connection.idle_since,
                     reused: true,
                 });
@@ -269,22 +314,22 @@
             Ok(Err(error)) => return Err(error.into()),
             Err(_) => return Err(ConnectError::TimedOut(timeout)),
         };
-        let (sender, connection) = http1::Builder::new()
-            .max_buf_size(READ_BUFFER_BYTES)
-            .handshake(TokioIo::new(stream))
-            .await?;
-        let task = tokio::spawn(async move {
-            if let Err(error) = connection.await {
-                log::debug!(error:% = error; "server connection ended");
+        let history = CallHistory::default();
+        let (sender, task) = match &self.id_header {
+            Some(header) => {
+                let filter = AnswerFilter::new(stream, header.clone(), history.clone());
+                start_connection(filter).await?
             }
-        });
+            None => start_connection(stream).await?,
+        };
         self.opened_connections
             .fetch_add(1, std::sync::atomic::Ordering::Relaxed);
         Ok(ConnectionLease {
             pool: self.clone(),
             address,
             sender: Some(sender),
-            task: task.abort_handle(),
+            task,
+            history,
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
             reused: false,
         })
@@ -295,6 +340,24 @@
     }
 }
 
+async fn start_connection<S>(
+    stream: S,
+) -> Result<(SendRequest<Full<Bytes>>, AbortHandle), hyper::Error>
+where
+    S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+{
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(READ_BUFFER_BYTES)
+        .handshake(TokioIo::new(stream))
+        .await?;
+    let task = tokio::spawn(async move {
+        if let Err(error) = connection.await {
+            log::debug!(error:% = error; "server connection ended");
+        }
+    });
+    Ok((sender, task.abort_handle()))
+}
+
 type UnsentRequest = Option<Box<Request<Full<Bytes>>>>;
 
 impl ConnectionLease {
@@ -302,6 +365,7 @@
     async fn try_send(
         &mut self,
         request: Request<Full<Bytes>>,
+        call: Option<CallHash>,
     ) -> Result<Response<Incoming>, (String, UnsentRequest)> {
         let Some(sender) = &mut self.sender else {
             return Err((
@@ -309,6 +373,9 @@
                 Some(Box::new(request)),
             ));
         };
+        if let Some(call) = call {
+            self.history.begin(call);
+        }
         match sender.try_send_request(request).await {
             Ok(answer) => {
                 self.idle_timeout = stated_idle_timeout(answer.headers());
--- a/crates/verbenaring-core/src/wire.rs
+++ b/crates/verbenaring-core/src/wire.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::header::HeaderName;
 use hyper::{HeaderMap, Request, StatusCode};
 use verbenaring_policy::dispatch::prompt::PromptPart;
 use verbenaring_policy::id::{ModelName, ServerId};
@@ -77,6 +78,8 @@
 
 /// Reads and writes the headers of callers and servers.
 pub trait WireProtocol: Send + Sync + 'static {
+    /// Header by which callers name a try of a call; servers repeat it in their answers.
+    fn call_id_header() -> HeaderName;
     /// Reads the headers of a call; the error is the reason of a 400 answer.
     fn read_call(headers: &HeaderMap) -> Result<CallMetadata, String>;
     /// Removes headers that only the gateway may set.
