Notice servers that accept connections and never answer

Cause: an accepted connection counted as contact with a server, and calls given up without an answer counted for nothing, so that no loss was ever noticed. Class: evidence that a party in between can give.

Evidence: verbenaring_unreached_services stayed at 0 during the cut.

Change: only an answer shows contact. Servers that have not answered calls for 1.2 s are asked for their status on a new connection; once one has not answered, the others of its service are asked. If servers accept and do not answer and no VM of the region has contact, calls go to another region. Calls that wait for such servers may be repeated through another VM. Idle connections are kept when contact was lost for less than a second, as happens by turns while only new connections are refused.

--- a/crates/verbenaring-core/src/path/choose.rs
+++ b/crates/verbenaring-core/src/path/choose.rs
@@ -150,13 +150,18 @@
                 local = self.place_locally(call, tried, true, state, now);
             }
         }
+        let stays = region_vm.is_some() || !state.servers.is_unanswered(&call.service);
         let mut excluded = Vec::new();
         loop {
             let offer = match call.origin {
                 CallOrigin::Caller => self.best_region(call, tried, &excluded, state, now),
                 CallOrigin::Vm => None,
             };
-            let Some(offer) = offer.filter(|offer| self.should_forward(call, &local, offer)) else {
+            let is_better = |offer: &RegionOffer| match stays {
+                true => self.should_forward(call, &local, offer),
+                false => offer.forecast < call.remaining(),
+            };
+            let Some(offer) = offer.filter(is_better) else {
                 let placement = match &local {
                     Ok(placement) => placement,
                     Err(error) => return Err(refusal_for(call, error)),
@@ -371,6 +376,22 @@
         best
     }
 
+    /// Whether another VM of this region may send a call to servers that this one does not
+    /// reach.
+    pub(super) fn has_way_around(
+        &self,
+        call: &PendingCall,
+        tried: &TriedTargets,
+        state: &FrontState,
+        now: Moment,
+    ) -> bool {
+        let region = &self.location.region;
+        !state.servers.has_contact(&call.service)
+            && self
+                .pick_vm(call, tried, region, |_| true, state, now)
+                .is_some()
+    }
+
     /// Random suitable VM of a region that reaches servers, weighted by capacity. `None` if
     /// no such VM there takes calls.
     fn pick_vm(
--- a/crates/verbenaring-core/src/path/overdue.rs
+++ b/crates/verbenaring-core/src/path/overdue.rs
@@ -131,6 +131,9 @@
         if !state.allows_retry(&call.service, now) {
             return false;
         }
+        if self.has_way_around(call, tried, &state, now) {
+            return true;
+        }
         let tried = TriedTargets {
             servers: tried
                 .servers
--- a/crates/verbenaring-core/src/upstream/contact.rs
+++ b/crates/verbenaring-core/src/upstream/contact.rs
@@ -1,8 +1,9 @@
 //! Notices whether this VM reaches backend servers.
 //!
 //! Calls show it first. Where they do not, because they wait on connections that have
-//! fallen silent or go through other VMs, connections are opened for this purpose, and
-//! kept for later calls. The decision is in [`verbenaring_policy::dispatch::contact`].
+//! fallen silent or go through other VMs, servers are asked for their status on new
+//! connections: one that is merely accepted shows nothing. The decision is in
+//! [`verbenaring_policy::dispatch::contact`].
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -17,33 +18,30 @@
 use crate::node::FrontNode;
 use crate::wire::WireProtocol;
 
-/// Time between connections that show whether servers can be reached.
+/// Time between two rounds of checks whether servers can be reached.
 const PROBE_PERIOD: Duration = Duration::from_millis(250);
-/// Servers to which a connection is opened in each period.
-const PROBED_SERVERS: usize = 2;
-/// Silence of a server while calls wait there, from which it is probed. Sound servers may
-/// be silent for about a second.
+/// Servers that are checked in each round.
+const PROBED_SERVERS: usize = 3;
+/// Time without an answer to calls, from which a server is checked. Sound servers may be
+/// silent for about a second.
 const PROBED_SILENCE: Duration = Duration::from_millis(1_200);
 
+/// Time without contact after which connections from before may have fallen silent. While
+/// only new ones are refused, contact comes and goes within moments, and they are needed.
+const LASTING_LOSS: Duration = Duration::from_secs(1);
 /// Time limit for the answer of a silent server that is checked.
 const STATUS_TIMEOUT: Duration = Duration::from_millis(1_000);
 
-/// Opens connections to servers that may be out of reach, until the process ends.
+/// Checks servers that may be out of reach, until the process ends.
 pub(crate) async fn probe_servers<P: WireProtocol>(node: Arc<FrontNode<P>>) {
     loop {
         tokio::time::sleep(PROBE_PERIOD).await;
         let now = node.clock.now();
-        let doubtful: Vec<(ServerKey, SocketAddr)> = {
-            let state = node.lock();
-            let doubtful = state.servers.doubtful_servers(PROBED_SILENCE, now);
-            let addressed = doubtful
-                .into_iter()
-                .filter_map(|key| Some((key, state.servers.entry(key)?.address)));
-            addressed.choose_multiple(&mut rand::rng(), PROBED_SERVERS)
-        };
-        let probes = doubtful
+        let doubtful = node.lock().servers.doubtful_servers(PROBED_SILENCE, now);
+        let probed = doubtful
             .into_iter()
-            .map(|(server, address)| node.probe_server(server, address));
+            .choose_multiple(&mut rand::rng(), PROBED_SERVERS);
+        let probes = probed.into_iter().map(|server| node.probe_server(server));
         futures::future::join_all(probes).await;
     }
 }
@@ -51,17 +49,33 @@
 impl<P: WireProtocol> FrontNode<P> {
     /// Checks whether a silent server can be reached and answers.
     pub(crate) async fn check_silent_server(self: Arc<Self>, server: ServerKey) {
+        let answered = self.ask_status(server).await;
+        log::info!(server = self.server_name(server), answered = answered;
+            "silent server checked");
+    }
+
+    async fn probe_server(&self, server: ServerKey) {
+        if self.ask_status(server).await {
+            return;
+        }
+        let now = self.clock.now();
+        let change = self.lock().servers.record_unanswered(server, now);
+        report_loss(change);
+    }
+
+    /// Asks a server for its status on a new connection; returns whether it answered.
+    async fn ask_status(&self, server: ServerKey) -> bool {
         let known = {
             let state = self.lock();
             let entry = state.servers.entry(server);
             entry.map(|entry| (entry.id.clone(), entry.address))
         };
         let Some((id, address)) = known else {
-            return;
+            return false;
         };
         let request = P::status_request(&id);
         let sent = self.pool.send(address, request, self.probe_options());
-        let answered = match tokio::time::timeout(STATUS_TIMEOUT, sent).await {
+        match tokio::time::timeout(STATUS_TIMEOUT, sent).await {
             Ok(Ok((answer, connection))) => {
                 self.record_reached(server);
                 let now = self.clock.now();
@@ -70,13 +84,13 @@
                 drop((answer, connection));
                 true
             }
-            Ok(Err(SendError::NoConnection(_))) => {
+            Ok(Err(SendError::NoConnection(reason))) => {
+                log::debug!(address:% = address, reason = reason; "server not reached");
                 self.record_unreached(server);
                 false
             }
             Ok(Err(SendError::Broken(_))) | Err(_) => false,
-        };
-        log::info!(server:% = id, answered = answered; "silent server checked");
+        }
     }
 
     /// Options of a new connection that shows whether a server can be reached.
@@ -88,25 +102,14 @@
         }
     }
 
-    async fn probe_server(&self, server: ServerKey, address: SocketAddr) {
-        match self.pool.open(address, self.probe_options()).await {
-            Ok(connection) => {
-                self.record_reached(server);
-                connection.release();
-            }
-            Err(error) => {
-                log::debug!(address:% = address, error:% = error; "server not reached");
-                self.record_unreached(server);
-            }
-        }
-    }
-
     /// Records that a server was reached.
     pub(crate) fn record_reached(&self, server: ServerKey) {
         let now = self.clock.now();
         let change = self.lock().servers.record_reached(server, now);
         if let Some(ContactChange::Regained { service, away }) = change {
-            self.close_idle_connections(&service);
+            if away >= LASTING_LOSS {
+                self.close_idle_connections(&service);
+            }
             log::info!(service:% = service, away_ms = away.as_millis() as u64;
                 "servers are reached again");
         }
@@ -116,9 +119,7 @@
     pub(crate) fn record_unreached(&self, server: ServerKey) {
         let now = self.clock.now();
         let change = self.lock().servers.record_unreached(server, now);
-        if let Some(ContactChange::Lost(service)) = change {
-            log::warn!(service:% = service; "servers cannot be reached");
-        }
+        report_loss(change);
     }
 
     /// Whether another VM is in the region of this one.
@@ -141,3 +142,9 @@
         }
     }
 }
+
+fn report_loss(change: Option<ContactChange>) {
+    if let Some(ContactChange::Lost(service)) = change {
+        log::warn!(service:% = service; "servers cannot be reached");
+    }
+}
--- a/crates/verbenaring-core/src/upstream/pool.rs
+++ b/crates/verbenaring-core/src/upstream/pool.rs
@@ -215,15 +215,6 @@
         }
     }
 
-    /// Opens a connection.
-    pub(crate) async fn open(
-        self: &Arc<Self>,
-        address: SocketAddr,
-        options: ConnectOptions,
-    ) -> Result<ConnectionLease, ConnectError> {
-        self.connect(address, options).await
-    }
-
     /// Number of connections opened since the start.
     pub fn opened_connections(&self) -> u64 {
         self.opened_connections
--- a/crates/verbenaring-policy/src/dispatch/contact.rs
+++ b/crates/verbenaring-policy/src/dispatch/contact.rs
@@ -2,11 +2,12 @@
 //!
 //! Load pattern: a VM loses its path to the servers, while callers, other VMs and the
 //! source of the configuration still reach it. Each server that it tries costs a time
-//! limit, and nothing but its own connections shows the cut. Once connections to several
-//! servers of a service have failed and none has worked meanwhile, the VM counts as
-//! without contact to the service, and its calls go through another VM of the region,
-//! which may have contact. If the servers themselves are gone, the others lose contact
-//! too.
+//! limit, and nothing but its own connections shows the cut. What is on the way may accept
+//! connections in place of the servers, so that only an answer shows contact. Once several
+//! servers of a service could not be reached, or did not answer a check, and none has
+//! answered meanwhile, the VM counts as without contact to the service, and its calls go
+//! through another VM of the region, which may have contact, or to another region. If the
+//! servers themselves are gone, the others lose contact too.
 
 use std::collections::HashSet;
 use std::time::Duration;
@@ -23,9 +24,12 @@
 /// Contact with the servers of one service in the region of this VM.
 #[derive(Debug, Clone, Default)]
 pub(super) struct ServiceContact {
-    /// Servers to which connections have failed since any server was last reached.
+    /// Servers to which connections have failed, or that did not answer a check, since any
+    /// server last answered.
     unreached: HashSet<ServerKey>,
     lost_since: Option<Moment>,
+    /// Whether one of them accepted a connection and did not answer a check.
+    is_silent: bool,
     /// Whether another VM has reached servers of the service meanwhile.
     peer_reached: bool,
 }
@@ -33,7 +37,7 @@
 /// Change of the contact with a service.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ContactChange {
-    /// Several servers of the service cannot be reached, and none was in between.
+    /// Several servers of the service cannot be reached, and none answered in between.
     Lost(ServiceName),
     /// A server of the service was reached again.
     Regained {
@@ -45,7 +49,7 @@
 }
 
 impl ServerTable {
-    /// Records that a server was reached: it accepted a connection or answered.
+    /// Records that a server was reached: it has answered.
     pub fn record_reached(&mut self, server: ServerKey, now: Moment) -> Option<ContactChange> {
         let record = self.servers.get_mut(server)?;
         record.signs.unreached_since = None;
@@ -68,6 +72,22 @@
     pub fn record_unreached(&mut self, server: ServerKey, now: Moment) -> Option<ContactChange> {
         let record = self.servers.get_mut(server)?;
         record.signs.unreached_since.get_or_insert(now);
+        self.count_unreached(server, now)
+    }
+
+    /// Records that a server that was checked has not answered. Its connections may work,
+    /// so that its own calls go on waiting.
+    pub fn record_unanswered(&mut self, server: ServerKey, now: Moment) -> Option<ContactChange> {
+        let change = self.count_unreached(server, now);
+        let service = &self.servers.get(server)?.entry.service;
+        if let Some(contact) = self.contacts.get_mut(service) {
+            contact.is_silent = true;
+        }
+        change
+    }
+
+    fn count_unreached(&mut self, server: ServerKey, now: Moment) -> Option<ContactChange> {
+        let record = self.servers.get(server)?;
         let service = record.entry.service.clone();
         let servers = self
             .servers
@@ -96,6 +116,13 @@
         contact.is_none_or(|contact| contact.lost_since.is_none())
     }
 
+    /// Whether contact is lost because servers accept connections and do not answer. Their
+    /// forecasts do not show it, as those of servers that refuse connections do.
+    pub fn is_unanswered(&self, service: &ServiceName) -> bool {
+        let contact = self.contacts.get(service);
+        contact.is_some_and(|contact| contact.lost_since.is_some() && contact.is_silent)
+    }
+
     /// Number of services without contact.
     pub fn lost_services(&self) -> usize {
         let lost = self.contacts.values();
@@ -111,13 +138,18 @@
         self.lost_services() > 0 && usable.all(|record| !self.has_contact(&record.entry.service))
     }
 
-    /// Servers to which a connection shows whether there is contact: all servers of
-    /// services without it, and those that have been silent for `silence` while calls
-    /// wait there.
+    /// Servers whose answer to a check shows whether there is contact: all servers of
+    /// services without it, the others of services of which one did not answer a check, and
+    /// those that have not answered calls for `silence`.
     pub fn doubtful_servers(&self, silence: Duration, now: Moment) -> Vec<ServerKey> {
-        let doubtful = self.servers.iter().filter(|(_, record)| {
-            let silent = record.health.silence(now) >= silence;
-            self.is_usable(record, now) && (silent || !self.has_contact(&record.entry.service))
+        let doubtful = self.servers.iter().filter(|(key, record)| {
+            let unanswered = record.signs.unanswered(now) >= silence;
+            let contact = self.contacts.get(&record.entry.service);
+            let in_doubt = contact.is_some_and(|contact| {
+                let others_unreached = !contact.unreached.is_empty();
+                contact.lost_since.is_some() || others_unreached && !contact.unreached.contains(key)
+            });
+            self.is_usable(record, now) && (unanswered || in_doubt)
         });
         doubtful.map(|(key, _)| key).collect()
     }
--- a/crates/verbenaring-policy/src/dispatch/in_flight.rs
+++ b/crates/verbenaring-policy/src/dispatch/in_flight.rs
@@ -28,6 +28,7 @@
         own.calls += 1;
         record.rate.add(placement.unread_tokens, now);
         record.health.record_sent(now);
+        record.signs.unanswered_since.get_or_insert(now);
         record.pace.record(now);
         record.statements.limit.record_sent(now);
         if let Some(capacity) = call.settings.cache_tokens {
@@ -57,6 +58,7 @@
         };
         record.release_unread(call);
         record.health.record_progress(now);
+        record.signs.unanswered_since = None;
         let service = record.entry.service.clone();
         let observed = now.since(call.sent_at);
         if record.entry.models.is_empty() {
--- a/crates/verbenaring-policy/src/dispatch/silence.rs
+++ b/crates/verbenaring-policy/src/dispatch/silence.rs
@@ -30,6 +30,8 @@
 pub struct ServerSigns {
     /// When a byte of an answer last arrived from it.
     pub heard_at: Option<Moment>,
+    /// When the first call was sent since it was last heard; `None` if none was.
+    pub unanswered_since: Option<Moment>,
     /// When connections to it began to fail; `None` if it was heard or reached since.
     pub unreached_since: Option<Moment>,
     /// When it was last checked whether it can be reached.
@@ -43,6 +45,12 @@
         now.since(heard_at)
     }
 
+    /// Time for which calls have been sent and nothing was heard.
+    pub fn unanswered(&self, now: Moment) -> Duration {
+        let since = self.unanswered_since;
+        since.map_or(Duration::ZERO, |since| now.since(since))
+    }
+
     fn is_silent(&self, sent_at: Moment, now: Moment) -> bool {
         self.silence(sent_at, now) >= SILENT_AFTER
     }
@@ -114,6 +122,7 @@
     pub fn record_heard(&mut self, server: ServerKey, now: Moment) {
         if let Some(record) = self.servers.get_mut(server) {
             record.signs.heard_at = Some(now);
+            record.signs.unanswered_since = None;
             record.signs.unreached_since = None;
         }
     }
--- a/crates/verbenaring-policy/tests/dispatch/contact.rs
+++ b/crates/verbenaring-policy/tests/dispatch/contact.rs
@@ -48,6 +48,7 @@
     assert!(table.has_contact(&service("engine")));
     assert_eq!(table.record_unreached(keys[2], at(40)), lost());
     assert!(!table.has_contact(&service("engine")));
+    assert!(!table.is_unanswered(&service("engine")));
     assert!(table.is_cut_off(at(40)));
     assert_eq!(table.doubtful_servers(ms(1_000), at(40)).len(), 4);
     assert_eq!(table.record_reached(keys[3], at(1_040)), regained(1_000));
@@ -124,3 +125,34 @@
     let placement = table.place(&request, &view, at(20)).expect("placed");
     assert!(placement.forecast < ms(1_000), "{:?}", placement.forecast);
 }
+
+/// Load: calls are sent, and servers that accept connections answer neither them nor
+/// checks.
+#[test]
+fn servers_that_accept_connections_and_never_answer_are_out_of_contact() {
+    let mut table = table(&["a", "b", "c", "d"]);
+    let keys = keys_of(&mut table, 4);
+    assert!(table.doubtful_servers(ms(1_200), at(1_300)).is_empty());
+    let call = TestCall::new(1, 0, 10);
+    call.send(&mut table, at(2_000));
+    assert!(table.doubtful_servers(ms(1_200), at(3_199)).is_empty());
+    let doubtful = table.doubtful_servers(ms(1_200), at(3_200));
+    assert_eq!(doubtful.len(), 1);
+    // The others of the service are checked as soon as one has not answered.
+    assert_eq!(table.record_unanswered(doubtful[0], at(4_200)), None);
+    assert_eq!(table.doubtful_servers(ms(1_200), at(4_200)).len(), 4);
+    let others: Vec<ServerKey> = keys.into_iter().filter(|key| *key != doubtful[0]).collect();
+    assert_eq!(table.record_unanswered(others[0], at(4_300)), None);
+    assert_eq!(table.record_unanswered(others[1], at(4_300)), lost());
+    assert!(table.is_unanswered(&service("engine")));
+    // Checks that fail do not make connections count as failed.
+    assert!(
+        table
+            .signs(others[0])
+            .is_some_and(|signs| signs.unreached_since.is_none())
+    );
+    assert_eq!(
+        table.record_reached(others[2], at(16_300)),
+        regained(12_000)
+    );
+}
