Read the declared versions anew before a stream of unknown origin goes on

Class: a list whose age its holder cannot tell.

Change: where this VM has no record of a stream and knows one version only, it reads the declarations in the store, linearizably, in a reading that begins after the call has arrived. A version is declared before any stream begins at it, so the reading shows all that can have begun the stream. If the store does not answer, other VMs are asked; if none knows, the stream is refused at once.

Ruled out: asking other VMs alone (they may be out of step as well); a shorter limit on the age (never short enough, and more refusals).

What remains: a VM that is cut off for more than 120 s, and a store that came back from a copy without the declaration.

--- a/crates/verbenaring-core/src/node.rs
+++ b/crates/verbenaring-core/src/node.rs
@@ -24,7 +24,7 @@
 use crate::clock::NodeClock;
 use crate::cluster::report::{ReportTargets, exchange_reports};
 use crate::cluster::snapshot::{SNAPSHOT_PATH, poll_snapshots};
-use crate::config::builds::sync_declarations;
+use crate::config::builds::{DeclarationReads, read_declarations_for_calls, sync_declarations};
 use crate::config::quarantine::sync_quarantines;
 use crate::config::source::{ConfigScope, ConfigSource};
 use crate::config::sync::{ScopeStatus, run_announcements, sync_scope};
@@ -87,6 +87,7 @@
     pub(crate) caller_idle_timeout: Arc<IdleTimeout>,
     /// Notified when servers are to be checked.
     pub(crate) server_check: Notify,
+    pub(crate) declaration_reads: DeclarationReads,
     /// Notified when the configuration source left a watch without an answer.
     pub(crate) source_silent: Notify,
     operator_status: ScopeStatus,
@@ -118,6 +119,7 @@
             answer_memory: Arc::new(Semaphore::new(settings.resources.answer_memory_bytes())),
             caller_idle_timeout: Arc::default(),
             server_check: Notify::new(),
+            declaration_reads: DeclarationReads::default(),
             source_silent: Notify::new(),
             operator_status: ScopeStatus::default(),
             servers_status: ScopeStatus::default(),
@@ -463,6 +465,10 @@
             let (node, source) = (node.clone(), source.clone());
             move || sync_declarations(node.clone(), source.clone())
         });
+        supervise("declared versions for calls", {
+            let (node, source) = (node.clone(), source.clone());
+            move || read_declarations_for_calls(node.clone(), source.clone())
+        });
         supervise("announcements", {
             let node = node.clone();
             move || run_announcements(node.clone(), source.clone())
--- a/crates/verbenaring-core/src/path/origin.rs
+++ b/crates/verbenaring-core/src/path/origin.rs
@@ -15,6 +15,7 @@
 use verbenaring_policy::dispatch::build::BuildId;
 use verbenaring_policy::dispatch::origin::{OriginRecord, StreamId};
 use verbenaring_policy::dispatch::prompt::rendezvous_score;
+use verbenaring_policy::id::ServiceName;
 use verbenaring_policy::time::Moment;
 
 use super::call::{CallOrigin, PendingCall};
@@ -50,9 +51,13 @@
             return Ok(());
         }
         let stream = call.stream_id();
-        let known = match self.known_origin(call, stream) {
+        let recorded = self.lock().origins.find(stream);
+        let known = match recorded {
             Some(build) => Some(build),
-            None => self.ask_origin(stream).await,
+            None => match self.sole_build(&call.service).await {
+                Some(build) => Some(build),
+                None => self.ask_origin(stream).await,
+            },
         };
         match known {
             Some(build) => {
@@ -66,11 +71,14 @@
         }
     }
 
-    fn known_origin(&self, call: &PendingCall, stream: StreamId) -> Option<BuildId> {
-        let now = self.clock.now();
-        let state = self.lock();
-        let known = state.origins.find(stream);
-        known.or_else(|| state.servers.sole_build(&call.service, now))
+    /// The only version that can have begun a stream before now, if there is one.
+    async fn sole_build(&self, service: &ServiceName) -> Option<BuildId> {
+        let sole = || self.lock().servers.sole_build(service, self.clock.now());
+        sole()?;
+        match self.refresh_declarations().await {
+            true => sole(),
+            false => None,
+        }
     }
 
     /// Asks the VMs that are most likely to know.
--- a/crates/verbenaring-policy/src/dispatch/build.rs
+++ b/crates/verbenaring-policy/src/dispatch/build.rs
@@ -109,6 +109,18 @@
         record.live_until = record.live_until.max(now + remaining.min(STREAM_LIFETIME));
     }
 
+    /// Records a declaration that was read in the source. If it is new to this VM, its
+    /// streams may have begun a moment ago; a known one is not prolonged.
+    pub fn record_read(&mut self, declared: &DeclaredBuild, now: Moment) {
+        let builds = self.services.get(&declared.service);
+        let known = builds.and_then(|builds| builds.get(&declared.build));
+        let remaining = match known {
+            Some(_) => Duration::ZERO,
+            None => STREAM_LIFETIME,
+        };
+        self.record_declared(declared, remaining, now);
+    }
+
     /// Records that all declarations that the source has were read since the start.
     pub fn set_declarations_known(&mut self) {
         self.declarations_known = true;
