Do not take servers that refuse connections for silent ones

Cause: a check whose connection was refused was recorded as one without an answer. Where new connections were refused to all VMs of a region and old ones lived on, the VMs checked all servers and sent all calls to the other regions, which were overloaded.

Change: a check tells a server that could not be reached from one that accepted and stayed silent; only the latter makes others be checked and calls leave the region.

--- a/crates/verbenaring-core/src/upstream/contact.rs
+++ b/crates/verbenaring-core/src/upstream/contact.rs
@@ -32,6 +32,17 @@
 /// Time limit for the answer of a silent server that is checked.
 const STATUS_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Outcome of asking a server for its status.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum StatusOutcome {
+    /// It answered.
+    Answered,
+    /// No connection could be opened.
+    Unreached,
+    /// A connection was opened, and no answer came.
+    Silent,
+}
+
 /// Checks servers that may be out of reach, until the process ends.
 pub(crate) async fn probe_servers<P: WireProtocol>(node: Arc<FrontNode<P>>) {
     loop {
@@ -49,29 +60,27 @@
 impl<P: WireProtocol> FrontNode<P> {
     /// Checks whether a silent server can be reached and answers.
     pub(crate) async fn check_silent_server(self: Arc<Self>, server: ServerKey) {
-        let answered = self.ask_status(server).await;
-        log::info!(server = self.server_name(server), answered = answered;
-            "silent server checked");
+        let status = self.ask_status(server).await;
+        log::info!(server = self.server_name(server), status:? = status; "silent server checked");
     }
 
     async fn probe_server(&self, server: ServerKey) {
-        if self.ask_status(server).await {
-            return;
+        if self.ask_status(server).await == StatusOutcome::Silent {
+            let now = self.clock.now();
+            let change = self.lock().servers.record_unanswered(server, now);
+            report_loss(change);
         }
-        let now = self.clock.now();
-        let change = self.lock().servers.record_unanswered(server, now);
-        report_loss(change);
     }
 
-    /// Asks a server for its status on a new connection; returns whether it answered.
-    async fn ask_status(&self, server: ServerKey) -> bool {
+    /// Asks a server for its status on a new connection.
+    async fn ask_status(&self, server: ServerKey) -> StatusOutcome {
         let known = {
             let state = self.lock();
             let entry = state.servers.entry(server);
             entry.map(|entry| (entry.id.clone(), entry.address))
         };
         let Some((id, address)) = known else {
-            return false;
+            return StatusOutcome::Unreached;
         };
         let request = P::status_request(&id);
         let sent = self.pool.send(address, request, self.probe_options());
@@ -82,14 +91,14 @@
                 self.lock().servers.record_heard(server, now);
                 // A copy of this answer would name no call, so the connection is not kept.
                 drop((answer, connection));
-                true
+                StatusOutcome::Answered
             }
             Ok(Err(SendError::NoConnection(reason))) => {
                 log::debug!(address:% = address, reason = reason; "server not reached");
                 self.record_unreached(server);
-                false
+                StatusOutcome::Unreached
             }
-            Ok(Err(SendError::Broken(_))) | Err(_) => false,
+            Ok(Err(SendError::Broken(_))) | Err(_) => StatusOutcome::Silent,
         }
     }
 
--- a/crates/verbenaring-policy/src/dispatch/contact.rs
+++ b/crates/verbenaring-policy/src/dispatch/contact.rs
@@ -146,8 +146,8 @@
             let unanswered = record.signs.unanswered(now) >= silence;
             let contact = self.contacts.get(&record.entry.service);
             let in_doubt = contact.is_some_and(|contact| {
-                let others_unreached = !contact.unreached.is_empty();
-                contact.lost_since.is_some() || others_unreached && !contact.unreached.contains(key)
+                let is_unchecked = contact.is_silent && !contact.unreached.contains(key);
+                contact.lost_since.is_some() || is_unchecked
             });
             self.is_usable(record, now) && (unanswered || in_doubt)
         });
--- a/crates/verbenaring-policy/tests/dispatch/contact.rs
+++ b/crates/verbenaring-policy/tests/dispatch/contact.rs
@@ -45,9 +45,11 @@
     assert_eq!(table.record_unreached(keys[0], at(10)), None);
     assert_eq!(table.record_unreached(keys[0], at(20)), None, "same server");
     assert_eq!(table.record_unreached(keys[1], at(30)), None);
+    assert!(table.doubtful_servers(ms(1_000), at(30)).is_empty());
     assert!(table.has_contact(&service("engine")));
     assert_eq!(table.record_unreached(keys[2], at(40)), lost());
     assert!(!table.has_contact(&service("engine")));
+    // Its servers refuse connections; the others are not checked for that.
     assert!(!table.is_unanswered(&service("engine")));
     assert!(table.is_cut_off(at(40)));
     assert_eq!(table.doubtful_servers(ms(1_000), at(40)).len(), 4);
