--- a/crates/verbenaring-core/src/lib.rs
+++ b/crates/verbenaring-core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod observe;
 pub mod path;
 pub mod settings;
+mod shutdown;
 pub mod state;
 pub mod supervisor;
 pub mod upstream;
