--- a/crates/verbenaring-core/tests/connections.rs
+++ b/crates/verbenaring-core/tests/connections.rs
@@ -161,3 +161,15 @@
     }
     assert_eq!(connections.load(Ordering::SeqCst), 2);
 }
+
+/// Guards against a connection that reads copies without end while its call waits.
+#[tokio::test]
+async fn copies_without_end_break_the_connection() {
+    let first = answer("200 OK", "a", "one");
+    let endless = answer("200 OK", "a", &"x".repeat(300_000)) + &answer("200 OK", "b", "two");
+    let (address, _) = start_server(vec![first, endless]).await;
+    let pool = new_pool();
+    call(&pool, address, "a").await.unwrap();
+    let failed = call(&pool, address, "b").await;
+    assert!(matches!(failed, Err(SendError::Broken(_))), "{failed:?}");
+}
