Name what decides between regions and peers by the usual terms

Cause: has_way_around and stays, new in, say nothing to a newcomer.

Change: can_use_peer and local_answers.

Measured: clippy and the build; no logic changed.

--- a/crates/verbenaring-core/src/path/choose.rs
+++ b/crates/verbenaring-core/src/path/choose.rs
@@ -150,14 +150,14 @@
                 local = self.place_locally(call, tried, true, state, now);
             }
         }
-        let stays = region_vm.is_some() || !state.servers.is_unanswered(&call.service);
+        let local_answers = region_vm.is_some() || !state.servers.is_unanswered(&call.service);
         let mut excluded = Vec::new();
         loop {
             let offer = match call.origin {
                 CallOrigin::Caller => self.best_region(call, tried, &excluded, state, now),
                 CallOrigin::Vm => None,
             };
-            let is_better = |offer: &RegionOffer| match stays {
+            let is_better = |offer: &RegionOffer| match local_answers {
                 true => self.should_forward(call, &local, offer),
                 false => offer.forecast < call.remaining(),
             };
@@ -378,7 +378,7 @@
 
     /// Whether another VM of this region may send a call to servers that this one does not
     /// reach.
-    pub(super) fn has_way_around(
+    pub(super) fn can_use_peer(
         &self,
         call: &PendingCall,
         tried: &TriedTargets,
--- a/crates/verbenaring-core/src/path/overdue.rs
+++ b/crates/verbenaring-core/src/path/overdue.rs
@@ -131,7 +131,7 @@
         if !state.allows_retry(&call.service, now) {
             return false;
         }
-        if self.has_way_around(call, tried, &state, now) {
+        if self.can_use_peer(call, tried, &state, now) {
             return true;
         }
         let tried = TriedTargets {
