Show what is left of the budgets for repeats

The logs could not tell a VM that has forgotten what it spent from one that divides the budget by too few VMs.

Change: the refusal of a repeat is logged with what is spent, what is allowed and among how many VMs the budget is divided; verbenaring_retries_total counts repeats that were taken and refused.

--- a/crates/verbenaring-core/src/observe/metrics.rs
+++ b/crates/verbenaring-core/src/observe/metrics.rs
@@ -17,6 +17,8 @@
     pub calls: IntCounterVec,
     /// Refusals by reason.
     pub refusals: IntCounterVec,
+    /// Repeats asked of the retry budgets, by result (`taken` or `refused`).
+    pub retries: IntCounterVec,
     /// Attempts by target (`server` or `vm`) and result.
     pub attempts: IntCounterVec,
     /// Streams that ended without an error of the connection, by framing and by the
@@ -88,6 +90,11 @@
                 "Refusals by reason",
                 &["reason"],
             ),
+            retries: counters(
+                "verbenaring_retries_total",
+                "Repeats asked of the retry budgets, by result (taken, refused)",
+                &["result"],
+            ),
             attempts: counters(
                 "verbenaring_call_attempts_total",
                 "Attempts by target (server, vm) and result",
--- a/crates/verbenaring-core/src/path/controller.rs
+++ b/crates/verbenaring-core/src/path/controller.rs
@@ -19,6 +19,7 @@
 use verbenaring_policy::dispatch::evidence::CallParts;
 use verbenaring_policy::dispatch::prompt::{name_hash, short_part_id};
 use verbenaring_policy::dispatch::suspect::PartVerdict;
+use verbenaring_policy::time::Moment;
 
 use super::call::{
     ATTEMPTS_HEADER, BUILD_HEADER, CallOrigin, ELAPSED_HEADER, PendingCall, REPEATABLE_HEADER,
@@ -227,7 +228,7 @@
         for _ in 0..MAX_TARGETS {
             let now = self.clock.now();
             let is_retry = call.reached_server.load(Ordering::Relaxed);
-            if is_retry && !self.lock().try_take_retry(&call.service, now) {
+            if is_retry && !self.take_retry(call, now) {
                 let refusal = CallRefusal::busy("repeat_budget", UNSENT_RETRY_AFTER);
                 return final_answer(call, failed, refusal);
             }
@@ -285,6 +286,24 @@
         final_answer(call, failed, refusal)
     }
 
+    /// Takes a retry from the budget of the call's service; returns false if there is none.
+    fn take_retry(&self, call: &PendingCall, now: Moment) -> bool {
+        let (taken, vms) = {
+            let mut state = self.lock();
+            (state.try_take_retry(&call.service, now), state.budget_vms())
+        };
+        let result = if taken.is_ok() { "taken" } else { "refused" };
+        self.metrics.retries.with_label_values(&[result]).inc();
+        if let Err(usage) = taken
+            && let Some(suppressed) = self.allow_log_line(true)
+        {
+            log::warn!(request = call.metadata.attempt_id.as_str(), service:% = call.service,
+                spent = usage.spent, allowed = usage.allowed, vms = vms,
+                suppressed_lines = suppressed; "repeat refused: budget used up");
+        }
+        taken.is_ok()
+    }
+
     fn refuse(
         &self,
         metadata: &CallMetadata,
--- a/crates/verbenaring-core/src/state.rs
+++ b/crates/verbenaring-core/src/state.rs
@@ -18,7 +18,7 @@
 use verbenaring_policy::dispatch::table::ServerTable;
 use verbenaring_policy::dispatch::watcher::{WatchPeer, WatcherElection};
 use verbenaring_policy::id::{RegionName, ServiceName};
-use verbenaring_policy::retry::{BudgetTerms, RetryBudget};
+use verbenaring_policy::retry::{BudgetTerms, BudgetUsage, RetryBudget};
 use verbenaring_policy::time::Moment;
 
 use crate::observe::logger::LogRateLimiter;
@@ -150,25 +150,39 @@
         self.retry_budget(service).record_success(now);
     }
 
-    /// Takes one retry from this VM's share of the retry budget of a service.
-    /// Returns false if the share is used up.
-    pub fn try_take_retry(&mut self, service: &ServiceName, now: Moment) -> bool {
-        let allowed = self.allows_retry(service, now);
-        if allowed {
-            self.retry_budget(service).record_retry(now);
+    /// Takes one retry from this VM's share of the retry budget of a service; fails with
+    /// what is spent if the share is used up.
+    pub fn try_take_retry(
+        &mut self,
+        service: &ServiceName,
+        now: Moment,
+    ) -> Result<(), BudgetUsage> {
+        let usage = self.retry_usage(service, now);
+        if !usage.has_room() {
+            return Err(usage);
         }
-        allowed
+        self.retry_budget(service).record_retry(now);
+        Ok(())
     }
 
     /// Whether this VM's share of the retry budget of a service allows a retry.
-    ///
-    /// The budget is divided among all known VMs. Those that send no reports
-    /// count as well, because they may be cut off and still retry calls.
     pub fn allows_retry(&mut self, service: &ServiceName, now: Moment) -> bool {
-        let terms = self.budget_terms.per_vm(self.vms.iter().count() + 1);
+        self.retry_usage(service, now).has_room()
+    }
+
+    fn retry_usage(&mut self, service: &ServiceName, now: Moment) -> BudgetUsage {
+        let terms = self.budget_terms.per_vm(self.budget_vms());
         let budget = self.retry_budget(service);
         budget.set_terms(terms);
-        budget.allows(now)
+        budget.usage(now)
+    }
+
+    /// Number of VMs among which retry budgets are divided.
+    ///
+    /// VMs that send no reports count as well, because they may be cut off and still
+    /// retry calls.
+    pub fn budget_vms(&self) -> usize {
+        self.vms.iter().count() + 1
     }
 
     /// Decides on a call by its parts. A VM that forwards a call
--- a/crates/verbenaring-policy/src/retry.rs
+++ b/crates/verbenaring-policy/src/retry.rs
@@ -71,6 +71,22 @@
     }
 }
 
+/// What a retry budget has given out and may give out in the current window.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct BudgetUsage {
+    /// Retries of the last [`RETRY_WINDOW`].
+    pub spent: usize,
+    /// Retries that the limits allow in it.
+    pub allowed: usize,
+}
+
+impl BudgetUsage {
+    /// Whether another retry is allowed.
+    pub fn has_room(self) -> bool {
+        self.spent < self.allowed
+    }
+}
+
 /// Retry budget over the successes and retries of the last [`RETRY_WINDOW`].
 ///
 /// Successes are counted in buckets, of which the oldest may be left out too early.
@@ -98,11 +114,19 @@
 
     /// Whether the budget allows another retry at `now`; does not count it.
     pub fn allows(&mut self, now: Moment) -> bool {
+        self.usage(now).has_room()
+    }
+
+    /// Retries given out and allowed in the window that ends at `now`.
+    pub fn usage(&mut self, now: Moment) -> BudgetUsage {
         self.advance(now);
         let successes: u32 = self.successes.iter().sum();
         let allowed =
             f64::from(successes) * self.terms.retries_per_success + self.terms.extra_retries;
-        self.retries.len() < (allowed as u32).max(self.terms.min_retries) as usize
+        BudgetUsage {
+            spent: self.retries.len(),
+            allowed: (allowed as u32).max(self.terms.min_retries) as usize,
+        }
     }
 
     /// Counts a retry.
