Go on with the retry budget of the process before a restart

The share of a VM in the budget for repeats lay in its memory only. The process that followed began with an unused share in the window in which the one before it had used up the same. Callers saw no error; servers got up to 1.8 times the repeats that are allowed. docs/platform.md took the restart for harmless: 'starts empty, which allows fewer repeats'. Class: a bound over all VMs that rests on state which ends with a process.

Ruled out: too few VMs known at the start (all refusals divide by 7); repeats without restarts.

Change: VMs state behind their reports what they have spent, which the build before reads past. Those that hear it hold it and tell it to the process that follows under the same name. A process that is told nothing repeats only what its own calls earn until the window has passed, unless the store shows that no process of the VM was announced and no other VM is older: then nothing was spent.

--- a/crates/verbenaring-core/src/cluster/message.rs
+++ b/crates/verbenaring-core/src/cluster/message.rs
@@ -13,6 +13,7 @@
 use verbenaring_policy::dispatch::origin::OriginRecord;
 use verbenaring_policy::dispatch::presence::{ServiceWait, VmNews, VmRecord, VmState};
 use verbenaring_policy::dispatch::prompt::{PromptRecord, name_hash};
+use verbenaring_policy::dispatch::retry_share::RetryStatement;
 use verbenaring_policy::dispatch::server::LoadShare;
 use verbenaring_policy::id::{CentreName, DataCentre, RegionName, VmId};
 use verbenaring_policy::time::Moment;
@@ -32,6 +33,7 @@
 const SUSPECTS: u8 = 5;
 const ORIGINS: u8 = 6;
 const BUILDS: u8 = 7;
+const RETRIES: u8 = 8;
 
 /// What a VM states about itself.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -190,13 +192,22 @@
     pub reads: Vec<PromptRecord>,
 }
 
+/// What a datagram states behind its message, where there is room.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct MessageTail {
+    /// Limits of servers that the sender knows.
+    pub limits: Vec<LimitUpdate>,
+    /// What the sender has spent of the retry budgets; empty if it does not state it now.
+    pub retries: Vec<RetryStatement>,
+}
+
 /// Message of one datagram.
 #[derive(Debug, Clone, PartialEq)]
 pub enum VmMessage {
-    /// Report of a VM about itself, and what it knows of limits of servers.
-    Report(VmReport, Vec<LimitUpdate>),
-    /// Loads, the sequence number of the receiver's report that they include, and limits.
-    Loads(u32, LoadDigest, Vec<LimitUpdate>),
+    /// Report of a VM about itself.
+    Report(VmReport, MessageTail),
+    /// Loads, and the sequence number of the receiver's report that they include.
+    Loads(u32, LoadDigest, MessageTail),
     /// VMs and regions.
     Members(MemberDigest),
     /// Prompts given to servers.
@@ -208,37 +219,55 @@
     /// Declared software versions, and the time in ms for which their streams may be taken
     /// up.
     Builds(Vec<(DeclaredBuild, u32)>),
+    /// What the process of the receiver's VM before this one has spent of the retry
+    /// budgets.
+    Retries(RetryStatement),
 }
 
-/// Encodes the report of a VM, with as many limits as fit.
-pub fn encode_report(
-    report: &VmReport,
-    limits: &[LimitUpdate],
-) -> Result<Vec<u8>, postcard::Error> {
+/// Encodes the report of a VM, with as much of the tail as fits.
+pub fn encode_report(report: &VmReport, tail: &MessageTail) -> Result<Vec<u8>, postcard::Error> {
     let datagram = postcard::to_extend(report, vec![REPORT])?;
-    append_limits(datagram, limits)
+    append_tail(datagram, tail)
 }
 
-/// Appends limits to a datagram. Receivers of an earlier version ignore them.
-fn append_limits(datagram: Vec<u8>, limits: &[LimitUpdate]) -> Result<Vec<u8>, postcard::Error> {
-    let room = MAX_DATAGRAM_BYTES.saturating_sub(datagram.len() + 1) / MAX_LIMIT_BYTES;
-    let limits = &limits[..limits.len().min(room)];
-    match limits.is_empty() {
-        true => Ok(datagram),
-        false => postcard::to_extend(limits, datagram),
+/// Appends limits and statements to a datagram. Receivers of an earlier version ignore
+/// what they do not know: first the statements, then the limits as well.
+fn append_tail(datagram: Vec<u8>, tail: &MessageTail) -> Result<Vec<u8>, postcard::Error> {
+    let room = MAX_DATAGRAM_BYTES.saturating_sub(datagram.len() + 1);
+    let retries = match tail.retries.is_empty() {
+        true => Vec::new(),
+        false => postcard::to_allocvec(&tail.retries)?,
+    };
+    let retries = if retries.len() <= room {
+        retries
+    } else {
+        Vec::new()
+    };
+    let room = room.saturating_sub(retries.len()) / MAX_LIMIT_BYTES;
+    let limits = &tail.limits[..tail.limits.len().min(room)];
+    if limits.is_empty() && retries.is_empty() {
+        return Ok(datagram);
     }
+    let mut datagram = postcard::to_extend(limits, datagram)?;
+    datagram.extend_from_slice(&retries);
+    Ok(datagram)
 }
 
-/// Decodes a message and the limits behind it; datagrams of earlier versions have none.
-fn decode_with_limits<'a, T: Deserialize<'a>>(
+/// Decodes a message and what is stated behind it; datagrams of earlier versions end
+/// sooner.
+fn decode_with_tail<'a, T: Deserialize<'a>>(
     bytes: &'a [u8],
-) -> Result<(T, Vec<LimitUpdate>), postcard::Error> {
+) -> Result<(T, MessageTail), postcard::Error> {
     let (message, rest) = postcard::take_from_bytes(bytes)?;
-    let limits = match rest.is_empty() {
+    if rest.is_empty() {
+        return Ok((message, MessageTail::default()));
+    }
+    let (limits, rest) = postcard::take_from_bytes(rest)?;
+    let retries = match rest.is_empty() {
         true => Vec::new(),
         false => postcard::from_bytes(rest)?,
     };
-    Ok((message, limits))
+    Ok((message, MessageTail { limits, retries }))
 }
 
 /// Encodes a digest of VMs.
@@ -266,12 +295,14 @@
     postcard::to_extend(declared, vec![BUILDS])
 }
 
-/// Encodes loads and limits, which are the same for all receivers.
-pub fn encode_digest(
-    digest: &LoadDigest,
-    limits: &[LimitUpdate],
-) -> Result<Vec<u8>, postcard::Error> {
-    append_limits(postcard::to_allocvec(digest)?, limits)
+/// Encodes what the process before the receiver's has spent.
+pub fn encode_retries(statement: &RetryStatement) -> Result<Vec<u8>, postcard::Error> {
+    postcard::to_extend(statement, vec![RETRIES])
+}
+
+/// Encodes loads and their tail, which are the same for all receivers.
+pub fn encode_digest(digest: &LoadDigest, tail: &MessageTail) -> Result<Vec<u8>, postcard::Error> {
+    append_tail(postcard::to_allocvec(digest)?, tail)
 }
 
 /// Encodes loads for a receiver whose report `included` they include. `digest` is the
@@ -290,20 +321,21 @@
     let (kind, body) = datagram.split_first().ok_or(end.clone())?;
     match *kind {
         REPORT => {
-            let (report, limits) = decode_with_limits(body)?;
-            Ok(VmMessage::Report(report, limits))
+            let (report, tail) = decode_with_tail(body)?;
+            Ok(VmMessage::Report(report, tail))
         }
         LOADS => {
             let (included, body) = body.split_first_chunk::<4>().ok_or(end)?;
-            let (digest, limits) = decode_with_limits(body)?;
+            let (digest, tail) = decode_with_tail(body)?;
             let included = u32::from_le_bytes(*included);
-            Ok(VmMessage::Loads(included, digest, limits))
+            Ok(VmMessage::Loads(included, digest, tail))
         }
         MEMBERS => Ok(VmMessage::Members(postcard::from_bytes(body)?)),
         READS => Ok(VmMessage::Reads(postcard::from_bytes(body)?)),
         SUSPECTS => Ok(VmMessage::Suspects(postcard::from_bytes(body)?)),
         ORIGINS => Ok(VmMessage::Origins(postcard::from_bytes(body)?)),
         BUILDS => Ok(VmMessage::Builds(postcard::from_bytes(body)?)),
+        RETRIES => Ok(VmMessage::Retries(postcard::from_bytes(body)?)),
         _ => Err(postcard::Error::DeserializeBadEnum),
     }
 }
--- a/crates/verbenaring-core/src/cluster/mod.rs
+++ b/crates/verbenaring-core/src/cluster/mod.rs
@@ -7,5 +7,6 @@
 mod receive;
 mod relay;
 pub mod report;
+mod retries;
 pub mod snapshot;
 pub mod suspects;
--- a/crates/verbenaring-core/src/cluster/receive.rs
+++ b/crates/verbenaring-core/src/cluster/receive.rs
@@ -22,12 +22,14 @@
 impl<P: WireProtocol> Reporter<P> {
     pub(super) fn receive(&mut self, datagram: &[u8], from: SocketAddr) {
         match decode(datagram) {
-            Ok(VmMessage::Report(report, limits)) => {
-                self.node.merge_limits(&limits, StatementSource::Vm);
+            Ok(VmMessage::Report(report, tail)) => {
+                self.node.merge_limits(&tail.limits, StatementSource::Vm);
+                self.hold_statements(tail.retries, report.vm.report_address);
                 self.apply_report(report);
             }
-            Ok(VmMessage::Loads(included, digest, limits)) => {
-                self.node.merge_limits(&limits, StatementSource::Relay);
+            Ok(VmMessage::Loads(included, digest, tail)) => {
+                self.node.merge_limits(&tail.limits, StatementSource::Relay);
+                self.hold_statements(tail.retries, digest.vm.report_address);
                 self.apply_loads(included, digest);
             }
             Ok(VmMessage::Members(digest)) => self.apply_members(digest),
@@ -35,6 +37,7 @@
             Ok(VmMessage::Suspects(news)) => self.apply_suspects(&news),
             Ok(VmMessage::Origins(origins)) => self.apply_origins(&origins),
             Ok(VmMessage::Builds(declared)) => self.apply_builds(&declared),
+            Ok(VmMessage::Retries(statement)) => self.inherit_retries(&statement),
             Err(error) => {
                 if let Some(suppressed) = self.node.allow_log_line(true) {
                     log::warn!(from:% = from, bytes = datagram.len(), error:% = error,
--- a/crates/verbenaring-core/src/cluster/relay.rs
+++ b/crates/verbenaring-core/src/cluster/relay.rs
@@ -14,8 +14,8 @@
 use verbenaring_policy::time::Moment;
 
 use super::message::{
-    LoadDigest, LoadScope, MemberDigest, ReadDigest, RegionDigest, VmDescription, encode_digest,
-    encode_loads, encode_members, encode_reads,
+    LoadDigest, LoadScope, MemberDigest, MessageTail, ReadDigest, RegionDigest, VmDescription,
+    encode_digest, encode_loads, encode_members, encode_reads,
 };
 use super::report::{Datagrams, PASSED_ON_INTERVAL, RELAY_INTERVAL, Reporter, busiest};
 use crate::wire::WireProtocol;
@@ -94,12 +94,17 @@
         };
         let group_digest = digest(LoadScope::Group, group_loads);
         let region_digest = digest(LoadScope::Region, region_loads);
-        let limits = |source| self.node.lock().servers.limit_updates(source, now);
-        let encoded =
-            encode_digest(&group_digest, &limits(StatementSource::Vm)).and_then(|group| {
-                let region = encode_digest(&region_digest, &limits(StatementSource::Relay))?;
-                Ok((group, region))
-            });
+        let retries = self.due_statement();
+        let tail = |source, retries| MessageTail {
+            limits: self.node.lock().servers.limit_updates(source, now),
+            retries,
+        };
+        let for_relays = tail(StatementSource::Vm, retries);
+        let for_group = tail(StatementSource::Relay, Vec::new());
+        let encoded = encode_digest(&group_digest, &for_relays).and_then(|group| {
+            let region = encode_digest(&region_digest, &for_group)?;
+            Ok((group, region))
+        });
         let (for_relays, for_group) = match encoded {
             Ok(encoded) => encoded,
             Err(error) => {
--- a/crates/verbenaring-core/src/cluster/report.rs
+++ b/crates/verbenaring-core/src/cluster/report.rs
@@ -23,10 +23,11 @@
 use verbenaring_policy::dispatch::presence::VmKey;
 use verbenaring_policy::dispatch::prompt::PromptRecord;
 use verbenaring_policy::dispatch::relay::{OwnVm, RelayPlan};
+use verbenaring_policy::dispatch::retry_share::RetryStatement;
 use verbenaring_policy::dispatch::server::LoadShare;
 use verbenaring_policy::id::DataCentre;
 
-use super::message::{MAX_DATAGRAM_BYTES, VmDescription, VmReport, encode_report};
+use super::message::{MAX_DATAGRAM_BYTES, MessageTail, VmDescription, VmReport, encode_report};
 use crate::config::source::VmAnnouncement;
 use crate::node::FrontNode;
 use crate::wire::WireProtocol;
@@ -145,6 +146,10 @@
     pub(super) quarantine_schedule: Schedule,
     pub(super) builds_schedule: Schedule,
     pub(super) builds_repeat: Schedule,
+    pub(super) retries_schedule: Schedule,
+    pub(super) retries_repeat: Schedule,
+    /// Statements for VMs that ask what their earlier processes have spent.
+    pub(super) recalled_statements: Vec<(SocketAddr, RetryStatement)>,
     /// Number of declared builds that were last told.
     pub(super) told_builds: usize,
     /// Own loads of the newest reports, by sequence number.
@@ -179,6 +184,9 @@
             quarantine_schedule: Schedule::new(),
             builds_schedule: Schedule::new(),
             builds_repeat: Schedule::new(),
+            retries_schedule: Schedule::new(),
+            retries_repeat: Schedule::new(),
+            recalled_statements: Vec::new(),
             told_builds: 0,
             reported: VecDeque::new(),
             included: HashMap::new(),
@@ -212,6 +220,7 @@
         self.report_suspects(&mut datagrams);
         self.report_origins(&mut datagrams);
         self.report_builds(&mut datagrams);
+        self.recall_statements(&mut datagrams);
         datagrams
     }
 
@@ -250,7 +259,8 @@
         if self.near_schedule.is_due(near_interval) {
             let (loads, reads) = self.own_work(true);
             let report = self.report(near_interval, loads, reads);
-            push_report(&report, &self.own_limits(), &near, datagrams);
+            let tail = self.own_tail();
+            push_report(&report, &tail, &near, datagrams);
         }
         if self.far_schedule.is_due(far_interval) {
             let (_, reads) = self.own_work(false);
@@ -258,7 +268,11 @@
                 waits: self.own_waits(),
                 ..self.report(far_interval, Vec::new(), reads)
             };
-            push_report(&report, &[], &far, datagrams);
+            let tail = MessageTail {
+                limits: Vec::new(),
+                retries: vec![self.own_statement()],
+            };
+            push_report(&report, &tail, &far, datagrams);
         }
     }
 
@@ -277,7 +291,8 @@
         let (loads, reads) = self.own_work(true);
         self.remember_report(self.sequence + 1, &loads);
         let report = self.report(RELAY_INTERVAL, loads, reads);
-        push_report(&report, &self.own_limits(), &[address], datagrams);
+        let tail = self.own_tail();
+        push_report(&report, &tail, &[address], datagrams);
     }
 
     /// Own loads and prompts given to servers since the last report.
@@ -296,6 +311,14 @@
         (loads, reads)
     }
 
+    /// What this VM states behind its reports now.
+    fn own_tail(&mut self) -> MessageTail {
+        MessageTail {
+            limits: self.own_limits(),
+            retries: self.due_statement(),
+        }
+    }
+
     /// Limits that servers named in answers to this VM.
     fn own_limits(&self) -> Vec<LimitUpdate> {
         let now = self.node.clock.now();
@@ -386,7 +409,7 @@
                 waits: self.own_waits(),
                 ..self.report(PASSED_ON_INTERVAL, Vec::new(), Vec::new())
             };
-            push_report(&report, &[], &unknown, datagrams);
+            push_report(&report, &MessageTail::default(), &unknown, datagrams);
         }
     }
 
@@ -406,11 +429,11 @@
 
 fn push_report(
     report: &VmReport,
-    limits: &[LimitUpdate],
+    tail: &MessageTail,
     addresses: &[SocketAddr],
     datagrams: &mut Datagrams,
 ) {
-    match encode_report(report, limits) {
+    match encode_report(report, tail) {
         Ok(bytes) => datagrams.extend(addresses.iter().map(|address| (*address, bytes.clone()))),
         Err(error) => log::warn!(error:% = error; "failed to encode report"),
     }
--- a/crates/verbenaring-core/src/config/source.rs
+++ b/crates/verbenaring-core/src/config/source.rs
@@ -134,6 +134,10 @@
         ttl: Duration,
     ) -> impl Future<Output = Result<(), SourceError>> + Send;
 
+    /// Whether a VM is announced at the time of the call.
+    fn has_announcement(&self, vm: &VmId)
+    -> impl Future<Output = Result<bool, SourceError>> + Send;
+
     /// Lists the announced VMs; the list may be some seconds old.
     fn announced_vms(
         &self,
--- a/crates/verbenaring-core/src/config/sync.rs
+++ b/crates/verbenaring-core/src/config/sync.rs
@@ -25,6 +25,7 @@
 use verbenaring_policy::dispatch::server::ServerEntry;
 use verbenaring_policy::dispatch::table::EntryChange;
 use verbenaring_policy::id::{CentreName, ServerId};
+use verbenaring_policy::retry::RETRY_WINDOW;
 
 use super::source::{
     ConfigBatch, ConfigChange, ConfigScope, ConfigSource, SourceError, VmAnnouncement,
@@ -53,8 +54,12 @@
 /// Time after a listing of a source that came back from an older state, after which it is
 /// listed again. By then, what was missing has been written again.
 const REWRITE_TIME: Duration = Duration::from_secs(10);
-/// Time to live of an announcement; allows for some failed renewals.
+/// Time to live of an announcement; allows for some failed renewals. What is left of it
+/// when a VM ends covers the window of its retries.
 const ANNOUNCEMENT_TTL: Duration = Duration::from_secs(15);
+const _: () = assert!(
+    ANNOUNCEMENT_TTL.as_millis() - ANNOUNCEMENT_PERIOD.as_millis() >= RETRY_WINDOW.as_millis()
+);
 /// Time from the start by which a VM has found others through its seeds.
 const ANNOUNCEMENT_DELAY: Duration = Duration::from_secs(2);
 /// Time between listings while this VM hears no other one of its data centre.
@@ -207,7 +212,7 @@
 /// until the process ends.
 ///
 /// VMs that start together first find each other through their seeds; until then,
-/// none of them knows whether it has to announce itself.
+/// none of them knows whether it has to announce itself. One without seeds does at once.
 pub async fn run_announcements<P: WireProtocol, S: ConfigSource>(
     node: Arc<FrontNode<P>>,
     source: Arc<S>,
@@ -216,15 +221,22 @@
         vm: node.settings.vm.clone(),
         report_address: node.settings.report_address,
     };
-    let delay = rand::rng().random_range(ANNOUNCEMENT_DELAY / 2..ANNOUNCEMENT_DELAY);
+    let delay = match node.settings.has_other_seeds() {
+        true => rand::rng().random_range(ANNOUNCEMENT_DELAY / 2..ANNOUNCEMENT_DELAY),
+        false => Duration::ZERO,
+    };
     let announced_from = Instant::now() + delay;
+    let mut is_first = true;
     loop {
         let alone = !node.hears_centre();
         let duty = node.is_announced();
-        let announced = match duty && Instant::now() >= announced_from {
+        let due = duty && Instant::now() >= announced_from;
+        let announced = match due {
+            true if is_first => announce_first(&node, &*source, &announcement).await,
             true => source.announce(&announcement, ANNOUNCEMENT_TTL).await,
             false => Ok(()),
         };
+        is_first &= !due || announced.is_err();
         let listed = match (announced, alone || duty) {
             (Ok(()), true) => source.announced_vms().await.map(Some),
             (Ok(()), false) => Ok(None),
@@ -256,6 +268,22 @@
     }
 }
 
+/// Announces this VM for the first time since its start, and finds out whether an earlier
+/// process of it has run of late.
+async fn announce_first<P: WireProtocol, S: ConfigSource>(
+    node: &FrontNode<P>,
+    source: &S,
+    announcement: &VmAnnouncement,
+) -> Result<(), SourceError> {
+    // Announcements outlast their VM for longer than retries count.
+    let announced_before = source.has_announcement(&announcement.vm).await?;
+    source.announce(announcement, ANNOUNCEMENT_TTL).await?;
+    if !announced_before {
+        node.record_first_start();
+    }
+    Ok(())
+}
+
 impl<P: WireProtocol> FrontNode<P> {
     /// Pause of a watch that has just returned changes.
     pub(crate) fn watch_pause(&self) -> Duration {
--- a/crates/verbenaring-core/src/path/controller.rs
+++ b/crates/verbenaring-core/src/path/controller.rs
@@ -162,7 +162,7 @@
         };
         if origin == CallOrigin::Caller {
             let now = self.clock.now();
-            self.lock().record_call(&call.service, now);
+            self.lock().retry_shares.record_call(&call.service, now);
         }
         Ok(call)
     }
@@ -290,7 +290,10 @@
     fn take_retry(&self, call: &PendingCall, now: Moment) -> bool {
         let (taken, vms) = {
             let mut state = self.lock();
-            (state.try_take_retry(&call.service, now), state.budget_vms())
+            (
+                state.try_take_retry(&call.service, now),
+                state.budget_vms(now),
+            )
         };
         let result = if taken.is_ok() { "taken" } else { "refused" };
         self.metrics.retries.with_label_values(&[result]).inc();
--- a/crates/verbenaring-core/src/settings.rs
+++ b/crates/verbenaring-core/src/settings.rs
@@ -257,6 +257,11 @@
         self.resources.capacity(self.max_descriptors)
     }
 
+    /// Whether the seeds name another VM.
+    pub fn has_other_seeds(&self) -> bool {
+        self.seeds.iter().any(|seed| *seed != self.peer_address)
+    }
+
     /// Data centre of the VM with its region.
     pub fn location(&self) -> DataCentre {
         DataCentre {
--- a/crates/verbenaring-core/src/state.rs
+++ b/crates/verbenaring-core/src/state.rs
@@ -3,7 +3,6 @@
 //! One lock covers all of it; a decision takes a few microseconds. Routes are
 //! kept in the node, replaced as a whole and read without the lock.
 
-use std::collections::HashMap;
 use std::time::Duration;
 
 use verbenaring_policy::dispatch::evidence::CallParts;
@@ -11,6 +10,7 @@
 use verbenaring_policy::dispatch::ownership::RegionView;
 use verbenaring_policy::dispatch::presence::{PresenceTable, VmState};
 use verbenaring_policy::dispatch::prompt::{name_hash, rendezvous_score};
+use verbenaring_policy::dispatch::retry_share::{HeldStatements, RetryShares, RetryStatement};
 use verbenaring_policy::dispatch::run::RunTable;
 use verbenaring_policy::dispatch::spill::SpillTracker;
 use verbenaring_policy::dispatch::standstill::StandstillDetector;
@@ -18,13 +18,16 @@
 use verbenaring_policy::dispatch::table::ServerTable;
 use verbenaring_policy::dispatch::watcher::{WatchPeer, WatcherElection};
 use verbenaring_policy::id::{RegionName, ServiceName};
-use verbenaring_policy::retry::{BudgetTerms, BudgetUsage, RetryBudget};
+use verbenaring_policy::retry::BudgetUsage;
 use verbenaring_policy::time::Moment;
 
 use crate::observe::logger::LogRateLimiter;
 use crate::path::call::CallOrigin;
 use crate::settings::FrontSettings;
 
+/// Time within which VMs start that start together, by their clocks, in ms.
+const START_SPREAD_MS: u64 = 5_000;
+
 /// State that placement and retry decisions read and update.
 #[derive(Debug)]
 pub struct FrontState {
@@ -49,8 +52,10 @@
     watcher_election: WatcherElection,
     /// Limits the log lines about calls that succeeded.
     pub routine_lines: LogRateLimiter,
-    retry_budgets: HashMap<ServiceName, RetryBudget>,
-    budget_terms: BudgetTerms,
+    /// This VM's shares of the retry budgets.
+    pub retry_shares: RetryShares,
+    /// What other VMs have spent of theirs.
+    pub held_statements: HeldStatements,
     region: RegionName,
     vm_hash: u64,
     capacity: u32,
@@ -77,8 +82,8 @@
             operator_revision: 0,
             watcher_election: WatcherElection::default(),
             routine_lines: LogRateLimiter::default(),
-            retry_budgets: HashMap::new(),
-            budget_terms: settings.bounds.budget(),
+            retry_shares: RetryShares::new(settings.bounds.budget(), Moment::default()),
+            held_statements: HeldStatements::default(),
             vm_hash: name_hash(settings.vm.as_str()),
             capacity: settings.capacity(),
             region,
@@ -145,11 +150,6 @@
         live.any(|(_, record)| record.centre.region == self.region && record.watching)
     }
 
-    /// Counts a call that a caller sent for a service; it adds to the retry budget.
-    pub fn record_call(&mut self, service: &ServiceName, now: Moment) {
-        self.retry_budget(service).record_success(now);
-    }
-
     /// Takes one retry from this VM's share of the retry budget of a service; fails with
     /// what is spent if the share is used up.
     pub fn try_take_retry(
@@ -157,34 +157,46 @@
         service: &ServiceName,
         now: Moment,
     ) -> Result<(), BudgetUsage> {
-        let usage = self.retry_usage(service, now);
-        if !usage.has_room() {
-            return Err(usage);
-        }
-        self.retry_budget(service).record_retry(now);
-        Ok(())
+        let vms = self.known_vms();
+        self.retry_shares.try_take(service, vms, now)
     }
 
     /// Whether this VM's share of the retry budget of a service allows a retry.
     pub fn allows_retry(&mut self, service: &ServiceName, now: Moment) -> bool {
-        self.retry_usage(service, now).has_room()
+        let vms = self.known_vms();
+        self.retry_shares.usage(service, vms, now).has_room()
+    }
+
+    /// What the process with this boot number has spent of the retry budgets.
+    pub fn retry_statement(&mut self, boot: u64, now: Moment) -> RetryStatement {
+        let vms = self.known_vms();
+        let vm = self.vm_hash as u32;
+        self.retry_shares.statement(vm, boot, vms, now)
     }
 
-    fn retry_usage(&mut self, service: &ServiceName, now: Moment) -> BudgetUsage {
-        let terms = self.budget_terms.per_vm(self.budget_vms());
-        let budget = self.retry_budget(service);
-        budget.set_terms(terms);
-        budget.usage(now)
+    /// Records that no process of this VM ran before the one with this boot number. Its
+    /// shares are unused if all VMs have started with it; others may have spent theirs
+    /// while they knew of fewer VMs.
+    pub fn record_first_start(&mut self, boot: u64) {
+        let mut others = self.vms.iter();
+        if others.all(|other| other.boot + START_SPREAD_MS >= boot) {
+            self.retry_shares.record_first_start();
+        }
     }
 
-    /// Number of VMs among which retry budgets are divided.
+    /// Number of VMs that are known, this one included.
     ///
     /// VMs that send no reports count as well, because they may be cut off and still
     /// retry calls.
-    pub fn budget_vms(&self) -> usize {
+    fn known_vms(&self) -> usize {
         self.vms.iter().count() + 1
     }
 
+    /// Number of VMs among which the retry budgets are divided.
+    pub fn budget_vms(&self, now: Moment) -> usize {
+        self.retry_shares.divisor(self.known_vms(), now)
+    }
+
     /// Decides on a call by its parts. A VM that forwards a call
     /// has decided already whether it is the one that tries a part.
     pub fn judge_parts(&self, parts: &CallParts, origin: CallOrigin, now: Moment) -> PartVerdict {
@@ -200,20 +212,13 @@
         live.all(|(_, record)| score(record.name_hash) <= own)
     }
 
-    fn retry_budget(&mut self, service: &ServiceName) -> &mut RetryBudget {
-        if !self.retry_budgets.contains_key(service) {
-            self.retry_budgets
-                .insert(service.clone(), RetryBudget::default());
-        }
-        self.retry_budgets.get_mut(service).expect("inserted above")
-    }
-
     /// Removes expired entries.
     pub fn expire(&mut self, now: Moment) {
         self.servers.expire(now);
         self.suspects.expire(now);
         self.origins.expire(now);
         self.vms.expire(now);
-        self.retry_budgets.retain(|_, budget| !budget.is_idle(now));
+        self.retry_shares.expire(now);
+        self.held_statements.expire(now);
     }
 }
--- a/crates/verbenaring-core/tests/message.rs
+++ b/crates/verbenaring-core/tests/message.rs
@@ -3,14 +3,16 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use verbenaring_core::cluster::message::{
-    MAX_DATAGRAM_BYTES, MemberDigest, VmDescription, VmMessage, VmReport, decode, encode_members,
-    encode_report, encode_suspects,
+    MAX_DATAGRAM_BYTES, MemberDigest, MessageTail, VmDescription, VmMessage, VmReport, decode,
+    encode_members, encode_report, encode_retries, encode_suspects,
 };
 use verbenaring_core::cluster::suspects::NEWS_PER_DATAGRAM;
 use verbenaring_policy::dispatch::evidence::{CrashNews, SuspectNews};
 use verbenaring_policy::dispatch::limit::LimitUpdate;
 use verbenaring_policy::dispatch::presence::{VmNews, VmState};
-use verbenaring_policy::id::{CentreName, VmId};
+use verbenaring_policy::dispatch::retry_share::{RetryStatement, ServiceHistory};
+use verbenaring_policy::id::{CentreName, ServiceName, VmId};
+use verbenaring_policy::retry::BudgetHistory;
 
 fn description() -> VmDescription {
     let address = "10.0.0.1:80".parse().unwrap();
@@ -57,7 +59,24 @@
     }
 }
 
-fn datagrams() -> [Vec<u8>; 3] {
+fn retry_statement() -> RetryStatement {
+    RetryStatement {
+        vm: 1,
+        boot: 2,
+        asks: false,
+        vms: 7,
+        age_ms: 0,
+        services: vec![ServiceHistory {
+            service: ServiceName::new("plain").unwrap(),
+            history: BudgetHistory {
+                successes: [30; 10],
+                retries: [1; 10],
+            },
+        }],
+    }
+}
+
+fn datagrams() -> [Vec<u8>; 4] {
     let news = VmNews {
         vm: 1,
         boot: 2,
@@ -72,20 +91,21 @@
         reads: Vec::new(),
     };
     [
-        encode_report(&report(), &[]).unwrap(),
+        encode_report(&report(), &MessageTail::default()).unwrap(),
         encode_members(&digest).unwrap(),
         encode_suspects(&[suspect_news(), suspect_news()]).unwrap(),
+        encode_retries(&retry_statement()).unwrap(),
     ]
 }
 
 #[test]
 fn a_report_is_read_as_it_was_sent() {
     let [report, ..] = datagrams();
-    let Ok(VmMessage::Report(read, limits)) = decode(&report) else {
+    let Ok(VmMessage::Report(read, tail)) = decode(&report) else {
         panic!("no report");
     };
     assert_eq!(read.vm, description());
-    assert_eq!(limits, []);
+    assert_eq!(tail, MessageTail::default());
 }
 
 /// Guards against versions that do not understand each other's reports: those without
@@ -97,13 +117,17 @@
         rate: u32::MAX,
         age_ms: u32::MAX,
     };
-    let without = encode_report(&report(), &[]).unwrap();
-    let datagram = encode_report(&report(), &[update; 500]).unwrap();
+    let without = encode_report(&report(), &MessageTail::default()).unwrap();
+    let tail = MessageTail {
+        limits: vec![update; 500],
+        ..MessageTail::default()
+    };
+    let datagram = encode_report(&report(), &tail).unwrap();
     assert!(datagram.starts_with(&without));
     let read_before: VmReport = postcard::from_bytes(&datagram[1..]).unwrap();
     assert_eq!(read_before, report());
     assert!(datagram.len() <= MAX_DATAGRAM_BYTES);
-    let Ok(VmMessage::Report(_, limits)) = decode(&datagram) else {
+    let Ok(VmMessage::Report(_, MessageTail { limits, .. })) = decode(&datagram) else {
         panic!("no report");
     };
     assert!(limits.len() > 50, "{}", limits.len());
@@ -113,6 +137,34 @@
     }
 }
 
+/// Guards against statements of retries that the build before cannot read past: it reads
+/// the report, then the limits, and leaves the rest.
+#[test]
+fn statements_follow_the_limits() {
+    let update = LimitUpdate {
+        server: 1,
+        rate: 2,
+        age_ms: 3,
+    };
+    let full = vec![update; 500];
+    for limits in [Vec::new(), vec![update; 3], full] {
+        let tail = MessageTail {
+            limits,
+            retries: vec![retry_statement()],
+        };
+        let datagram = encode_report(&report(), &tail).unwrap();
+        assert!(datagram.len() <= MAX_DATAGRAM_BYTES);
+        let (read, rest): (VmReport, _) = postcard::take_from_bytes(&datagram[1..]).unwrap();
+        assert_eq!(read, report());
+        let read_before: Vec<LimitUpdate> = postcard::from_bytes(rest).unwrap();
+        let Ok(VmMessage::Report(_, read)) = decode(&datagram) else {
+            panic!("no report");
+        };
+        assert_eq!(read.limits, read_before);
+        assert_eq!(read.retries, [retry_statement()]);
+    }
+}
+
 /// Guards against evidence that is dropped because its datagram is too long.
 #[test]
 fn evidence_about_many_parts_fits_into_a_datagram() {
--- a/crates/verbenaring-policy/src/dispatch/mod.rs
+++ b/crates/verbenaring-policy/src/dispatch/mod.rs
@@ -10,7 +10,8 @@
 //! crash servers are refused ([`suspect`]), as far as the calls that servers leave behind
 //! when they end ([`run`]) and the [`evidence`] of other VMs show it. Another region is
 //! used if it answers sooner or is much less busy ([`spill`]), and another VM of the region
-//! if this one has lost [`contact`] with the servers. [`presence`] tracks the
+//! if this one has lost [`contact`] with the servers. Retries come from the VM's share of a
+//! budget ([`retry_share`]). [`presence`] tracks the
 //! other VMs, [`standstill`] notices when this one did not run, [`relay`] decides to
 //! which of them a VM reports, [`watcher`] decides which VMs watch the configuration
 //! source, and [`changes`] passes their view of the servers on.
@@ -34,6 +35,7 @@
 pub mod rate;
 pub mod region_load;
 pub mod relay;
+pub mod retry_share;
 pub mod run;
 pub mod server;
 pub mod settings;
--- a/crates/verbenaring-policy/src/retry.rs
+++ b/crates/verbenaring-policy/src/retry.rs
@@ -7,6 +7,8 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::id::{CustomerId, ServerId};
 use crate::outcome::RunOutcome;
 use crate::time::Moment;
@@ -87,6 +89,23 @@
     }
 }
 
+/// What was counted in a retry budget, by age in tenths of [`RETRY_WINDOW`]; the latest
+/// comes first.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BudgetHistory {
+    /// Successful requests.
+    pub successes: [u16; WINDOW_BUCKETS],
+    /// Retries.
+    pub retries: [u16; WINDOW_BUCKETS],
+}
+
+impl BudgetHistory {
+    /// Number of retries in the window.
+    pub fn spent(&self) -> usize {
+        self.retries.iter().map(|count| usize::from(*count)).sum()
+    }
+}
+
 /// Retry budget over the successes and retries of the last [`RETRY_WINDOW`].
 ///
 /// Successes are counted in buckets, of which the oldest may be left out too early.
@@ -135,6 +154,56 @@
         self.retries.push_back(now);
     }
 
+    /// Counts of the window that ends at `now`. Retries are stated at most one bucket too
+    /// young, so that they leave the window late rather than early.
+    pub fn history(&mut self, now: Moment) -> BudgetHistory {
+        let newest = self.advance(now);
+        let mut history = BudgetHistory::default();
+        for (age, count) in history.successes.iter_mut().enumerate() {
+            let index = (newest + WINDOW_BUCKETS - age) % WINDOW_BUCKETS;
+            *count = u16::try_from(self.successes[index]).unwrap_or(u16::MAX);
+        }
+        for retry in &self.retries {
+            let age = now.since(*retry).as_micros() as u64 / BUCKET_US;
+            if let Some(count) = history.retries.get_mut(age as usize) {
+                *count = count.saturating_add(1);
+            }
+        }
+        history
+    }
+
+    /// Adds successful requests of a history that was stated `age` ago.
+    pub fn restore_successes(&mut self, history: &BudgetHistory, age: Duration, now: Moment) {
+        let newest = self.advance(now);
+        let passed = (age.as_micros() as u64).div_ceil(BUCKET_US) as usize;
+        for (age, count) in history.successes.iter().enumerate() {
+            let age = age.saturating_add(passed);
+            if age < WINDOW_BUCKETS {
+                let index = (newest + WINDOW_BUCKETS - age) % WINDOW_BUCKETS;
+                self.successes[index] = self.successes[index].saturating_add(u32::from(*count));
+            }
+        }
+    }
+
+    /// Adds retries of a history that was stated `age` ago: the youngest ones, without
+    /// `known`, which were added before.
+    pub fn restore_retries(
+        &mut self,
+        history: &BudgetHistory,
+        known: usize,
+        age: Duration,
+        now: Moment,
+    ) {
+        let bucket = Duration::from_micros(BUCKET_US);
+        let missing = history.spent().saturating_sub(known);
+        let moments = (0..).zip(&history.retries).flat_map(|(index, count)| {
+            let moment = now - (bucket * index + age);
+            std::iter::repeat_n(moment, usize::from(*count))
+        });
+        self.retries.extend(moments.take(missing));
+        self.retries.make_contiguous().sort_unstable();
+    }
+
     /// Whether no success or retry was counted in the window.
     pub fn is_idle(&mut self, now: Moment) -> bool {
         self.advance(now);
--- a/crates/verbenaring-policy/tests/dispatch/main.rs
+++ b/crates/verbenaring-policy/tests/dispatch/main.rs
@@ -12,6 +12,7 @@
 mod presence;
 mod regions;
 mod relay;
+mod retry_shares;
 mod routes;
 mod run;
 mod servers;
