Notice ends of servers whose addresses still accept connections, or again

A VM that saw an answer break connected to the server once, at once. A server that accepts connections while it ends, or is back soon, was taken for sound and the break was forgotten, so that requests with a part that crashes servers reached one server after the other. Callers saw streams that ended without their end. Class: a look at one moment decides about an event.

Change: what broke off is held for 6 s. A second look after 0.2 s, and another server or a later start published at the address, show the end, which counts for the moment of the break. An answer to a later call shows that the server lives. verbenaringd takes a connection that is closed without an answer for an end already and is left as it is.

--- a/crates/verbenaring-core/src/config/sync.rs
+++ b/crates/verbenaring-core/src/config/sync.rs
@@ -396,6 +396,9 @@
             EntryChange::Added | EntryChange::Restarted | EntryChange::Draining => {
                 log::info!(server:% = id, revision = revision, cold_ms = cold_ms, change:? = change;
                     "server entry changed");
+                if change != EntryChange::Draining {
+                    self.record_server_start(&id);
+                }
             }
         }
     }
--- a/crates/verbenaring-core/src/path/work.rs
+++ b/crates/verbenaring-core/src/path/work.rs
@@ -142,6 +142,10 @@
                     end == CallOutcome::Good && self.framing != Some(AnswerFraming::Connection);
                 if let Some(parts) = parts.filter(|_| complete) {
                     state.suspects.record_complete(&parts, now);
+                    if let Some(work) = &self.work {
+                        let sent_at = self.node.clock.moment(self.sent);
+                        state.doubtful.record_answer(work.key, sent_at);
+                    }
                 }
             }
             (None, _) => {}
--- a/crates/verbenaring-core/src/state.rs
+++ b/crates/verbenaring-core/src/state.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use verbenaring_policy::dispatch::doubt::DoubtfulServers;
 use verbenaring_policy::dispatch::evidence::CallParts;
 use verbenaring_policy::dispatch::origin::StreamOrigins;
 use verbenaring_policy::dispatch::ownership::RegionView;
@@ -35,6 +36,8 @@
     pub servers: ServerTable,
     /// Calls that servers of the own region answer.
     pub runs: RunTable,
+    /// Servers of which it is open whether they have ended.
+    pub doubtful: DoubtfulServers,
     /// Requests and parts of prompts that crash servers.
     pub suspects: SuspectTable,
     /// Where streams began.
@@ -73,6 +76,7 @@
             )
             .with_centre(settings.data_centre.clone()),
             runs: RunTable::default(),
+            doubtful: DoubtfulServers::default(),
             suspects: SuspectTable::default(),
             origins: StreamOrigins::default(),
             vms: PresenceTable::default(),
@@ -215,6 +219,7 @@
     /// Removes expired entries.
     pub fn expire(&mut self, now: Moment) {
         self.servers.expire(now);
+        self.doubtful.expire(now);
         self.suspects.expire(now);
         self.origins.expire(now);
         self.vms.expire(now);
--- a/crates/verbenaring-core/src/upstream/check.rs
+++ b/crates/verbenaring-core/src/upstream/check.rs
@@ -3,14 +3,17 @@
 //! A broken connection alone does not tell a server that has ended from one that failed
 //! a single call, and the end of a connection does not show that an answer without
 //! another mark of its end is complete. Nothing listens at the address of a server that
-//! has ended.
+//! has ended, until the next one starts there. A server that listens is looked at again,
+//! and what is published of its address later decides as well.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use verbenaring_policy::dispatch::doubt::{EndedServer, RECHECK_DELAY};
 use verbenaring_policy::dispatch::evidence::CallParts;
 use verbenaring_policy::dispatch::server::ServerKey;
+use verbenaring_policy::id::ServerId;
 
 use super::pool::ConnectOptions;
 use crate::node::FrontNode;
@@ -38,31 +41,62 @@
 }
 
 async fn check_server<P: WireProtocol>(node: Arc<FrontNode<P>>, server: ServerKey) {
+    let broke_at = node.clock.now();
     let known = {
-        let state = node.lock();
+        let mut state = node.lock();
+        let broken = state.runs.take_break(server);
         let address = state.servers.entry(server).map(|entry| entry.address);
-        address.zip(state.servers.boot_hash(server))
-    };
-    let ended = match known {
-        Some((address, _)) => node.pool.is_refused(address, CHECK_OPTIONS).await,
-        None => false,
+        let known = address.zip(state.servers.boot_hash(server));
+        if let Some((address, boot)) = known {
+            state.doubtful.hold(server, address, boot, broken, broke_at);
+        }
+        known
     };
-    let mut state = node.lock();
-    let broken = state.runs.take_break(server);
-    let Some((_, boot)) = known.filter(|_| ended) else {
+    let Some((address, _)) = known else {
         return;
     };
-    let now = node.clock.now();
-    state.suspects.record_crash(boot, &broken.calls, now);
-    drop(state);
-    node.metrics.ended_servers.inc();
-    let calls: Vec<String> = broken.calls.iter().map(hex_ids).collect();
-    log::warn!(server = node.server_name(server), calls = calls.join(" ");
-        "server ended while it answered");
-    node.log_quarantines();
+    for pause in [Duration::ZERO, RECHECK_DELAY] {
+        tokio::time::sleep(pause).await;
+        if node.pool.is_refused(address, CHECK_OPTIONS).await {
+            let ended = node.lock().doubtful.record_refusal(server);
+            node.record_ended(ended);
+            return;
+        }
+    }
 }
 
 impl<P: WireProtocol> FrontNode<P> {
+    /// Records that a server is published that was not there before, or has started again.
+    pub(crate) fn record_server_start(&self, id: &ServerId) {
+        let ended = {
+            let mut state = self.lock();
+            let key = state.servers.key_of(id);
+            let address = key.and_then(|key| Some(state.servers.entry(key)?.address));
+            let boot = key.and_then(|key| state.servers.boot_hash(key));
+            let (Some(key), Some(address), Some(boot)) = (key, address, boot) else {
+                return;
+            };
+            state.doubtful.record_start(key, address, boot)
+        };
+        self.record_ended(ended);
+    }
+
+    /// Records the servers that have ended while they answered calls.
+    fn record_ended(&self, ended: impl IntoIterator<Item = EndedServer>) {
+        for ended in ended {
+            let now = self.clock.now();
+            self.lock()
+                .suspects
+                .record_earlier_crash(ended.boot, &ended.calls, ended.at, now);
+            self.metrics.ended_servers.inc();
+            let calls: Vec<String> = ended.calls.iter().map(hex_ids).collect();
+            log::warn!(server = self.server_name(ended.server), calls = calls.join(" "),
+                known_after_ms = now.since(ended.at).as_millis() as u64;
+                "server ended while it answered");
+            self.log_quarantines();
+        }
+    }
+
     /// Whether the end of an answer is that of its server, so that the answer may have been
     /// cut. A server that shuts down may close its listener before its last answers end.
     pub(crate) async fn ended_with_answer(
--- a/crates/verbenaring-policy/src/dispatch/mod.rs
+++ b/crates/verbenaring-policy/src/dispatch/mod.rs
@@ -8,7 +8,7 @@
 //! to servers that fail when they refuse many by each in its own places ([`brittle`]); what
 //! else servers say of themselves binds each VM ([`statement`]). Calls whose prompts
 //! crash servers are refused ([`suspect`]), as far as the calls that servers leave behind
-//! when they end ([`run`]) and the [`evidence`] of other VMs show it. Another region is
+//! when they end ([`run`], [`doubt`]) and the [`evidence`] of other VMs show it. Another region is
 //! used if it answers sooner or is much less busy ([`spill`]), and another VM of the region
 //! if this one has lost [`contact`] with the servers. Retries come from the VM's share of a
 //! budget ([`retry_share`]). [`presence`] tracks the
@@ -21,6 +21,7 @@
 pub mod call;
 pub mod changes;
 pub mod contact;
+pub mod doubt;
 pub mod evidence;
 pub mod forecast;
 pub mod health;
--- a/crates/verbenaring-policy/src/dispatch/suspect.rs
+++ b/crates/verbenaring-policy/src/dispatch/suspect.rs
@@ -189,11 +189,22 @@
 impl SuspectTable {
     /// Records that a server ended while it answered these calls.
     pub fn record_crash(&mut self, server: u32, calls: &[CallParts], now: Moment) {
+        self.record_earlier_crash(server, calls, now, now);
+    }
+
+    /// Records that a server ended at `at`, as is known now.
+    pub fn record_earlier_crash(
+        &mut self,
+        server: u32,
+        calls: &[CallParts],
+        at: Moment,
+        now: Moment,
+    ) {
         for call in calls {
             for (depth, part) in call.by_depth() {
                 let suspect = self.suspect(part);
                 suspect.depth = suspect.depth.max(depth);
-                if suspect.add(Crash { at: now, server }) {
+                if suspect.add(Crash { at, server }) {
                     suspect.changed_at = now;
                 }
             }
--- a/crates/verbenaring-policy/tests/dispatch/main.rs
+++ b/crates/verbenaring-policy/tests/dispatch/main.rs
@@ -4,6 +4,7 @@
 mod builds;
 mod components;
 mod contact;
+mod doubt;
 mod fixture;
 mod forecast;
 mod limit;
