Keep where streams began outside of the VMs

While two software versions serve, a stream goes on only if a VM knows where it began. After a loss of power of all VMs none does, and all streams that callers took up were refused as stream_origin_unknown, although servers of their version served. Class: a bound of correctness (ORDER) that was kept by refusing all, as what proves the contrary rests on state that ends with the processes.

Ruled out: VMs that do not find each other (nothing goes on after 5 s either), and late declarations (new streams begin).

A VM that is asked to go on with a stream which no other VM knows reads them, once for all calls that wait. Weighed: a write a stream (2,800 a second), what servers report of running work (gone with the broken connections), Kv-Backup (moves all memory).

--- a/crates/verbenaring-core/src/config/builds.rs
+++ b/crates/verbenaring-core/src/config/builds.rs
@@ -11,7 +11,6 @@
 use std::time::Duration;
 
 use rand::Rng;
-use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 use verbenaring_policy::dispatch::build::DeclaredBuild;
 use verbenaring_policy::dispatch::prompt::name_hash;
@@ -30,48 +29,19 @@
 const RETRY_PAUSE: std::ops::Range<Duration> =
     Duration::from_millis(200)..Duration::from_millis(1_000);
 
-/// Time between two readings of the declarations for calls that wait for them.
-const READ_SPACING: Duration = Duration::from_millis(200);
-/// Time limit for a reading that a call waits for.
-const READ_TIMEOUT: Duration = Duration::from_secs(1);
-
-/// Readings of the declarations, one for all calls that wait at a time.
-#[derive(Debug, Default)]
-pub(crate) struct DeclarationReads {
-    requested: Notify,
-    latest: watch::Sender<Option<DeclarationRead>>,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct DeclarationRead {
-    began: Instant,
-    succeeded: bool,
-}
-
 /// Reads the declarations whenever calls ask for it, until the process ends.
 pub(crate) async fn read_declarations_for_calls<P: WireProtocol, S: ConfigSource>(
     node: Arc<FrontNode<P>>,
     source: Arc<S>,
 ) {
-    loop {
-        node.declaration_reads.requested.notified().await;
-        let began = Instant::now();
-        let reading = tokio::time::timeout(READ_TIMEOUT, source.declared_builds());
-        let succeeded = match reading.await {
-            Ok(Ok(declared)) => {
-                node.apply_declarations(&declared);
-                true
-            }
-            Ok(Err(error)) => {
-                log::debug!(error:% = error; "failed to read declared versions");
-                false
-            }
-            Err(_) => false,
-        };
-        let read = DeclarationRead { began, succeeded };
-        node.declaration_reads.latest.send_replace(Some(read));
-        tokio::time::sleep(READ_SPACING).await;
-    }
+    let read = || async {
+        let declared = source.declared_builds().await?;
+        node.apply_declarations(&declared);
+        Ok(())
+    };
+    node.declaration_reads
+        .serve("declared versions", read)
+        .await;
 }
 
 /// Reads the declarations, then makes and withdraws those for which this VM is
@@ -155,14 +125,7 @@
     /// Reads the declarations anew and returns whether the source answered. Afterwards, all
     /// versions are known at which streams had begun when this was called.
     pub(crate) async fn refresh_declarations(&self) -> bool {
-        let asked = Instant::now();
-        let reads = &self.declaration_reads;
-        let mut latest = reads.latest.subscribe();
-        reads.requested.notify_one();
-        let is_newer =
-            |read: &Option<DeclarationRead>| read.is_some_and(|read| read.began >= asked);
-        let refreshed = latest.wait_for(is_newer).await;
-        refreshed.is_ok_and(|read| read.is_some_and(|read| read.succeeded))
+        self.declaration_reads.refresh(Duration::ZERO).await
     }
 
     fn apply_declarations(&self, declared: &[DeclaredBuild]) {
--- a/crates/verbenaring-core/src/config/source.rs
+++ b/crates/verbenaring-core/src/config/source.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 use verbenaring_policy::dispatch::build::DeclaredBuild;
 use verbenaring_policy::dispatch::call::RouteDocument;
+use verbenaring_policy::dispatch::origin::OriginRecord;
 use verbenaring_policy::dispatch::server::ServerEntry;
 use verbenaring_policy::id::{CentreName, ServerId, VmId};
 
@@ -107,6 +108,17 @@
     pub since_unix_ms: u64,
 }
 
+/// Origins of streams that a process writes at once; the key under which they are kept.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OriginBatch {
+    /// VM at which the streams began.
+    pub vm: VmId,
+    /// Boot number of its process.
+    pub boot: u64,
+    /// Number of the batch within the boot.
+    pub sequence: u32,
+}
+
 /// Source of routes and servers, through which VMs also find each other.
 pub trait ConfigSource: Send + Sync + 'static {
     /// Lists all entries of a scope, at least as new as the start of the call.
@@ -174,6 +186,18 @@
         &self,
     ) -> impl Future<Output = Result<Vec<DeclaredBuild>, SourceError>> + Send;
 
+    /// Publishes where streams began, for at least as long as callers take them up.
+    fn publish_origins(
+        &self,
+        batch: &OriginBatch,
+        origins: &[OriginRecord],
+    ) -> impl Future<Output = Result<(), SourceError>> + Send;
+
+    /// Lists where streams began, as far as it is published.
+    fn published_origins(
+        &self,
+    ) -> impl Future<Output = Result<Vec<OriginRecord>, SourceError>> + Send;
+
     /// Lists the published quarantines.
     fn published_quarantines(
         &self,
--- a/crates/verbenaring-core/src/node.rs
+++ b/crates/verbenaring-core/src/node.rs
@@ -24,8 +24,10 @@
 use crate::clock::NodeClock;
 use crate::cluster::report::{ReportTargets, exchange_reports};
 use crate::cluster::snapshot::{SNAPSHOT_PATH, poll_snapshots};
-use crate::config::builds::{DeclarationReads, read_declarations_for_calls, sync_declarations};
+use crate::config::builds::{read_declarations_for_calls, sync_declarations};
+use crate::config::origins::{publish_origins, read_origins_for_calls};
 use crate::config::quarantine::sync_quarantines;
+use crate::config::shared_read::SharedReads;
 use crate::config::source::{ConfigScope, ConfigSource};
 use crate::config::sync::{ScopeStatus, run_announcements, sync_scope};
 use crate::error::{Error, Result};
@@ -77,7 +79,10 @@
     pub(crate) caller_idle_timeout: Arc<IdleTimeout>,
     /// Notified when servers are to be checked.
     pub(crate) server_check: Notify,
-    pub(crate) declaration_reads: DeclarationReads,
+    pub(crate) declaration_reads: SharedReads,
+    pub(crate) origin_reads: SharedReads,
+    /// Notified when a stream has begun while several software versions serve.
+    pub(crate) origin_recorded: Notify,
     /// Notified when the configuration source left a watch without an answer.
     pub(crate) source_silent: Notify,
     operator_status: ScopeStatus,
@@ -110,7 +115,9 @@
             answer_memory: Arc::new(Semaphore::new(settings.resources.answer_memory_bytes())),
             caller_idle_timeout: Arc::default(),
             server_check: Notify::new(),
-            declaration_reads: DeclarationReads::default(),
+            declaration_reads: SharedReads::default(),
+            origin_reads: SharedReads::default(),
+            origin_recorded: Notify::new(),
             source_silent: Notify::new(),
             operator_status: ScopeStatus::default(),
             servers_status: ScopeStatus::default(),
@@ -431,6 +438,14 @@
             let (node, source) = (node.clone(), source.clone());
             move || read_declarations_for_calls(node.clone(), source.clone())
         });
+        supervise("origins of streams", {
+            let (node, source) = (node.clone(), source.clone());
+            move || publish_origins(node.clone(), source.clone())
+        });
+        supervise("origins of streams for calls", {
+            let (node, source) = (node.clone(), source.clone());
+            move || read_origins_for_calls(node.clone(), source.clone())
+        });
         supervise("announcements", {
             let node = node.clone();
             move || run_announcements(node.clone(), source.clone())
--- a/crates/verbenaring-core/src/observe/metrics.rs
+++ b/crates/verbenaring-core/src/observe/metrics.rs
@@ -24,6 +24,9 @@
     /// Streams that ended without an error of the connection, by framing and by the
     /// position at which they ended.
     pub stream_ends: IntCounterVec,
+    /// Streams that callers took up, by where their origin was found (`known`,
+    /// `sole_version`, `other_vm`, `store` or `unknown`).
+    pub stream_origins: IntCounterVec,
     /// Servers that ended while they answered a call of this VM.
     pub ended_servers: IntCounter,
     /// Requests and parts of prompts whose calls are refused.
@@ -105,6 +108,11 @@
                 "Streams that ended without a connection error, by framing and position",
                 &["framing", "position"],
             ),
+            stream_origins: counters(
+                "verbenaring_stream_origins_total",
+                "Streams that callers took up, by where their origin was found",
+                &["found"],
+            ),
             ended_servers: counter(
                 "verbenaring_servers_ended_total",
                 "Servers that ended while they answered a call",
--- a/crates/verbenaring-core/src/path/origin.rs
+++ b/crates/verbenaring-core/src/path/origin.rs
@@ -1,7 +1,8 @@
 //! Finds the software version at which a stream that a caller takes up has begun.
 //!
 //! The VM that passed on its first event knows it, and so do those that it has told. If no
-//! VM knows, the stream goes on only where a single version can have begun it.
+//! VM knows, the store may: VMs write there what they would lose together. Otherwise the
+//! stream goes on only where a single version can have begun it.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -51,15 +52,10 @@
             return Ok(());
         }
         let stream = call.stream_id();
-        let recorded = self.lock().origins.find(stream);
-        let known = match recorded {
-            Some(build) => Some(build),
-            None => match self.sole_build(&call.service).await {
-                Some(build) => Some(build),
-                None => self.ask_origin(stream).await,
-            },
-        };
-        match known {
+        let (found, place) = self.find_origin(call, stream).await;
+        let origins = &self.metrics.stream_origins;
+        origins.with_label_values(&[place]).inc();
+        match found {
             Some(build) => {
                 call.set_build(build);
                 Ok(())
@@ -71,6 +67,31 @@
         }
     }
 
+    /// The version that began a stream, and where this was found.
+    async fn find_origin(
+        self: &Arc<Self>,
+        call: &PendingCall,
+        stream: StreamId,
+    ) -> (Option<BuildId>, &'static str) {
+        let recorded = || self.lock().origins.find(stream);
+        if let Some(build) = recorded() {
+            return (Some(build), "known");
+        }
+        if let Some(build) = self.sole_build(&call.service).await {
+            return (Some(build), "sole_version");
+        }
+        if let Some(build) = self.ask_origin(stream).await {
+            return (Some(build), "other_vm");
+        }
+        // All VMs that knew may have ended.
+        if self.refresh_origins().await
+            && let Some(build) = recorded()
+        {
+            return (Some(build), "store");
+        }
+        (None, "unknown")
+    }
+
     /// The only version that can have begun a stream before now, if there is one.
     async fn sole_build(&self, service: &ServiceName) -> Option<BuildId> {
         let sole = || self.lock().servers.sole_build(service, self.clock.now());
@@ -152,6 +173,10 @@
         let mut state = self.lock();
         let mixed = state.servers.builds.is_mixed(&call.service, now);
         state.origins.record(origin, mixed, now);
+        drop(state);
+        if mixed {
+            self.origin_recorded.notify_one();
+        }
     }
 }
 
--- a/crates/verbenaring-policy/src/dispatch/build.rs
+++ b/crates/verbenaring-policy/src/dispatch/build.rs
@@ -191,6 +191,12 @@
         self.live(service, now).nth(1).is_some()
     }
 
+    /// Whether several builds of any service may have begun streams that are taken up.
+    pub fn any_mixed(&self, now: Moment) -> bool {
+        let mut services = self.services.keys();
+        services.any(|service| self.is_mixed(service, now))
+    }
+
     /// The only build that can have begun a stream of a service; `None` if there are
     /// several or this is not known.
     pub fn sole(&self, service: &ServiceName, now: Moment) -> Option<BuildId> {
--- a/crates/verbenaring-policy/src/dispatch/origin.rs
+++ b/crates/verbenaring-policy/src/dispatch/origin.rs
@@ -4,6 +4,7 @@
 //! other VMs within a second. While several versions serve, VMs tell each other where
 //! streams began as soon as the first event has arrived; what a VM has not been told it
 //! asks for. Records are kept for as long as streams are taken up, up to a fixed number.
+//! What would be lost if all VMs ended is published as soon as a second version serves.
 
 use std::collections::{HashMap, VecDeque};
 
@@ -15,6 +16,8 @@
 
 /// Records that a VM keeps; the oldest are dropped first.
 const MAX_RECORDS: usize = 32_768;
+/// Records of own streams that wait to be published; the oldest are dropped first.
+const MAX_UNPUBLISHED: usize = 8_192;
 
 /// Stream, by the hash of the attempt that brought its first event.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -43,6 +46,8 @@
     /// Streams by age; the oldest come first.
     order: VecDeque<(StreamId, Moment)>,
     untold: Vec<OriginRecord>,
+    /// Streams of this VM that have not been published, by age.
+    unpublished: VecDeque<(OriginRecord, Moment)>,
 }
 
 impl StreamOrigins {
@@ -52,6 +57,10 @@
         if tell {
             self.untold.push(origin);
         }
+        if self.unpublished.len() >= MAX_UNPUBLISHED {
+            self.unpublished.pop_front();
+        }
+        self.unpublished.push_back((origin, now));
     }
 
     /// Takes over what another VM told.
@@ -85,8 +94,26 @@
         std::mem::take(&mut self.untold)
     }
 
+    /// Takes up to `count` origins of streams of this VM that are to be published, those
+    /// that began last first.
+    pub fn take_unpublished(&mut self, count: usize, now: Moment) -> Vec<OriginRecord> {
+        let kept = self.unpublished.len().saturating_sub(count);
+        let taken = self.unpublished.split_off(kept).into_iter().rev();
+        let live = taken.filter(|(_, at)| now.since(*at) < STREAM_LIFETIME);
+        live.map(|(origin, _)| origin).collect()
+    }
+
+    /// Puts back what could not be published.
+    pub fn put_back_unpublished(&mut self, origins: Vec<OriginRecord>, now: Moment) {
+        let room = MAX_UNPUBLISHED.saturating_sub(self.unpublished.len());
+        let origins = origins.into_iter().take(room).rev();
+        self.unpublished.extend(origins.map(|origin| (origin, now)));
+    }
+
     /// Drops the records of streams that no caller takes up any more.
     pub fn expire(&mut self, now: Moment) {
+        self.unpublished
+            .retain(|(_, at)| now.since(*at) < STREAM_LIFETIME);
         while let Some((stream, at)) = self.order.front() {
             if now.since(*at) < STREAM_LIFETIME {
                 return;
