Lend repeats that no share of the retry budget covers

Shares leave out half of what calls earn, as a VM did not know how the load moves between VMs.

Change: VMs hear what all others have spent. What the budget allows for calls that count whatever comes next, less all shares and what is spent beyond them, is lent: in the time that a statement takes, each VM borrows at most its part. Nothing is lent while the statement of any known VM is missing or old.

--- a/crates/verbenaring-core/src/state.rs
+++ b/crates/verbenaring-core/src/state.rs
@@ -162,13 +162,15 @@
         now: Moment,
     ) -> Result<(), BudgetUsage> {
         let vms = self.known_vms();
-        self.retry_shares.try_take(service, vms, now)
+        let others = &self.held_statements;
+        self.retry_shares.try_take(service, vms, others, now)
     }
 
     /// Whether this VM's share of the retry budget of a service allows a retry.
     pub fn allows_retry(&mut self, service: &ServiceName, now: Moment) -> bool {
         let vms = self.known_vms();
-        self.retry_shares.usage(service, vms, now).has_room()
+        let others = &self.held_statements;
+        self.retry_shares.allows(service, vms, others, now)
     }
 
     /// What the process with this boot number has spent of the retry budgets.
--- a/crates/verbenaring-policy/src/dispatch/mod.rs
+++ b/crates/verbenaring-policy/src/dispatch/mod.rs
@@ -36,6 +36,7 @@
 pub mod rate;
 pub mod region_load;
 pub mod relay;
+mod retry_pool;
 pub mod retry_share;
 pub mod run;
 pub mod server;
--- a/crates/verbenaring-policy/src/dispatch/retry_share.rs
+++ b/crates/verbenaring-policy/src/dispatch/retry_share.rs
@@ -9,18 +9,24 @@
 //! share of its predecessor. One that is told nothing may follow a process that has spent
 //! its whole share: for one window it retries only for calls of its own.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
+use super::retry_pool::{CallAges, RetryPool};
 use crate::id::ServiceName;
-use crate::retry::{BudgetHistory, BudgetTerms, BudgetUsage, RETRY_WINDOW, RetryBudget};
+use crate::retry::{
+    BudgetHistory, BudgetTerms, BudgetUsage, RETRY_WINDOW, RetryBudget, WINDOW_BUCKETS,
+};
 use crate::time::Moment;
 
 /// Age of a statement up to which it describes what its VM has spent. A VM that was not
 /// heard for longer may have spent more meanwhile.
 const MAX_STATEMENT_AGE: Duration = Duration::from_secs(5);
+/// Age up to which a statement tells what its VM spends now. Also the time within which
+/// all others have heard of a retry.
+const FRESH_AGE: Duration = Duration::from_millis(1_500);
 /// Time for which further answers about the predecessor are merged: another VM may hold a
 /// newer statement.
 const MERGE_TIME: Duration = Duration::from_secs(1);
@@ -89,6 +95,8 @@
     /// Number of VMs by which the predecessor divided the budgets; this process may not
     /// have heard all of them yet.
     predecessor_vms: usize,
+    /// When retries beyond the shares were taken of which others may not know yet.
+    borrowed: VecDeque<Moment>,
     started_at: Moment,
     changed_at: Moment,
 }
@@ -102,6 +110,7 @@
             predecessor: PredecessorState::Unknown,
             inherited: HashMap::new(),
             predecessor_vms: 0,
+            borrowed: VecDeque::new(),
             started_at: now,
             changed_at: now,
         }
@@ -112,23 +121,65 @@
         self.budget(service).record_success(now);
     }
 
-    /// Takes a retry from the share of one of `vms` VMs; fails with what is spent if the
-    /// share is used up.
+    /// Takes a retry from the share of one of `vms` VMs, or one that no share covers as
+    /// the `others` state; fails with what is spent if there is none.
     pub fn try_take(
         &mut self,
         service: &ServiceName,
         vms: usize,
+        others: &HeldStatements,
         now: Moment,
     ) -> Result<(), BudgetUsage> {
         let usage = self.usage(service, vms, now);
         if !usage.has_room() {
-            return Err(usage);
+            if !self.can_borrow(service, vms, others, now) {
+                return Err(usage);
+            }
+            self.borrowed.push_back(now);
         }
         self.budget(service).record_retry(now);
         self.changed_at = now;
         Ok(())
     }
 
+    /// Whether [`try_take`](Self::try_take) would succeed.
+    pub fn allows(
+        &mut self,
+        service: &ServiceName,
+        vms: usize,
+        others: &HeldStatements,
+        now: Moment,
+    ) -> bool {
+        self.usage(service, vms, now).has_room() || self.can_borrow(service, vms, others, now)
+    }
+
+    fn can_borrow(
+        &mut self,
+        service: &ServiceName,
+        vms: usize,
+        others: &HeldStatements,
+        now: Moment,
+    ) -> bool {
+        if !self.knows_spending(now) {
+            return false;
+        }
+        while let Some(oldest) = self.borrowed.front()
+            && now.since(*oldest) >= FRESH_AGE
+        {
+            self.borrowed.pop_front();
+        }
+        let vms = self.divisor(vms, now);
+        let share = self.terms.per_vm(vms);
+        let history = self.budget(service).history(now);
+        let Some((mut calls, committed)) = others.committed(service, share, vms, now) else {
+            return false;
+        };
+        calls.add(&history, 0);
+        let committed = committed + history.usage(share).committed();
+        let pool = RetryPool::new(self.terms, &calls, committed, vms);
+        self.borrowed.len() < pool.part()
+    }
+
     /// Retries of the window, and those that the share of one of `vms` VMs allows in it.
     pub fn usage(&mut self, service: &ServiceName, vms: usize, now: Moment) -> BudgetUsage {
         let extra_retries = match self.knows_spending(now) {
@@ -295,6 +346,37 @@
         None
     }
 
+    /// Calls of the others, and the retries that they have made or may make, if the
+    /// statements of all `vms` VMs but this one are fresh.
+    fn committed(
+        &self,
+        service: &ServiceName,
+        share: BudgetTerms,
+        vms: usize,
+        now: Moment,
+    ) -> Option<(CallAges, usize)> {
+        let mut calls = CallAges::default();
+        let mut committed = 0;
+        let mut fresh = 0;
+        for held in self.by_vm.values() {
+            let age = held.age(now);
+            if age <= FRESH_AGE {
+                fresh += 1;
+            }
+            let services = held.statement.services.iter();
+            let stated = services.filter(|stated| stated.service == *service);
+            let history = stated.map(|stated| stated.history).next();
+            let history = history.unwrap_or_default();
+            let tenth = RETRY_WINDOW / WINDOW_BUCKETS as u32;
+            calls.add(
+                &history,
+                age.as_micros().div_ceil(tenth.as_micros()) as usize,
+            );
+            committed += history.usage(share).committed();
+        }
+        (fresh + 1 >= vms).then_some((calls, committed))
+    }
+
     /// Drops statements that are too old to be told.
     pub fn expire(&mut self, now: Moment) {
         self.by_vm
--- a/crates/verbenaring-policy/src/retry.rs
+++ b/crates/verbenaring-policy/src/retry.rs
@@ -29,7 +29,8 @@
 const EARNED_FRACTION: f64 = 0.5;
 /// Part of its extra retries that a VM takes, as it may not know of all other VMs.
 const EXTRA_FRACTION: f64 = 0.9;
-const WINDOW_BUCKETS: usize = 10;
+/// Parts of a window in which successes are counted.
+pub(crate) const WINDOW_BUCKETS: usize = 10;
 const BUCKET_US: u64 = RETRY_WINDOW.as_micros() as u64 / WINDOW_BUCKETS as u64;
 
 /// Limits of a retry budget over one [`RETRY_WINDOW`].
@@ -57,6 +58,21 @@
 }
 
 impl BudgetTerms {
+    /// Retries that the limits allow for this many successful requests in the window.
+    fn allowed(self, successes: u32) -> usize {
+        let allowed = f64::from(successes) * self.retries_per_success + self.extra_retries;
+        (allowed as u32).max(self.min_retries) as usize
+    }
+
+    /// Limits for all VMs together, less the part that no VM takes.
+    pub(crate) fn for_all_vms(self) -> Self {
+        Self {
+            extra_retries: self.extra_retries * EXTRA_FRACTION,
+            min_retries: 0,
+            ..self
+        }
+    }
+
     /// Limits for each of `vms` VMs that together keep within this budget, however callers
     /// move between them.
     ///
@@ -87,6 +103,11 @@
     pub fn has_room(self) -> bool {
         self.spent < self.allowed
     }
+
+    /// The larger of what is spent and what is allowed.
+    pub fn committed(self) -> usize {
+        self.spent.max(self.allowed)
+    }
 }
 
 /// What was counted in a retry budget, by age in tenths of [`RETRY_WINDOW`]; the latest
@@ -104,6 +125,15 @@
     pub fn spent(&self) -> usize {
         self.retries.iter().map(|count| usize::from(*count)).sum()
     }
+
+    /// What is spent, and what `terms` allow for the successful requests.
+    pub fn usage(&self, terms: BudgetTerms) -> BudgetUsage {
+        let successes = self.successes.iter().map(|count| u32::from(*count)).sum();
+        BudgetUsage {
+            spent: self.spent(),
+            allowed: terms.allowed(successes),
+        }
+    }
 }
 
 /// Retry budget over the successes and retries of the last [`RETRY_WINDOW`].
@@ -139,12 +169,9 @@
     /// Retries given out and allowed in the window that ends at `now`.
     pub fn usage(&mut self, now: Moment) -> BudgetUsage {
         self.advance(now);
-        let successes: u32 = self.successes.iter().sum();
-        let allowed =
-            f64::from(successes) * self.terms.retries_per_success + self.terms.extra_retries;
         BudgetUsage {
             spent: self.retries.len(),
-            allowed: (allowed as u32).max(self.terms.min_retries) as usize,
+            allowed: self.terms.allowed(self.successes.iter().sum()),
         }
     }
 
--- a/crates/verbenaring-policy/tests/dispatch/retry_shares.rs
+++ b/crates/verbenaring-policy/tests/dispatch/retry_shares.rs
@@ -28,6 +28,33 @@
     All(u64),
 }
 
+/// Where and when calls come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Load {
+    /// At all VMs alike.
+    Even,
+    /// At one VM, another one after each 7 s.
+    Gathered,
+    /// At all VMs, for 1 s of each 9.
+    Bursts,
+}
+
+impl Load {
+    /// Factor on the mean rate of a VM.
+    fn factor(self, vm: usize, vms: usize, now: u64) -> f64 {
+        let comes = match self {
+            Load::Even => return 1.0,
+            Load::Gathered => (now / 7_000) as usize % vms == vm,
+            Load::Bursts => now % 9_000 < 1_000,
+        };
+        match (comes, self) {
+            (false, _) => 0.0,
+            (true, Load::Bursts) => 9.0,
+            (true, _) => vms as f64,
+        }
+    }
+}
+
 struct TestVm {
     shares: RetryShares,
     held: HeldStatements,
@@ -51,6 +78,7 @@
     vms: usize,
     /// Calls a second at each VM.
     rate: f64,
+    load: Load,
     ends: Ends,
     /// Statements that are lost.
     loss: f64,
@@ -99,14 +127,19 @@
         end_processes(&mut vms, scenario.ends, now, &mut random);
         let running = vms.iter().filter(|vm| vm.down_until.is_none()).count();
         let share = scenario.vms as f64 / running.max(1) as f64;
-        for vm in vms.iter_mut().filter(|vm| vm.down_until.is_none()) {
-            if !random.random_bool((scenario.rate * share / 1_000.0).min(1.0)) {
+        for (index, vm) in vms.iter_mut().enumerate() {
+            let factor = scenario.load.factor(index, scenario.vms, now);
+            let chance = scenario.rate * share * factor / 1_000.0;
+            if vm.down_until.is_some() || !random.random_bool(chance.min(1.0)) {
                 continue;
             }
             vm.shares.record_call(&service, at(now));
             outcome.calls.push(now);
             for _ in 0..2 {
-                match vm.shares.try_take(&service, scenario.vms, at(now)) {
+                match vm
+                    .shares
+                    .try_take(&service, scenario.vms, &vm.held, at(now))
+                {
                     Ok(()) => outcome.retries.push(now),
                     Err(_) => outcome.refused += 1,
                 }
@@ -182,10 +215,12 @@
             Ends::InPairs(1_000),
             Ends::All(1),
             Ends::All(4),
+            Ends::None,
         ];
         let scenario = Play {
             vms: [1, 2, 7, 30][random.random_range(0..4)],
             rate: [0.3, 2.0, 5.0, 20.0][random.random_range(0..4)],
+            load: [Load::Even, Load::Gathered, Load::Bursts][random.random_range(0..3)],
             ends: ends[seed as usize % ends.len()],
             loss: [0.0, 0.02, 0.1][random.random_range(0..3)],
             seed,
@@ -193,7 +228,8 @@
         let excess = play(&scenario).worst_excess();
         assert!(
             excess <= 0.0,
-            "seed {seed}, {:?}, {} VMs, {} calls/s: {excess:.1} over",
+            "seed {seed}, {:?}, {:?}, {} VMs, {} calls/s: {excess:.1} over",
+            scenario.load,
             scenario.ends,
             scenario.vms,
             scenario.rate
@@ -210,6 +246,7 @@
             let scenario = Play {
                 vms,
                 rate,
+                load: Load::Even,
                 ends,
                 loss: 0.02,
                 seed: 1,
@@ -221,6 +258,26 @@
     }
 }
 
+/// Guards against retries that are refused at the VM to which all callers came, while the
+/// budget allows them.
+#[test]
+fn what_no_share_covers_is_lent() {
+    let retries = |load| {
+        let scenario = Play {
+            vms: 7,
+            rate: 3.6,
+            load,
+            ends: Ends::None,
+            loss: 0.02,
+            seed: 1,
+        };
+        play(&scenario).retries.len() as f64
+    };
+    // The shares of the other six VMs stay reserved.
+    let share = retries(Load::Gathered) / retries(Load::Even);
+    assert!(share > 0.5, "{share:.2}");
+}
+
 /// Guards against a VM that has just started and refuses retries although its predecessor
 /// has spent little.
 #[test]
@@ -228,7 +285,11 @@
     let service = ServiceName::new("plain").unwrap();
     let mut before = RetryShares::new(TERMS, at(0));
     for _ in 0..2 {
-        assert!(before.try_take(&service, 7, at(11_000)).is_ok());
+        assert!(
+            before
+                .try_take(&service, 7, &HeldStatements::default(), at(11_000))
+                .is_ok()
+        );
     }
     let whole = before.usage(&service, 7, at(11_000)).allowed;
     let mut holder = HeldStatements::default();
