Look again at a server that closes connections before an answer counts as complete

The end of an answer that only its connection marks was checked by one look at once.

Change: a connection that is closed although nothing was sent is no sign of life. The server is looked at again after 30 and 130 ms; one that has ended refuses connections by then, one that lives and has too many does not.

--- a/crates/verbenaring-core/src/upstream/check.rs
+++ b/crates/verbenaring-core/src/upstream/check.rs
@@ -15,7 +15,7 @@
 use verbenaring_policy::dispatch::server::ServerKey;
 use verbenaring_policy::id::ServerId;
 
-use super::pool::ConnectOptions;
+use super::pool::{ConnectOptions, ListenerState};
 use crate::node::FrontNode;
 use crate::path::framing::AnswerFraming;
 use crate::wire::WireProtocol;
@@ -23,6 +23,16 @@
 /// Time limit for the connection by which a server is checked.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Time within which a server that ends closes what it still accepted.
+const CLOSE_TIME: Duration = Duration::from_millis(20);
+/// Pauses before the looks at a server that closes connections. One that ends refuses them
+/// soon, one that has too many does not.
+const CLOSING_LOOKS: [Duration; 3] = [
+    Duration::ZERO,
+    Duration::from_millis(30),
+    Duration::from_millis(100),
+];
+
 const CHECK_OPTIONS: ConnectOptions = ConnectOptions {
     connect_timeout: CHECK_TIMEOUT,
     max_idle: Duration::ZERO,
@@ -107,10 +117,19 @@
         let address = server
             .filter(|_| framing == AnswerFraming::Connection)
             .and_then(|server| self.serving_address(server));
-        match address {
-            Some(address) => self.pool.is_refused(address, CHECK_OPTIONS).await,
-            None => false,
+        let Some(address) = address else {
+            return false;
+        };
+        for pause in CLOSING_LOOKS {
+            tokio::time::sleep(pause).await;
+            let looked = self.pool.look_at(address, CHECK_OPTIONS, CLOSE_TIME);
+            match looked.await {
+                ListenerState::Refuses => return true,
+                ListenerState::Accepts | ListenerState::Unknown => return false,
+                ListenerState::Closes => {}
+            }
         }
+        false
     }
 
     /// Address of a server that is not known to shut down.
--- a/crates/verbenaring-core/src/upstream/pool.rs
+++ b/crates/verbenaring-core/src/upstream/pool.rs
@@ -21,7 +21,7 @@
 use hyper::{HeaderMap, Request, Response};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
-use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
@@ -88,6 +88,19 @@
     id_header: Option<HeaderName>,
 }
 
+/// What a new connection shows of a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ListenerState {
+    /// It is refused: nothing listens.
+    Refuses,
+    /// It is closed although nothing was sent: the server ends, or has too many.
+    Closes,
+    /// It stays open.
+    Accepts,
+    /// It could not be opened in time, or failed otherwise.
+    Unknown,
+}
+
 /// Which connection a request may use.
 #[derive(Debug, Clone, Copy)]
 pub struct ConnectOptions {
@@ -215,6 +228,32 @@
         }
     }
 
+    /// What a new connection to `address` shows of its server. One that is accepted is
+    /// watched for `close_time`.
+    pub async fn look_at(
+        &self,
+        address: SocketAddr,
+        options: ConnectOptions,
+        close_time: Duration,
+    ) -> ListenerState {
+        let mut stream = match open(address, options).await {
+            Ok(stream) => stream,
+            Err(ConnectError::Failed(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+                return ListenerState::Refuses;
+            }
+            Err(ConnectError::Failed(error)) if error.kind() == ErrorKind::ConnectionReset => {
+                return ListenerState::Closes;
+            }
+            Err(_) => return ListenerState::Unknown,
+        };
+        self.opened_connections
+            .fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        match tokio::time::timeout(close_time, stream.read_u8()).await {
+            Ok(Err(_)) => ListenerState::Closes,
+            Ok(Ok(_)) | Err(_) => ListenerState::Accepts,
+        }
+    }
+
     /// Number of connections opened since the start.
     pub fn opened_connections(&self) -> u64 {
         self.opened_connections
@@ -288,23 +327,7 @@
         address: SocketAddr,
         options: ConnectOptions,
     ) -> Result<ConnectionLease, ConnectError> {
-        let timeout = options.connect_timeout;
-        let opened = async {
-            let stream = TcpStream::connect(address).await?;
-            set_socket_options(&stream)?;
-            if options.probe {
-                let probes = TcpKeepalive::new()
-                    .with_time(PROBE_INTERVAL)
-                    .with_interval(PROBE_INTERVAL);
-                SockRef::from(&stream).set_tcp_keepalive(&probes)?;
-            }
-            Ok::<_, std::io::Error>(stream)
-        };
-        let stream = match tokio::time::timeout(timeout, opened).await {
-            Ok(Ok(stream)) => stream,
-            Ok(Err(error)) => return Err(error.into()),
-            Err(_) => return Err(ConnectError::TimedOut(timeout)),
-        };
+        let stream = open(address, options).await?;
         let history = CallHistory::default();
         let (sender, task) = match &self.id_header {
             Some(header) => {
@@ -395,3 +418,23 @@
         None => DEFAULT_IDLE_TIMEOUT,
     }
 }
+
+async fn open(address: SocketAddr, options: ConnectOptions) -> Result<TcpStream, ConnectError> {
+    let timeout = options.connect_timeout;
+    let opened = async {
+        let stream = TcpStream::connect(address).await?;
+        set_socket_options(&stream)?;
+        if options.probe {
+            let probes = TcpKeepalive::new()
+                .with_time(PROBE_INTERVAL)
+                .with_interval(PROBE_INTERVAL);
+            SockRef::from(&stream).set_tcp_keepalive(&probes)?;
+        }
+        Ok::<_, std::io::Error>(stream)
+    };
+    match tokio::time::timeout(timeout, opened).await {
+        Ok(Ok(stream)) => Ok(stream),
+        Ok(Err(error)) => Err(error.into()),
+        Err(_) => Err(ConnectError::TimedOut(timeout)),
+    }
+}
