Go on reporting to added addresses when the announced VMs are listed

Cause: an address that is added beside the announced VMs was dropped when these were listed next. VMs that had not heard each other by then, on a busy machine, never did; in tests they have separate stores or no seeds. Since the first listing of a VM comes later, which makes this more likely: one of 24 runs of callers_of_a_region_that_reaches_no_server_are_served, 12 processes at a time, ended with 'all hear all' not met within 20 s, none of 24 on.

Change: added addresses stay. Only tests add any.

Measured: an_added_address_is_reported_to_until_it_answers failed before and passes; the test above holds in 36 of 36 runs, 12 processes at a time.

--- a/crates/verbenaring-core/src/cluster/report.rs
+++ b/crates/verbenaring-core/src/cluster/report.rs
@@ -55,10 +55,11 @@
 #[derive(Debug, Default)]
 pub struct ReportTargets {
     announced: Mutex<HashSet<SocketAddr>>,
+    added: Mutex<HashSet<SocketAddr>>,
 }
 
 impl ReportTargets {
-    /// Replaces the addresses by those of the announced VMs.
+    /// Replaces the addresses of announced VMs.
     pub fn set_announced(&self, vms: &[VmAnnouncement]) {
         let addresses = vms.iter().map(|vm| vm.report_address).collect();
         *self
@@ -67,17 +68,20 @@
             .unwrap_or_else(PoisonError::into_inner) = addresses;
     }
 
-    /// Adds an address until the announced VMs are replaced.
+    /// Adds an address that is reported to whatever is announced.
     pub fn add(&self, address: SocketAddr) {
-        let announced = self.announced.lock();
-        announced
+        let added = self.added.lock();
+        added
             .unwrap_or_else(PoisonError::into_inner)
             .insert(address);
     }
 
-    fn announced(&self) -> HashSet<SocketAddr> {
+    fn all(&self) -> HashSet<SocketAddr> {
         let announced = self.announced.lock();
-        announced.unwrap_or_else(PoisonError::into_inner).clone()
+        let announced = announced.unwrap_or_else(PoisonError::into_inner);
+        let added = self.added.lock();
+        let added = added.unwrap_or_else(PoisonError::into_inner);
+        announced.union(&added).copied().collect()
     }
 }
 
@@ -396,7 +400,7 @@
             // All VMs of a deployment use the same ports.
             let seeds = self.node.settings.seeds.iter();
             let seeds = seeds.map(|seed| SocketAddr::new(seed.ip(), own.port()));
-            let others: HashSet<SocketAddr> = seeds.chain(self.node.reports.announced()).collect();
+            let others: HashSet<SocketAddr> = seeds.chain(self.node.reports.all()).collect();
             let unknown = others
                 .into_iter()
                 .filter(|address| *address != own && !state.vms.contains_address(address));
