Keep the share of a service in one place, and take the statement that shows more

Cause: what was taken over and what was borrowed lay beside the budgets, borrowed retries of all services together, and the same three arguments went through each call. A process that was told first by a VM which had missed the last statement of its predecessor held on to that boot and spent once more what the predecessor had spent.

Change: one record for each service; what is known of the others goes as one value. Statements of the first second add what they show beyond the known, of whichever boot. A play in which VMs leave and others join is among those of the budget.

--- a/crates/verbenaring-core/src/state.rs
+++ b/crates/verbenaring-core/src/state.rs
@@ -11,7 +11,9 @@
 use verbenaring_policy::dispatch::ownership::RegionView;
 use verbenaring_policy::dispatch::presence::{PresenceTable, VmState};
 use verbenaring_policy::dispatch::prompt::{name_hash, rendezvous_score};
-use verbenaring_policy::dispatch::retry_share::{HeldStatements, RetryShares, RetryStatement};
+use verbenaring_policy::dispatch::retry_share::{
+    HeldStatements, OtherShares, RetryShares, RetryStatement,
+};
 use verbenaring_policy::dispatch::run::RunTable;
 use verbenaring_policy::dispatch::spill::SpillTracker;
 use verbenaring_policy::dispatch::standstill::StandstillDetector;
@@ -161,16 +163,20 @@
         service: &ServiceName,
         now: Moment,
     ) -> Result<(), BudgetUsage> {
-        let vms = self.known_vms();
-        let others = &self.held_statements;
-        self.retry_shares.try_take(service, vms, others, now)
+        let others = OtherShares {
+            known_vms: self.known_vms(),
+            statements: &self.held_statements,
+        };
+        self.retry_shares.try_take(service, others, now)
     }
 
     /// Whether this VM's share of the retry budget of a service allows a retry.
     pub fn allows_retry(&mut self, service: &ServiceName, now: Moment) -> bool {
-        let vms = self.known_vms();
-        let others = &self.held_statements;
-        self.retry_shares.allows(service, vms, others, now)
+        let others = OtherShares {
+            known_vms: self.known_vms(),
+            statements: &self.held_statements,
+        };
+        self.retry_shares.allows(service, others, now)
     }
 
     /// What the process with this boot number has spent of the retry budgets.
--- a/crates/verbenaring-policy/src/dispatch/retry_share.rs
+++ b/crates/verbenaring-policy/src/dispatch/retry_share.rs
@@ -80,23 +80,48 @@
     Unknown,
     /// There was none.
     Absent,
-    /// What it has spent, from statements of its boot since a moment.
-    Told { boot: u64, since: Moment },
+    /// What it has spent; first told at a moment.
+    Told { since: Moment },
+}
+
+/// What a VM knows of the others that have shares.
+#[derive(Debug, Clone, Copy)]
+pub struct OtherShares<'a> {
+    /// Number of VMs that are known, this one included.
+    pub known_vms: usize,
+    /// Their newest statements.
+    pub statements: &'a HeldStatements,
+}
+
+/// Share of this VM of the retry budget of one service.
+#[derive(Debug, Default)]
+struct ServiceShare {
+    budget: RetryBudget,
+    /// Retries taken over from the predecessor.
+    inherited: usize,
+    /// When retries beyond the share were taken of which others may not know yet.
+    borrowed: VecDeque<Moment>,
+}
+
+impl ServiceShare {
+    fn drop_known_loans(&mut self, now: Moment) {
+        while let Some(oldest) = self.borrowed.front()
+            && now.since(*oldest) >= FRESH_AGE
+        {
+            self.borrowed.pop_front();
+        }
+    }
 }
 
 /// Shares of this VM of the retry budgets of all services.
 #[derive(Debug)]
 pub struct RetryShares {
     terms: BudgetTerms,
-    budgets: HashMap<ServiceName, RetryBudget>,
+    services: HashMap<ServiceName, ServiceShare>,
     predecessor: PredecessorState,
-    /// Retries taken over, by service.
-    inherited: HashMap<ServiceName, usize>,
     /// Number of VMs by which the predecessor divided the budgets; this process may not
     /// have heard all of them yet.
     predecessor_vms: usize,
-    /// When retries beyond the shares were taken of which others may not know yet.
-    borrowed: VecDeque<Moment>,
     started_at: Moment,
     changed_at: Moment,
 }
@@ -106,11 +131,9 @@
     pub fn new(terms: BudgetTerms, now: Moment) -> Self {
         Self {
             terms,
-            budgets: HashMap::new(),
+            services: HashMap::new(),
             predecessor: PredecessorState::Unknown,
-            inherited: HashMap::new(),
             predecessor_vms: 0,
-            borrowed: VecDeque::new(),
             started_at: now,
             changed_at: now,
         }
@@ -118,70 +141,60 @@
 
     /// Counts a call of a caller; it adds to the budget of its service.
     pub fn record_call(&mut self, service: &ServiceName, now: Moment) {
-        self.budget(service).record_success(now);
+        self.share(service).budget.record_success(now);
     }
 
-    /// Takes a retry from the share of one of `vms` VMs, or one that no share covers as
-    /// the `others` state; fails with what is spent if there is none.
+    /// Takes a retry from the share, or one that no share covers; fails with what is spent
+    /// if there is none.
     pub fn try_take(
         &mut self,
         service: &ServiceName,
-        vms: usize,
-        others: &HeldStatements,
+        others: OtherShares<'_>,
         now: Moment,
     ) -> Result<(), BudgetUsage> {
-        let usage = self.usage(service, vms, now);
-        if !usage.has_room() {
-            if !self.can_borrow(service, vms, others, now) {
-                return Err(usage);
-            }
-            self.borrowed.push_back(now);
+        let usage = self.usage(service, others.known_vms, now);
+        let borrows = !usage.has_room();
+        if borrows && !self.can_borrow(service, others, now) {
+            return Err(usage);
+        }
+        let share = self.share(service);
+        if borrows {
+            share.borrowed.push_back(now);
         }
-        self.budget(service).record_retry(now);
+        share.budget.record_retry(now);
         self.changed_at = now;
         Ok(())
     }
 
     /// Whether [`try_take`](Self::try_take) would succeed.
-    pub fn allows(
-        &mut self,
-        service: &ServiceName,
-        vms: usize,
-        others: &HeldStatements,
-        now: Moment,
-    ) -> bool {
-        self.usage(service, vms, now).has_room() || self.can_borrow(service, vms, others, now)
+    pub fn allows(&mut self, service: &ServiceName, others: OtherShares<'_>, now: Moment) -> bool {
+        let usage = self.usage(service, others.known_vms, now);
+        usage.has_room() || self.can_borrow(service, others, now)
     }
 
-    fn can_borrow(
-        &mut self,
-        service: &ServiceName,
-        vms: usize,
-        others: &HeldStatements,
-        now: Moment,
-    ) -> bool {
+    fn can_borrow(&mut self, service: &ServiceName, others: OtherShares<'_>, now: Moment) -> bool {
         if !self.knows_spending(now) {
             return false;
         }
-        while let Some(oldest) = self.borrowed.front()
-            && now.since(*oldest) >= FRESH_AGE
-        {
-            self.borrowed.pop_front();
-        }
-        let vms = self.divisor(vms, now);
-        let share = self.terms.per_vm(vms);
-        let history = self.budget(service).history(now);
-        let Some((mut calls, committed)) = others.committed(service, share, vms, now) else {
+        let terms = self.terms;
+        let vms = self.divisor(others.known_vms, now);
+        let per_vm = terms.per_vm(vms);
+        let share = self.share(service);
+        share.drop_known_loans(now);
+        let history = share.budget.history(now);
+        let statements = others.statements;
+        let Some((mut calls, committed)) = statements.committed(service, per_vm, vms, now) else {
             return false;
         };
         calls.add(&history, 0);
-        let committed = committed + history.usage(share).committed();
-        let pool = RetryPool::new(self.terms, &calls, committed, vms);
-        self.borrowed.len() < pool.part()
+        let committed = committed + history.usage(per_vm).committed();
+        let pool = RetryPool::new(terms, &calls, committed, vms);
+        share.borrowed.len() < pool.part()
     }
 
-    /// Retries of the window, and those that the share of one of `vms` VMs allows in it.
-    pub fn usage(&mut self, service: &ServiceName, vms: usize, now: Moment) -> BudgetUsage {
+    /// Retries of the window, and those that the share of one of `known_vms` VMs allows in
+    /// it.
+    pub fn usage(&mut self, service: &ServiceName, known_vms: usize, now: Moment) -> BudgetUsage {
         let extra_retries = match self.knows_spending(now) {
             true => self.terms.extra_retries,
             false => 0.0,
@@ -190,8 +203,8 @@
             extra_retries,
             ..self.terms
         };
-        let terms = terms.per_vm(self.divisor(vms, now));
-        let budget = self.budget(service);
+        let terms = terms.per_vm(self.divisor(known_vms, now));
+        let budget = &mut self.share(service).budget;
         budget.set_terms(terms);
         budget.usage(now)
     }
@@ -203,11 +216,11 @@
         }
     }
 
-    /// Number of VMs among which the budgets are divided, `vms` of which are known.
-    pub fn divisor(&self, vms: usize, now: Moment) -> usize {
+    /// Number of VMs among which the budgets are divided, `known_vms` of which are known.
+    pub fn divisor(&self, known_vms: usize, now: Moment) -> usize {
         match self.has_run_for_window(now) {
-            true => vms,
-            false => vms.max(self.predecessor_vms),
+            true => known_vms,
+            false => known_vms.max(self.predecessor_vms),
         }
     }
 
@@ -227,11 +240,17 @@
     }
 
     /// What this VM states to others.
-    pub fn statement(&mut self, vm: u32, boot: u64, vms: usize, now: Moment) -> RetryStatement {
-        let budgets = self.budgets.iter_mut();
-        let services = budgets.map(|(service, budget)| ServiceHistory {
+    pub fn statement(
+        &mut self,
+        vm: u32,
+        boot: u64,
+        known_vms: usize,
+        now: Moment,
+    ) -> RetryStatement {
+        let services = self.services.iter_mut();
+        let services = services.map(|(service, share)| ServiceHistory {
             service: service.clone(),
-            history: budget.history(now),
+            history: share.budget.history(now),
         });
         let mut services: Vec<ServiceHistory> = services
             .filter(|service| service.history != BudgetHistory::default())
@@ -245,7 +264,7 @@
             vm,
             boot,
             asks: !self.knows_spending(now),
-            vms: u16::try_from(self.divisor(vms, now)).unwrap_or(u16::MAX),
+            vms: u16::try_from(self.divisor(known_vms, now)).unwrap_or(u16::MAX),
             age_ms: 0,
             services,
         }
@@ -262,44 +281,38 @@
             PredecessorState::Unknown if self.has_run_for_window(now) => return false,
             PredecessorState::Absent => return false,
             PredecessorState::Unknown => true,
-            PredecessorState::Told { boot, since } => {
-                if boot != statement.boot || now.since(since) >= MERGE_TIME {
-                    return false;
-                }
-                false
-            }
+            PredecessorState::Told { since } if now.since(since) >= MERGE_TIME => return false,
+            PredecessorState::Told { .. } => false,
         };
         for ServiceHistory { service, history } in &statement.services {
-            let known = self.inherited.get(service).copied().unwrap_or_default();
-            let budget = self.budget(service);
+            let share = self.share(service);
             if is_first {
-                budget.restore_successes(history, age, now);
+                share.budget.restore_successes(history, age, now);
             }
-            budget.restore_retries(history, known, age, now);
-            self.inherited
-                .insert(service.clone(), known.max(history.spent()));
+            // Each process states what it has taken over as well.
+            let known = share.inherited;
+            share.budget.restore_retries(history, known, age, now);
+            share.inherited = known.max(history.spent());
         }
         self.predecessor_vms = self.predecessor_vms.max(usize::from(statement.vms));
         self.changed_at = now;
         if is_first {
-            self.predecessor = PredecessorState::Told {
-                boot: statement.boot,
-                since: now,
-            };
+            self.predecessor = PredecessorState::Told { since: now };
         }
         is_first
     }
 
-    /// Drops the budgets of services without calls and retries in the window.
+    /// Drops the shares of services without calls and retries in the window.
     pub fn expire(&mut self, now: Moment) {
-        self.budgets.retain(|_, budget| !budget.is_idle(now));
+        self.services.retain(|_, share| !share.budget.is_idle(now));
     }
 
-    fn budget(&mut self, service: &ServiceName) -> &mut RetryBudget {
-        if !self.budgets.contains_key(service) {
-            self.budgets.insert(service.clone(), RetryBudget::default());
+    fn share(&mut self, service: &ServiceName) -> &mut ServiceShare {
+        if !self.services.contains_key(service) {
+            self.services
+                .insert(service.clone(), ServiceShare::default());
         }
-        self.budgets.get_mut(service).expect("inserted above")
+        self.services.get_mut(service).expect("inserted above")
     }
 }
 
--- a/crates/verbenaring-policy/tests/dispatch/retry_shares.rs
+++ b/crates/verbenaring-policy/tests/dispatch/retry_shares.rs
@@ -2,7 +2,9 @@
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use verbenaring_policy::dispatch::retry_share::{HeldStatements, RetryShares, RetryStatement};
+use verbenaring_policy::dispatch::retry_share::{
+    HeldStatements, OtherShares, RetryShares, RetryStatement,
+};
 use verbenaring_policy::id::ServiceName;
 use verbenaring_policy::retry::{BudgetTerms, RETRY_WINDOW};
 
@@ -26,6 +28,8 @@
     InPairs(u64),
     /// All at once, this often, 2,500 ms apart.
     All(u64),
+    /// One VM leaves and another one joins, this far apart in ms.
+    Exchanged(u64),
 }
 
 /// Where and when calls come.
@@ -58,14 +62,20 @@
 struct TestVm {
     shares: RetryShares,
     held: HeldStatements,
+    /// Hash of its name.
+    name: u32,
     boot: u64,
+    /// VMs that it knows, those that have left included.
+    known_vms: usize,
     /// When the process runs again, if it does not.
     down_until: Option<u64>,
 }
 
 impl TestVm {
-    fn start(boot: u64, now_ms: u64) -> Self {
+    fn start(name: u32, boot: u64, known_vms: usize, now_ms: u64) -> Self {
         Self {
+            name,
+            known_vms,
             shares: RetryShares::new(TERMS, at(now_ms)),
             held: HeldStatements::default(),
             boot,
@@ -120,7 +130,7 @@
     let service = ServiceName::new("plain").unwrap();
     let mut random = ChaCha8Rng::seed_from_u64(scenario.seed);
     let mut vms: Vec<TestVm> = (0..scenario.vms)
-        .map(|_| TestVm::start(random.random(), 0))
+        .map(|index| TestVm::start(index as u32, random.random(), scenario.vms, 0))
         .collect();
     let mut outcome = Outcome::default();
     for now in 0..50_000_u64 {
@@ -136,10 +146,11 @@
             vm.shares.record_call(&service, at(now));
             outcome.calls.push(now);
             for _ in 0..2 {
-                match vm
-                    .shares
-                    .try_take(&service, scenario.vms, &vm.held, at(now))
-                {
+                let others = OtherShares {
+                    known_vms: vm.known_vms,
+                    statements: &vm.held,
+                };
+                match vm.shares.try_take(&service, others, at(now)) {
                     Ok(()) => outcome.retries.push(now),
                     Err(_) => outcome.refused += 1,
                 }
@@ -155,7 +166,7 @@
 fn end_processes(vms: &mut [TestVm], ends: Ends, now: u64, random: &mut ChaCha8Rng) {
     for vm in vms.iter_mut() {
         if vm.down_until.is_some_and(|until| until <= now) {
-            *vm = TestVm::start(random.random(), now);
+            *vm = TestVm::start(vm.name, random.random(), vm.known_vms, now);
         }
     }
     let Some(since) = now.checked_sub(20_000) else {
@@ -169,6 +180,16 @@
         Ends::InPairs(spacing) => {
             due(spacing).map_or(Vec::new(), |first| vec![first, (first + 1) % count])
         }
+        Ends::Exchanged(spacing) => {
+            if let Some(left) = due(spacing) {
+                for vm in vms.iter_mut() {
+                    vm.known_vms += 1;
+                }
+                let name = vms.iter().map(|vm| vm.name).max().unwrap_or_default() + 1;
+                vms[left as usize] = TestVm::start(name, random.random(), vms.len(), now);
+            }
+            Vec::new()
+        }
         Ends::All(times) => match since % 2_500 == 0 && since / 2_500 < times {
             true => (0..count).collect(),
             false => Vec::new(),
@@ -184,10 +205,8 @@
         if vms[sender].down_until.is_some() {
             continue;
         }
-        let (boot, count) = (vms[sender].boot, vms.len());
-        let statement = vms[sender]
-            .shares
-            .statement(sender as u32, boot, count, at(now));
+        let vm = &mut vms[sender];
+        let statement = vm.shares.statement(vm.name, vm.boot, vm.known_vms, at(now));
         let mut recalled = Vec::new();
         for (receiver, vm) in vms.iter_mut().enumerate() {
             if receiver != sender && vm.down_until.is_none() && !random.random_bool(loss) {
@@ -215,6 +234,7 @@
             Ends::InPairs(1_000),
             Ends::All(1),
             Ends::All(4),
+            Ends::Exchanged(700),
             Ends::None,
         ];
         let scenario = Play {
@@ -284,12 +304,13 @@
 fn what_is_left_of_a_share_is_available_at_once() {
     let service = ServiceName::new("plain").unwrap();
     let mut before = RetryShares::new(TERMS, at(0));
+    let statements = HeldStatements::default();
+    let others = OtherShares {
+        known_vms: 7,
+        statements: &statements,
+    };
     for _ in 0..2 {
-        assert!(
-            before
-                .try_take(&service, 7, &HeldStatements::default(), at(11_000))
-                .is_ok()
-        );
+        assert!(before.try_take(&service, others, at(11_000)).is_ok());
     }
     let whole = before.usage(&service, 7, at(11_000)).allowed;
     let mut holder = HeldStatements::default();
@@ -328,3 +349,27 @@
     };
     assert!(!after.inherit(&older, at(1_000)));
 }
+
+/// Guards against a process that is told of the one before its predecessor only, because
+/// that statement arrives first.
+#[test]
+fn the_statement_that_shows_more_counts() {
+    let service = ServiceName::new("plain").unwrap();
+    let statement = |boot, retries: usize| {
+        let mut shares = RetryShares::new(TERMS, at(0));
+        let statements = HeldStatements::default();
+        let others = OtherShares {
+            known_vms: 7,
+            statements: &statements,
+        };
+        for _ in 0..retries {
+            assert!(shares.try_take(&service, others, at(11_000)).is_ok());
+        }
+        shares.statement(1, boot, 7, at(11_000))
+    };
+    let mut after = RetryShares::new(TERMS, at(0));
+    assert!(after.inherit(&statement(1, 2), at(100)));
+    assert!(!after.inherit(&statement(2, 5), at(200)));
+    assert!(!after.inherit(&statement(1, 2), at(300)));
+    assert_eq!(after.usage(&service, 7, at(300)).spent, 5);
+}
