--- a/crates/verbenaring-policy/src/dispatch/suspicion.rs
+++ b/crates/verbenaring-policy/src/dispatch/suspicion.rs
@@ -101,7 +101,7 @@
         }
     }
 
-    /// Whether the next trial is an early one.
+    /// Whether the next trial is due after [`EARLY_TRIAL_DELAY`].
     pub(super) fn has_early_trial(&self) -> bool {
         self.is_followed && self.trials == 0
     }
--- a/crates/verbenaring-policy/tests/dispatch/main.rs
+++ b/crates/verbenaring-policy/tests/dispatch/main.rs
@@ -23,4 +23,5 @@
 mod statements;
 mod suspect;
 mod test_vm;
+mod trials;
 mod watcher;
--- a/crates/verbenaring-policy/tests/dispatch/suspect.rs
+++ b/crates/verbenaring-policy/tests/dispatch/suspect.rs
@@ -7,21 +7,21 @@
 use rand_chacha::ChaCha8Rng;
 use verbenaring_policy::dispatch::evidence::CallParts;
 use verbenaring_policy::dispatch::suspect::{
-    MAX_CRASHES, MAX_CRASHES_OF_SOUND, PartVerdict, QUARANTINE_TIME, SuspectTable,
+    MAX_CRASHES, MAX_CRASHES_OF_SOUND, PartVerdict, SuspectTable,
 };
 use verbenaring_policy::time::Moment;
 
 use super::fixture::*;
 
 /// First part, shared by many sound requests.
-const FIRST: u32 = 1;
+pub(super) const FIRST: u32 = 1;
 /// Part that crashes servers.
-const BAD: u32 = 666;
+pub(super) const BAD: u32 = 666;
 /// Bound of the rules on the time within which all VMs know of an end.
 const CONTACT_MS: u64 = 5_000;
 
 /// Call whose request as a whole has the ID `request`.
-fn call(request: u32, shared: &[u32]) -> CallParts {
+pub(super) fn call(request: u32, shared: &[u32]) -> CallParts {
     CallParts {
         request,
         shared: shared.to_vec(),
@@ -29,17 +29,17 @@
 }
 
 /// Call that is like no other; its ID follows from `number`.
-fn unique(number: u32, shared: &[u32]) -> CallParts {
+pub(super) fn unique(number: u32, shared: &[u32]) -> CallParts {
     call(1_000_000 + number, shared)
 }
 
-fn is_refused(table: &SuspectTable, parts: &[u32], now: Moment) -> bool {
+pub(super) fn is_refused(table: &SuspectTable, parts: &[u32], now: Moment) -> bool {
     let verdict = table.judge(&call(0, parts), |_| false, now);
     matches!(verdict, PartVerdict::Refused { .. })
 }
 
 /// Ends of `count` servers under the first and the bad part, 400 ms apart.
-fn crash(table: &mut SuspectTable, count: usize) {
+pub(super) fn crash(table: &mut SuspectTable, count: usize) {
     for index in 0..count as u32 {
         let calls = [
             unique(2 * index, &[FIRST, BAD]),
@@ -164,27 +164,6 @@
     assert!(!is_refused(&table, &[FIRST, BAD], at(5_000)));
 }
 
-/// Guards against a wrong quarantine that is never corrected, and against trials that
-/// crash more servers than the rules allow.
-#[test]
-fn a_quarantined_part_is_tried_a_few_times_by_one_vm() {
-    let mut table = SuspectTable::default();
-    crash(&mut table, MAX_CRASHES);
-    let mut trials = 0;
-    let end = QUARANTINE_TIME.as_millis() as u64;
-    for now in (3_000..end).step_by(1_000).map(at) {
-        assert!(is_refused(&table, &[FIRST, BAD], now));
-        let verdict = table.judge(&call(0, &[FIRST, BAD]), |_| true, now);
-        if verdict == (PartVerdict::Trial { part: BAD }) {
-            table.record_trial(BAD, now);
-            trials += 1;
-        }
-    }
-    assert!((1..=2).contains(&trials), "{trials}");
-    table.record_complete(&unique(900, &[FIRST, BAD]), at(end));
-    assert!(!is_refused(&table, &[FIRST, BAD], at(end)));
-}
-
 /// Guards against evidence that is lost between VMs: each saw an end of its own, one
 /// knows that the first part is sound.
 #[test]
@@ -462,49 +441,3 @@
         assert!(refused < 0.01, "seed {seed}: {refused} of the sound ones");
     }
 }
-
-/// Load: a VM with the bad calls restarts under them, so that only the ends of servers that
-/// had sound calls as well are known. Guards against a first part that stays blamed because
-/// its calls are refused.
-#[test]
-fn a_part_that_is_blamed_on_half_of_the_evidence_is_cleared_soon() {
-    let mut table = SuspectTable::default();
-    for index in 0..MAX_CRASHES as u32 {
-        let sound = unique(index, &[FIRST, 100 + index]);
-        table.record_crash(index, &[sound], at(1_000 + 400 * u64::from(index)));
-    }
-    let bad = unique(50, &[FIRST, BAD]);
-    table.record_crash(90, std::slice::from_ref(&bad), at(2_000));
-    table.record_crash(91, std::slice::from_ref(&bad), at(2_300));
-    assert!(is_refused(&table, &[FIRST, 7], at(2_500)));
-    let verdict = |call: &CallParts, now| table.judge(call, |_| true, at(now));
-    let sound = unique(60, &[FIRST, 7]);
-    let trial = PartVerdict::Trial { part: FIRST };
-    assert_eq!(verdict(&sound, 4_500), trial);
-    assert_eq!(verdict(&unique(61, &[FIRST, 100]), 4_500), trial, "one end");
-    assert!(matches!(verdict(&bad, 4_500), PartVerdict::Refused { .. }));
-    table.record_trial(FIRST, at(4_500));
-    assert!(is_refused(&table, &[FIRST, 7], at(5_000)), "one trial");
-    table.record_complete(&sound, at(5_500));
-    assert!(!is_refused(&table, &[FIRST, 8], at(5_500)));
-}
-
-/// Guards against more late requests with a part that does crash servers than the rules
-/// allow: three trials in all.
-#[test]
-fn a_first_part_that_crashes_servers_is_tried_three_times() {
-    let mut table = SuspectTable::default();
-    let mut ends = 0;
-    for now in (0..QUARANTINE_TIME.as_millis() as u64).step_by(300) {
-        let call = unique(now as u32, &[FIRST, 1_000 + now as u32]);
-        let verdict = table.judge(&call, |_| true, at(now));
-        if let PartVerdict::Trial { part } = verdict {
-            table.record_trial(part, at(now));
-        }
-        if !matches!(verdict, PartVerdict::Refused { .. }) {
-            ends += 1;
-            table.record_crash(ends as u32, &[call], at(now));
-        }
-    }
-    assert!(ends <= MAX_CRASHES_OF_SOUND + 3, "{ends} ends");
-}
