Represent moments before the start of a process

What callers saw: after restarts, repeats were refused although the budget had room.

Cause: a moment is counted in unsigned microseconds from the start of its process, so `now - age` ended at the start for whatever happened earlier. A process that took over what its predecessor had spent counted all of it from its own start: 7 repeats of 8 s before filled its share for 10 s more, and again after its next start.

Ruled out: shares that other VMs reserve and do not use.

Change: moments are signed. The same cause elsewhere, mended with it: ages of ends of servers, sound answers and quarantines that a young VM is told (a part stayed quarantined though it was answered soundly later), load reports and notices at verbenaringd. Counts by second and bucket use the time since the start, as before.

Both new tests fail with moments that end at the start.

--- a/crates/verbenaring-core/src/observe/logger.rs
+++ b/crates/verbenaring-core/src/observe/logger.rs
@@ -173,7 +173,7 @@
     /// Returns `None` if no further line may be written in this second, else the
     /// number of lines left out since the last one, which the line should state.
     pub fn try_acquire(&mut self, lines_per_s: u32, now: Moment) -> Option<u64> {
-        let second = now.0 / 1_000_000;
+        let second = now.since(Moment::default()).as_secs();
         if second != self.current_second {
             self.current_second = second;
             self.written = 0;
--- a/crates/verbenaring-gateway/src/backend.rs
+++ b/crates/verbenaring-gateway/src/backend.rs
@@ -237,7 +237,7 @@
                 cache_usage: 0.0,
                 age,
             };
-            record.report = Some((load, (now - age).0));
+            record.report = Some((load, now - age));
             for member in record.replicas.values() {
                 detector.record_load(*member, u32::from(fact.running));
             }
--- a/crates/verbenaring-gateway/src/server.rs
+++ b/crates/verbenaring-gateway/src/server.rs
@@ -68,8 +68,8 @@
     pub(crate) requests: u32,
     /// Estimated tokens of these requests.
     pub(crate) tokens: u64,
-    /// Latest load report and its monotonic time in microseconds.
-    pub(crate) report: Option<(ServerLoad, u64)>,
+    /// Latest load report and when it was made.
+    pub(crate) report: Option<(ServerLoad, Moment)>,
     /// Time until which no request is sent after a crash or a refused connection.
     pub(crate) avoided_until: Moment,
     /// Whether the server takes no new work because of a planned stop or notice.
@@ -328,7 +328,7 @@
                 slots: record.terms.slots,
                 tokens_per_s: record.terms.tokens_per_s * f64::from(record.terms.slots),
                 report: record.report.map(|(load, at)| ServerLoad {
-                    age: now.since(Moment(at)),
+                    age: now.since(at),
                     ..load
                 }),
                 models: &record.models,
--- a/crates/verbenaring-gateway/src/view.rs
+++ b/crates/verbenaring-gateway/src/view.rs
@@ -3,7 +3,7 @@
 //! Holds the nodes that requests can be forwarded to, and whether this node may
 //! serve: after a pause it first synchronises its configuration with its peers.
 
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicI64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -91,7 +91,7 @@
     pub(crate) settings: NodeSettings,
     pub(crate) clock: NodeClock,
     /// Monotonic time of the last tick of the cluster task, in microseconds.
-    pub(crate) last_tick: AtomicU64,
+    pub(crate) last_tick: AtomicI64,
     /// Whether the configuration is being synchronised after a pause.
     pub(crate) resyncing: AtomicBool,
     pub(crate) replica: Arc<ConfigReplica>,
@@ -134,7 +134,7 @@
         Self {
             settings: settings.clone(),
             clock,
-            last_tick: AtomicU64::new(clock.now().0),
+            last_tick: AtomicI64::new(clock.now().0),
             resyncing: AtomicBool::new(false),
             replica: replica.clone(),
             nodes: ArcSwap::from_pointee(NodeList {
--- a/crates/verbenaring-policy/src/retry.rs
+++ b/crates/verbenaring-policy/src/retry.rs
@@ -239,7 +239,7 @@
 
     /// Drops what has left the window and returns the index of the current bucket.
     fn advance(&mut self, now: Moment) -> usize {
-        let bucket = now.0 / BUCKET_US;
+        let bucket = now.since(Moment::default()).as_micros() as u64 / BUCKET_US;
         let passed = bucket
             .saturating_sub(self.bucket)
             .min(WINDOW_BUCKETS as u64);
--- a/crates/verbenaring-policy/src/time.rs
+++ b/crates/verbenaring-policy/src/time.rs
@@ -9,19 +9,21 @@
 
 use serde::{Deserialize, Serialize};
 
-/// Point in time, in microseconds since an arbitrary start.
+/// Point in time, in microseconds since an arbitrary start; negative before it.
 ///
 /// Moments of different processes have different starts and cannot be compared.
-/// Sums and differences saturate.
+/// Sums and differences saturate. The start of a process is the default: what others
+/// tell it of the time before has a negative moment.
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
-pub struct Moment(pub u64);
+pub struct Moment(pub i64);
 
 impl Moment {
     /// Time since `earlier`; zero if `earlier` is later.
     pub fn since(self, earlier: Moment) -> Duration {
-        Duration::from_micros(self.0.saturating_sub(earlier.0))
+        let micros = self.0.saturating_sub(earlier.0);
+        Duration::from_micros(u64::try_from(micros).unwrap_or_default())
     }
 }
 
@@ -29,7 +31,7 @@
     type Output = Moment;
 
     fn add(self, duration: Duration) -> Moment {
-        let micros = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
+        let micros = i64::try_from(duration.as_micros()).unwrap_or(i64::MAX);
         Moment(self.0.saturating_add(micros))
     }
 }
@@ -38,7 +40,7 @@
     type Output = Moment;
 
     fn sub(self, duration: Duration) -> Moment {
-        let micros = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
+        let micros = i64::try_from(duration.as_micros()).unwrap_or(i64::MAX);
         Moment(self.0.saturating_sub(micros))
     }
 }
--- a/crates/verbenaring-policy/tests/allotment.rs
+++ b/crates/verbenaring-policy/tests/allotment.rs
@@ -97,7 +97,7 @@
     }
 
     fn now(&self, node: usize) -> Moment {
-        Moment(self.time * CLOCK_PERCENT[node] / 100)
+        Moment::default() + Duration::from_micros(self.time * CLOCK_PERCENT[node] / 100)
     }
 
     fn stage_new_revision(&mut self, first: u32) {
--- a/crates/verbenaring-policy/tests/dispatch/retry_shares.rs
+++ b/crates/verbenaring-policy/tests/dispatch/retry_shares.rs
@@ -373,3 +373,23 @@
     assert!(!after.inherit(&statement(1, 2), at(300)));
     assert_eq!(after.usage(&service, 7, at(300)).spent, 5);
 }
+
+/// Guards against retries of an earlier process that count from the start of the one
+/// after it, whose clock begins there.
+#[test]
+fn retries_before_a_start_leave_the_window_in_time() {
+    let service = ServiceName::new("plain").unwrap();
+    let statements = HeldStatements::default();
+    let others = OtherShares {
+        known_vms: 7,
+        statements: &statements,
+    };
+    let mut before = RetryShares::new(TERMS, at(0));
+    before.record_first_start();
+    while before.try_take(&service, others, at(1_000)).is_ok() {}
+    let statement = before.statement(1, 1, 7, at(10_000));
+    let mut after = RetryShares::new(TERMS, at(0));
+    assert!(after.inherit(&statement, at(200)));
+    assert!(!after.usage(&service, 7, at(1_199)).has_room());
+    assert_eq!(after.usage(&service, 7, at(1_200)).spent, 0);
+}
--- a/crates/verbenaring-policy/tests/dispatch/suspect.rs
+++ b/crates/verbenaring-policy/tests/dispatch/suspect.rs
@@ -5,7 +5,7 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use verbenaring_policy::dispatch::evidence::CallParts;
+use verbenaring_policy::dispatch::evidence::{CallParts, SuspectNews};
 use verbenaring_policy::dispatch::suspect::{
     MAX_CRASHES, MAX_CRASHES_OF_SOUND, PartVerdict, SuspectTable,
 };
@@ -441,3 +441,20 @@
         assert!(refused < 0.01, "seed {seed}: {refused} of the sound ones");
     }
 }
+
+/// Load: a VM that has just started is told that a part was answered soundly after its
+/// quarantine. Guards against a quarantine that goes on there.
+#[test]
+fn what_came_before_a_start_keeps_its_order() {
+    let mut table = SuspectTable::default();
+    let quarantine = SuspectNews::of_quarantine(BAD, ms(20_000));
+    let sound = SuspectNews {
+        sound_age_ms: Some(10_000),
+        quarantine_age_ms: None,
+        ..quarantine.clone()
+    };
+    table.merge(&[quarantine], false, at(100));
+    assert!(is_refused(&table, &[FIRST, BAD], at(100)));
+    table.merge(&[sound], false, at(100));
+    assert!(!is_refused(&table, &[FIRST, BAD], at(100)));
+}
--- a/crates/verbenaring-policy/tests/drain.rs
+++ b/crates/verbenaring-policy/tests/drain.rs
@@ -12,7 +12,7 @@
 const MAX_REQUEST_TIME: Duration = Duration::from_secs(30);
 
 fn at(seconds: u64) -> Moment {
-    Moment(seconds * 1_000_000)
+    Moment::default() + Duration::from_secs(seconds)
 }
 
 fn centre(name: &str) -> DataCentre {
--- a/crates/verbenaring-policy/tests/retry.rs
+++ b/crates/verbenaring-policy/tests/retry.rs
@@ -10,7 +10,7 @@
 use verbenaring_policy::time::Moment;
 
 fn at(seconds: u64) -> Moment {
-    Moment(seconds * 1_000_000)
+    Moment::default() + Duration::from_secs(seconds)
 }
 
 fn customer(name: &str) -> CustomerId {
--- a/crates/verbenaring-policy/tests/scheduler.rs
+++ b/crates/verbenaring-policy/tests/scheduler.rs
@@ -14,7 +14,7 @@
 use verbenaring_policy::time::Moment;
 
 const START: Moment = Moment(0);
-const NO_DEADLINE: Moment = Moment(u64::MAX);
+const NO_DEADLINE: Moment = Moment(i64::MAX);
 
 fn queue(slots: usize, reserved: usize) -> FairQueue<&'static str> {
     FairQueue::new(QueueSettings {
@@ -295,7 +295,7 @@
         let contract = (random_bits >> 8) % 6_800 % (1 + (random_bits >> 32) % 6_800);
         match random_bits % 16 {
             0..=6 => {
-                let latest_start = Moment(now.0 + (random_bits >> 40) % 4_000);
+                let latest_start = Moment(now.0 + (random_bits >> 40) as i64 % 4_000);
                 let request = request(1 + (random_bits >> 20) as u32 % 9_000, latest_start);
                 if let Ok(key) = queue.push(&name(contract), &request, (step, latest_start), now) {
                     accepted += 1;
--- a/crates/verbenaring-policy/tests/straggler.rs
+++ b/crates/verbenaring-policy/tests/straggler.rs
@@ -79,7 +79,7 @@
                     *request = None;
                 }
             }
-            if self.now.0.is_multiple_of(100_000) {
+            if self.now.0 % 100_000 == 0 {
                 self.detector.evaluate(self.now);
             }
             for (index, duration) in ejected_time.iter_mut().enumerate() {
--- a/crates/verbenaring-testbed/examples/membership/product.rs
+++ b/crates/verbenaring-testbed/examples/membership/product.rs
@@ -147,7 +147,7 @@
             models: models.collect(),
             revision: self.revision,
             nodes_in_force: nodes_in_force.count() as u32,
-            unix_ms: WALL_CLOCK_START_MS + now.0 / 1_000,
+            unix_ms: WALL_CLOCK_START_MS + now.since(Moment::default()).as_millis() as u64,
         }
     }
 
--- a/crates/verbenaring-testbed/src/experiment/scenario.rs
+++ b/crates/verbenaring-testbed/src/experiment/scenario.rs
@@ -129,7 +129,7 @@
                     break;
                 }
                 let factor = rng.random_range(4.0..10.0);
-                let at = |time_s: f64| Moment((time_s * 1e6) as u64);
+                let at = |time_s: f64| Moment((time_s * 1e6) as i64);
                 let slowdown = Fault::Slowdown { server, factor };
                 faults.push(TimedFault {
                     at: at(time_s),
--- a/crates/verbenaring-testbed/src/experiment/workload.rs
+++ b/crates/verbenaring-testbed/src/experiment/workload.rs
@@ -295,7 +295,7 @@
             let angle = TAU * (time_s / load.day.as_secs_f64() + phase);
             let rate = mean * (1.0 + load.amplitude * angle.sin());
             if rng.random::<f64>() * peak < rate {
-                let sent_at = Moment((time_s * 1e6) as u64);
+                let sent_at = Moment((time_s * 1e6) as i64);
                 let member = draw_member(load, &mut rng);
                 let kind = usize::from(rng.random::<f64>() < long_share);
                 calls.push(draw_call(
@@ -310,7 +310,7 @@
         }
     }
     for index in 0..load.crashing {
-        let sent_at = Moment(duration.as_micros() as u64 / 10 * (1 + index as u64));
+        let sent_at = Moment::default() + duration / 10 * (1 + index as u32);
         let home_region = index % deployment.regions.len();
         let mut call = draw_call(deployment, sent_at, home_region, 0, 0, &mut rng);
         call.crashes = true;
