Tests of shared budgets: a clock for each process

Cause: the simulation of VMs that end and start again gave all processes one clock, as if none had begun to count time at its start, so it could not show that moments before a start were lost.

Change: each simulated process counts time from its own start.

--- a/crates/verbenaring-policy/tests/dispatch/retry_shares.rs
+++ b/crates/verbenaring-policy/tests/dispatch/retry_shares.rs
@@ -7,6 +7,7 @@
 };
 use verbenaring_policy::id::ServiceName;
 use verbenaring_policy::retry::{BudgetTerms, RETRY_WINDOW};
+use verbenaring_policy::time::Moment;
 
 use super::fixture::*;
 
@@ -67,6 +68,7 @@
     boot: u64,
     /// VMs that it knows, those that have left included.
     known_vms: usize,
+    started_ms: u64,
     /// When the process runs again, if it does not.
     down_until: Option<u64>,
 }
@@ -76,12 +78,18 @@
         Self {
             name,
             known_vms,
-            shares: RetryShares::new(TERMS, at(now_ms)),
+            shares: RetryShares::new(TERMS, at(0)),
             held: HeldStatements::default(),
             boot,
+            started_ms: now_ms,
             down_until: None,
         }
     }
+
+    /// Time of the clock of the process, which begins at its start.
+    fn clock(&self, now_ms: u64) -> Moment {
+        at(now_ms - self.started_ms)
+    }
 }
 
 struct Play {
@@ -143,14 +151,15 @@
             if vm.down_until.is_some() || !random.random_bool(chance.min(1.0)) {
                 continue;
             }
-            vm.shares.record_call(&service, at(now));
+            let clock = vm.clock(now);
+            vm.shares.record_call(&service, clock);
             outcome.calls.push(now);
             for _ in 0..2 {
                 let others = OtherShares {
                     known_vms: vm.known_vms,
                     statements: &vm.held,
                 };
-                match vm.shares.try_take(&service, others, at(now)) {
+                match vm.shares.try_take(&service, others, clock) {
                     Ok(()) => outcome.retries.push(now),
                     Err(_) => outcome.refused += 1,
                 }
@@ -206,17 +215,19 @@
             continue;
         }
         let vm = &mut vms[sender];
-        let statement = vm.shares.statement(vm.name, vm.boot, vm.known_vms, at(now));
+        let clock = vm.clock(now);
+        let statement = vm.shares.statement(vm.name, vm.boot, vm.known_vms, clock);
         let mut recalled = Vec::new();
         for (receiver, vm) in vms.iter_mut().enumerate() {
             if receiver != sender && vm.down_until.is_none() && !random.random_bool(loss) {
-                recalled.extend(vm.held.record(statement.clone(), at(now)));
-                vm.held.expire(at(now));
+                let clock = vm.clock(now);
+                recalled.extend(vm.held.record(statement.clone(), clock));
+                vm.held.expire(clock);
             }
         }
         for statement in recalled {
             if !random.random_bool(loss) {
-                vms[sender].shares.inherit(&statement, at(now));
+                vms[sender].shares.inherit(&statement, clock);
             }
         }
     }
