Name the format of the statements behind reports

Cause: what a VM has spent of the budgets follows the limits in reports without a format. A later build that changes a statement would send reports that this one can't decode, and so would count as dead here.

Change: one byte names the format; statements of another one are left out, and the report in front of them counts. No landed build sends or reads statements, so nothing older is affected; those builds read a report and its limits as before.

Measured: `statements_of_a_later_format_are_left_out` fails without the change.

--- a/crates/verbenaring-core/src/cluster/message.rs
+++ b/crates/verbenaring-core/src/cluster/message.rs
@@ -35,6 +35,9 @@
 const BUILDS: u8 = 7;
 const RETRIES: u8 = 8;
 
+/// Format of the statements behind the limits.
+const STATEMENTS_FORMAT: u8 = 1;
+
 /// What a VM states about itself.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct VmDescription {
@@ -236,7 +239,7 @@
     let room = MAX_DATAGRAM_BYTES.saturating_sub(datagram.len() + 1);
     let retries = match tail.retries.is_empty() {
         true => Vec::new(),
-        false => postcard::to_allocvec(&tail.retries)?,
+        false => postcard::to_extend(&tail.retries, vec![STATEMENTS_FORMAT])?,
     };
     let retries = if retries.len() <= room {
         retries
@@ -253,8 +256,8 @@
     Ok(datagram)
 }
 
-/// Decodes a message and what is stated behind it; datagrams of earlier versions end
-/// sooner.
+/// Decodes a message and what is stated behind it. Datagrams of earlier versions end
+/// sooner; statements in a format of a later version are left out.
 fn decode_with_tail<'a, T: Deserialize<'a>>(
     bytes: &'a [u8],
 ) -> Result<(T, MessageTail), postcard::Error> {
@@ -263,9 +266,9 @@
         return Ok((message, MessageTail::default()));
     }
     let (limits, rest) = postcard::take_from_bytes(rest)?;
-    let retries = match rest.is_empty() {
-        true => Vec::new(),
-        false => postcard::from_bytes(rest)?,
+    let retries = match rest.split_first() {
+        Some((&STATEMENTS_FORMAT, statements)) => postcard::from_bytes(statements)?,
+        Some(_) | None => Vec::new(),
     };
     Ok((message, MessageTail { limits, retries }))
 }
--- a/crates/verbenaring-core/tests/message.rs
+++ b/crates/verbenaring-core/tests/message.rs
@@ -165,6 +165,22 @@
     }
 }
 
+/// Guards against reports of a later version that are lost, with the VM that sends them,
+/// because its statements cannot be read.
+#[test]
+fn statements_of_a_later_format_are_left_out() {
+    let report = report();
+    let mut datagram = encode_report(&report, &MessageTail::default()).unwrap();
+    const NO_LIMITS: u8 = 0;
+    const LATER_FORMAT: u8 = 2;
+    datagram.extend([NO_LIMITS, LATER_FORMAT, 0xff, 0xff]);
+    let Ok(VmMessage::Report(read, tail)) = decode(&datagram) else {
+        panic!("no report");
+    };
+    assert_eq!(read, report);
+    assert_eq!(tail, MessageTail::default());
+}
+
 /// Guards against evidence that is dropped because its datagram is too long.
 #[test]
 fn evidence_about_many_parts_fits_into_a_datagram() {
