Log readings for calls that the store does not answer in time

Cause: a reading of the store for waiting calls that ran into its time limit left no log line; other failures of it do.

Change: one debug line with what was read and the limit.

--- a/crates/verbenaring-core/src/config/shared_read.rs
+++ b/crates/verbenaring-core/src/config/shared_read.rs
@@ -45,7 +45,11 @@
                     log::debug!(what = what, error:% = error; "failed to read the store for calls");
                     false
                 }
-                Err(_) => false,
+                Err(_) => {
+                    log::debug!(what = what, limit_ms = READ_TIMEOUT.as_millis() as u64;
+                        "no answer of the store for calls in time");
+                    false
+                }
             };
             self.latest
                 .send_replace(Some(CompletedRead { began, succeeded }));
