--- a/crates/verbenaring-core/src/cluster/snapshot.rs
+++ b/crates/verbenaring-core/src/cluster/snapshot.rs
@@ -16,7 +16,7 @@
 use hyper::{Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
-use verbenaring_policy::dispatch::call::RouteDocument;
+use verbenaring_policy::dispatch::call::{AccessRules, RouteDocument};
 use verbenaring_policy::dispatch::changes::{RemovedServer, ServerChanges};
 use verbenaring_policy::dispatch::presence::VmRecord;
 use verbenaring_policy::id::CentreName;
@@ -55,6 +55,40 @@
     servers: Option<ServerChanges>,
 }
 
+/// Format of the access rules behind a snapshot.
+const ACCESS_RULES_FORMAT: u8 = 1;
+
+impl ConfigSnapshot {
+    /// Encodes the snapshot and behind it the access rules of its routes, which earlier
+    /// builds ignore.
+    fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
+        let bytes = postcard::to_allocvec(self)?;
+        match &self.routes {
+            Some(routes) => {
+                postcard::to_extend(&(ACCESS_RULES_FORMAT, routes.access_rules()), bytes)
+            }
+            None => Ok(bytes),
+        }
+    }
+
+    /// Decodes a snapshot. Routes without access rules, as earlier builds state them, are
+    /// left out: callers of a tenant would need no key.
+    fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
+        let (snapshot, rest): (Self, _) = postcard::take_from_bytes(bytes)?;
+        let rules: Option<AccessRules> = match rest.split_first() {
+            Some((&ACCESS_RULES_FORMAT, rules)) => Some(postcard::from_bytes(rules)?),
+            Some(_) | None => None,
+        };
+        Ok(Self {
+            routes: snapshot
+                .routes
+                .zip(rules)
+                .map(|(routes, rules)| routes.with_access_rules(rules)),
+            ..snapshot
+        })
+    }
+}
+
 /// Revisions that the VM that asks already has; 0 where it has nothing.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 struct KnownRevisions {
@@ -176,8 +210,11 @@
         let body = Limited::new(answer.into_body(), MAX_SNAPSHOT_BYTES);
         let body = body.collect().await.map_err(|error| error.to_string())?;
         lease.release();
-        let snapshot: ConfigSnapshot =
-            postcard::from_bytes(&body.to_bytes()).map_err(|error| error.to_string())?;
+        let snapshot =
+            ConfigSnapshot::decode(&body.to_bytes()).map_err(|error| error.to_string())?;
+        if snapshot.routes.is_none() && !self.has_routes() {
+            return Err("no routes that this build understands".to_owned());
+        }
         let servers = snapshot.servers.as_ref();
         log::info!(address:% = address,
             operator_revision = snapshot.operator_revision.unwrap_or_default(),
@@ -249,7 +286,7 @@
                 .then(|| state.servers.changes_since(known.servers_revision, now)),
         };
         drop(state);
-        match postcard::to_allocvec(&snapshot) {
+        match snapshot.encode() {
             Ok(bytes) => Response::new(AnswerBody::whole(Bytes::from(bytes))),
             Err(error) => {
                 log::warn!(error:% = error; "failed to encode snapshot");
--- a/crates/verbenaring-core/src/path/call.rs
+++ b/crates/verbenaring-core/src/path/call.rs
@@ -18,6 +18,7 @@
 use verbenaring_policy::dispatch::place::PlacementRequest;
 use verbenaring_policy::dispatch::prompt::{name_hash, rendezvous_score};
 use verbenaring_policy::dispatch::server::ServerKey;
+use verbenaring_policy::dispatch::tenant::Tenant;
 use verbenaring_policy::id::{RegionName, ServiceName, VmId};
 use verbenaring_protocol::header;
 
@@ -59,6 +60,10 @@
     pub metadata: CallMetadata,
     /// Route that matched, with its rules for deadline, residency and retries.
     pub route: Arc<CallRoute>,
+    /// Tenant whose key the caller holds; `None` if the call belongs to none.
+    pub tenant: Option<Arc<Tenant>>,
+    /// Regions in which the call may run by its route and its tenant; all if empty.
+    pub residency: Vec<RegionName>,
     /// Service whose servers run the call.
     pub service: ServiceName,
     /// Settings of that service.
@@ -108,6 +113,17 @@
         self.route.kind.is_repeatable() && self.runs.load(Ordering::Relaxed) < self.max_attempts
     }
 
+    /// Rank of the call under load; 0 is the most urgent.
+    pub fn rank(&self) -> u8 {
+        let tenant = self.tenant.as_ref().and_then(|tenant| tenant.rank);
+        tenant.unwrap_or(self.route.rank)
+    }
+
+    /// Whether the call may run in `region`.
+    pub fn allows(&self, region: &RegionName) -> bool {
+        self.residency.is_empty() || self.residency.contains(region)
+    }
+
     /// Whether the call takes up a stream of which the caller has a part.
     pub fn continues_stream(&self) -> bool {
         let metadata = &self.metadata;
@@ -152,8 +168,8 @@
             model: self.metadata.model.as_ref(),
             prompt: &self.metadata.prompt,
             answer_tokens: self.metadata.max_answer_tokens,
-            rank: self.route.rank,
-            residency: &self.route.residency,
+            rank: self.rank(),
+            residency: &self.residency,
             builds: self.build_rule(),
             excluded,
             through_peer: false,
--- a/crates/verbenaring-core/src/path/choose.rs
+++ b/crates/verbenaring-core/src/path/choose.rs
@@ -230,7 +230,7 @@
         state: &mut FrontState,
         now: Moment,
     ) -> Result<Placement, PlacementError> {
-        if !call.route.allows(&self.location.region) {
+        if !call.allows(&self.location.region) {
             return Err(PlacementError::NoServer);
         }
         let vms = self.region_view(state, now);
@@ -347,7 +347,7 @@
     ) -> Option<RegionOffer> {
         let eligible = |region: &RegionName| {
             *region != self.location.region
-                && call.route.allows(region)
+                && call.allows(region)
                 && !excluded.contains(region)
                 && state
                     .servers
@@ -356,7 +356,7 @@
         let work = state
             .servers
             .uncached_read_time(&call.placement_request(&tried.servers));
-        let busy_limit = self.settings.tuning.dispatch.busy_limit(call.route.rank);
+        let busy_limit = self.settings.tuning.dispatch.busy_limit(call.rank());
         let mut best: Option<RegionOffer> = None;
         for (region, stated) in state.vms.region_waits() {
             let wait = stated.waits.iter();
@@ -424,7 +424,7 @@
         state: &FrontState,
         now: Moment,
     ) -> Option<VmRecord> {
-        if call.origin == CallOrigin::Vm || !call.route.allows(region) {
+        if call.origin == CallOrigin::Vm || !call.allows(region) {
             return None;
         }
         let vms: Vec<&VmRecord> = state
--- a/crates/verbenaring-core/src/path/controller.rs
+++ b/crates/verbenaring-core/src/path/controller.rs
@@ -107,6 +107,7 @@
             // The VM that forwarded the call has newer routes than this VM.
             CallOrigin::Vm => CallRefusal::busy("no_route_yet", STARTING_RETRY_AFTER),
         })?;
+        let access = self.check_access(&routes, &route, &parts.headers, origin)?;
         let session = metadata
             .prompt
             .iter()
@@ -141,6 +142,7 @@
         let call_parts = call_parts(&parts.method, host, &parts.uri, &body, &metadata);
         let mut headers = parts.headers;
         P::strip_internal_headers(&mut headers);
+        access.write_headers::<P>(&mut headers);
         strip_connection_headers(&mut headers);
         headers.remove(CONTENT_LENGTH);
         let call = PendingCall {
@@ -162,6 +164,8 @@
             reached_server: AtomicBool::new(false),
             metadata,
             route,
+            tenant: access.tenant,
+            residency: access.residency,
         };
         if origin == CallOrigin::Caller {
             let now = self.clock.now();
--- a/crates/verbenaring-core/src/path/exchange.rs
+++ b/crates/verbenaring-core/src/path/exchange.rs
@@ -345,7 +345,7 @@
     ) -> AttemptRequest {
         let engine = call.service_settings.cache_tokens.is_some();
         let priority = match server.work.urgent {
-            true => URGENT_BASE_PRIORITY + call.route.rank.min(MAX_ROUTE_RANK),
+            true => URGENT_BASE_PRIORITY + call.rank().min(MAX_ROUTE_RANK),
             false => LATE_PRIORITY,
         };
         let metadata = AttemptMetadata {
--- a/crates/verbenaring-core/src/path/mod.rs
+++ b/crates/verbenaring-core/src/path/mod.rs
@@ -1,6 +1,7 @@
 //! Request path: accepts a call, chooses a target, sends the call and relays
 //! the answer.
 
+mod access;
 pub mod call;
 pub mod choose;
 mod collect;
--- a/crates/verbenaring-core/src/wire.rs
+++ b/crates/verbenaring-core/src/wire.rs
@@ -8,7 +8,8 @@
 use hyper::header::HeaderName;
 use hyper::{HeaderMap, Request, StatusCode};
 use verbenaring_policy::dispatch::prompt::PromptPart;
-use verbenaring_policy::id::{ModelName, ServerId};
+use verbenaring_policy::dispatch::tenant::KeyHash;
+use verbenaring_policy::id::{ModelName, ServerId, TenantName};
 
 /// What the headers of a call state.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -21,6 +22,9 @@
     pub model: Option<ModelName>,
     /// Parts of the prompt, in order.
     pub prompt: Vec<PromptPart>,
+    /// Tokens of the prompt and most tokens of the answer, added up; `None` if the caller
+    /// does not state them.
+    pub stated_tokens: Option<u64>,
     /// Largest expected number of tokens in the answer; 0 if not stated.
     pub max_answer_tokens: u32,
     /// Id of the event after which a stream continues; `None` starts it from the
@@ -76,12 +80,28 @@
     Foreign,
 }
 
+/// What the headers of a call state of its tenant.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct CallerIdentity {
+    /// Whether there is a header for the caller's key, valid or not.
+    pub states_key: bool,
+    /// Hash of the caller's key; `None` if there is none, several or a malformed one.
+    pub key: Option<KeyHash>,
+    /// Tenant that another VM has found for the key.
+    pub tenant: Option<TenantName>,
+}
+
 /// Reads and writes the headers of callers and servers.
 pub trait WireProtocol: Send + Sync + 'static {
     /// Header by which callers name a try of a call; servers repeat it in their answers.
     fn call_id_header() -> HeaderName;
     /// Reads the headers of a call; the error is the reason of a 400 answer.
     fn read_call(headers: &HeaderMap) -> Result<CallMetadata, String>;
+    /// Reads whose call it is.
+    fn read_identity(headers: &HeaderMap) -> CallerIdentity;
+    /// Removes the caller's key, and tells the server the tenant; `None` if the call
+    /// belongs to none.
+    fn write_tenant(headers: &mut HeaderMap, tenant: Option<&TenantName>);
     /// Removes headers that only the gateway may set.
     fn strip_internal_headers(headers: &mut HeaderMap);
     /// Sets the headers of an attempt on top of those of the call.
--- a/crates/verbenaring-policy/src/dispatch/call.rs
+++ b/crates/verbenaring-policy/src/dispatch/call.rs
@@ -6,6 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::tenant::{Tenant, TenantTable};
 use crate::id::{RegionName, ServiceName};
 
 /// How often a call may run and how it is answered.
@@ -77,6 +78,10 @@
     /// Longest pause between two events of an answer that is in time; zero if the
     /// route states none.
     pub pause_goal: Duration,
+    /// Whether callers need no key. VMs state it to each other in the [`AccessRules`], as
+    /// earlier builds do not know it.
+    #[serde(skip)]
+    pub public: bool,
 }
 
 /// Shortest time without an event after which callers give a stream up.
@@ -172,14 +177,47 @@
     pub routes: Vec<CallRoute>,
     /// Services that the routes name, with their settings.
     pub services: Vec<(ServiceName, ServiceSettings)>,
+    /// Tenants whose callers identify themselves; without any, callers need no keys. VMs
+    /// state them to each other in the [`AccessRules`], as earlier builds do not know them.
+    #[serde(skip)]
+    pub tenants: Vec<Tenant>,
 }
 
-/// Routes of one document, indexed by host, and its services, indexed by name.
+impl RouteDocument {
+    /// What the document says of keys and tenants.
+    pub fn access_rules(&self) -> AccessRules {
+        AccessRules {
+            public: self.routes.iter().map(|route| route.public).collect(),
+            tenants: self.tenants.clone(),
+        }
+    }
+
+    /// Adds what another VM states of keys and tenants.
+    pub fn with_access_rules(mut self, rules: AccessRules) -> Self {
+        for (route, public) in self.routes.iter_mut().zip(rules.public) {
+            route.public = public;
+        }
+        self.tenants = rules.tenants;
+        self
+    }
+}
+
+/// Part of a [`RouteDocument`] that says who may call.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct AccessRules {
+    /// Whether callers of each route need no key, in the order of the routes.
+    pub public: Vec<bool>,
+    /// Tenants whose callers identify themselves.
+    pub tenants: Vec<Tenant>,
+}
+
+/// Routes of one document, indexed by host, its services, indexed by name, and its tenants.
 #[derive(Debug, Clone, Default)]
 pub struct RouteTable {
     document: RouteDocument,
     services: HashMap<ServiceName, usize>,
     hosts: HashMap<String, Vec<Arc<CallRoute>>>,
+    tenants: TenantTable,
 }
 
 impl RouteTable {
@@ -200,10 +238,16 @@
         Self {
             services,
             hosts,
+            tenants: TenantTable::new(&document.tenants),
             document,
         }
     }
 
+    /// Tenants of the document.
+    pub fn tenants(&self) -> &TenantTable {
+        &self.tenants
+    }
+
     /// Document that the table was built from.
     pub fn document(&self) -> &RouteDocument {
         &self.document
--- a/crates/verbenaring-policy/src/dispatch/mod.rs
+++ b/crates/verbenaring-policy/src/dispatch/mod.rs
@@ -51,4 +51,5 @@
 pub mod suspect;
 mod suspicion;
 pub mod table;
+pub mod tenant;
 pub mod watcher;
--- a/crates/verbenaring-policy/src/id.rs
+++ b/crates/verbenaring-policy/src/id.rs
@@ -111,6 +111,11 @@
     MemberId,
     "member"
 );
+name_type!(
+    /// Name of a tenant, whose callers identify themselves with its keys.
+    TenantName,
+    "tenant"
+);
 name_type!(
     /// Name of a model that engines serve.
     ModelName,
--- a/crates/verbenaring-policy/tests/dispatch/routes.rs
+++ b/crates/verbenaring-policy/tests/dispatch/routes.rs
@@ -24,6 +24,7 @@
             .to_vec(),
         residency: residency.iter().map(|name| region(name)).collect(),
         pause_goal: ms(0),
+        public: false,
     }
 }
 
@@ -38,6 +39,7 @@
             route("/c/", &[]),
         ],
         services: Vec::new(),
+        tenants: Vec::new(),
     });
     let found = |path: &str| {
         table
