Refusals say why no server can answer in time; prediction in a module of its own

Change: candidate.rs holds the prediction for one server; refusals are start_too_late, end_too_late or servers_full. The factor on the remaining time and the limit for calls that are in time although every server is busy are settings with their former values. A gate for calls beyond what engines can do (shortage.rs, admit.rs) is off unless target_busy is set.

--- a/crates/verbenaring-cli/src/logs/explain.rs
+++ b/crates/verbenaring-cli/src/logs/explain.rs
@@ -201,7 +201,16 @@
 /// Explains a refusal reason in plain words.
 fn describe_refusal(reason: &str) -> &'static str {
     match reason {
+        // Earlier builds do not tell these three apart.
         "overloaded" => "no server can answer in time",
+        "start_too_late" => "no server can begin the answer before the deadline",
+        "end_too_late" => "no server can end the answer before the deadline",
+        "servers_full" => "the servers have no room for the call",
+        "unknown_key" => "no tenant holds the caller's key",
+        "no_common_region" => "the route and the tenant have no home region in common",
+        "shortage" => {
+            "callers ask for more than the engines can do, and more urgent calls go first"
+        }
         "saturated" => "the engines read prompts nearly all of the time",
         "no_server" => "no server that may run the call takes calls",
         "servers_brittle" => {
--- a/crates/verbenaring-core/src/config/sync.rs
+++ b/crates/verbenaring-core/src/config/sync.rs
@@ -374,12 +374,12 @@
         if version <= current && self.has_routes() {
             return;
         }
-        let routes = document.routes.len();
+        let (routes, tenants) = (document.routes.len(), document.tenants.len());
         self.caller_idle_timeout.set(document.limits.idle_timeout);
         self.routes.store(Arc::new(RouteTable::new(document)));
         self.routes_known.store(true, Ordering::Relaxed);
         self.metrics.routes_version.set(version as i64);
-        log::info!(version = version, replaced = current, routes = routes; "routes in force");
+        log::info!(version = version, replaced = current, routes = routes, tenants = tenants; "routes in force");
     }
 
     pub(crate) fn apply_server(&self, entry: ServerEntry) {
--- a/crates/verbenaring-core/src/path/call.rs
+++ b/crates/verbenaring-core/src/path/call.rs
@@ -18,6 +18,7 @@
 use verbenaring_policy::dispatch::place::PlacementRequest;
 use verbenaring_policy::dispatch::prompt::{name_hash, rendezvous_score};
 use verbenaring_policy::dispatch::server::ServerKey;
+use verbenaring_policy::dispatch::shortage::CallRank;
 use verbenaring_policy::dispatch::tenant::Tenant;
 use verbenaring_policy::id::{RegionName, ServiceName, VmId};
 use verbenaring_protocol::header;
@@ -91,6 +92,9 @@
     pub forwarded_repeatable: bool,
     /// Software version that began the stream; unset until its first event.
     pub build: OnceLock<BuildId>,
+    /// Whether the call is admitted although callers ask for more than the engines can do;
+    /// unset until it is placed for the first time.
+    pub admitted: OnceLock<bool>,
     /// Number of servers on which the call may have run.
     pub runs: AtomicU32,
     /// Whether the latest attempt may be running, or may have run. Decides
@@ -119,6 +123,15 @@
         tenant.unwrap_or(self.route.rank)
     }
 
+    /// Urgency of the call while there is too little room for all.
+    pub fn call_rank(&self) -> CallRank {
+        let tenant = self.tenant.as_ref().and_then(|tenant| tenant.rank);
+        CallRank {
+            team: tenant.unwrap_or_default(),
+            route: self.route.rank,
+        }
+    }
+
     /// Whether the call may run in `region`.
     pub fn allows(&self, region: &RegionName) -> bool {
         self.residency.is_empty() || self.residency.contains(region)
--- a/crates/verbenaring-core/src/path/choose.rs
+++ b/crates/verbenaring-core/src/path/choose.rs
@@ -11,6 +11,7 @@
 use rand::Rng;
 use rand::seq::IndexedRandom;
 use verbenaring_policy::dispatch::build::BuildId;
+use verbenaring_policy::dispatch::candidate::OverloadCause;
 use verbenaring_policy::dispatch::ownership::RegionView;
 use verbenaring_policy::dispatch::place::{Placement, PlacementError, PlacementRequest};
 use verbenaring_policy::dispatch::presence::VmRecord;
@@ -108,11 +109,13 @@
 /// What another region can do for a call.
 #[derive(Debug, Clone, PartialEq)]
 pub(super) struct RegionOffer {
-    region: RegionName,
+    pub(super) region: RegionName,
     /// Predicted time to the first event or the whole answer.
-    forecast: Duration,
+    pub(super) forecast: Duration,
     /// Fraction of time that the servers of the region spend reading prompts.
-    busy: f64,
+    pub(super) busy: f64,
+    /// Number of servers there.
+    pub(super) servers: u16,
     /// Time that a server needs for the call.
     work: Duration,
     /// Age of the statement on which the prediction is based.
@@ -181,6 +184,9 @@
                     Ok(placement) => placement,
                     Err(error) => return Err(refusal_for(call, error)),
                 };
+                if let Some(target) = self.admit(call, tried, placement, state, now)? {
+                    return Ok(target);
+                }
                 if let Some(vm) = region_vm {
                     return Ok(self.forward_in_region(call, vm, placement, state, now));
                 }
@@ -268,7 +274,7 @@
         if let Some(suppressed) = state.routine_lines.try_acquire(routine_lines, now) {
             log::info!(request = call.metadata.attempt_id.as_str(), route = call.route.name.as_str(),
                 routes_version = self.routes.load().version(), server:% = id,
-                entry_revision = entry.revision, urgent = placement.urgent,
+                entry_revision = entry.revision, rank = call.rank(), urgent = placement.urgent,
                 unread = placement.unread_tokens, ahead = placement.queued_ahead, busy = placement.busy,
                 forecast_ms = placement.forecast.as_millis() as u64,
                 copied = placement.cache_source.is_some(), suppressed_lines = suppressed; "call placed");
@@ -311,7 +317,7 @@
         CallTarget::Vm(ChosenVm::new(&record, placement.forecast))
     }
 
-    fn forward_to_region(
+    pub(super) fn forward_to_region(
         &self,
         call: &PendingCall,
         record: VmRecord,
@@ -389,6 +395,7 @@
                     region: region.clone(),
                     forecast,
                     busy,
+                    servers: wait.servers,
                     work,
                     age: now.since(stated.stated_at),
                 });
@@ -415,7 +422,7 @@
 
     /// Random suitable VM of a region that reaches servers, weighted by capacity. `None` if
     /// no such VM there takes calls.
-    fn pick_vm(
+    pub(super) fn pick_vm(
         &self,
         call: &PendingCall,
         tried: &TriedTargets,
@@ -462,9 +469,14 @@
             CallRefusal::busy("servers_brittle", Duration::from_millis(wait))
         }
         PlacementError::Saturated { until } => CallRefusal::busy("saturated", retry_after(*until)),
-        PlacementError::Overloaded { forecast } => {
+        PlacementError::Overloaded { cause, forecast } => {
             let wait = forecast.saturating_sub(call.route.goal / 2);
-            CallRefusal::busy("overloaded", retry_after(wait))
+            let reason = match cause {
+                OverloadCause::LateStart => "start_too_late",
+                OverloadCause::LateEnd => "end_too_late",
+                OverloadCause::Full => "servers_full",
+            };
+            CallRefusal::busy(reason, retry_after(wait))
         }
     }
 }
--- a/crates/verbenaring-core/src/path/controller.rs
+++ b/crates/verbenaring-core/src/path/controller.rs
@@ -159,6 +159,7 @@
             max_attempts: max_attempts.max(1),
             forwarded_repeatable,
             build: build.map_or_else(OnceLock::new, OnceLock::from),
+            admitted: OnceLock::new(),
             runs: AtomicU32::new(0),
             maybe_running: AtomicBool::new(false),
             reached_server: AtomicBool::new(false),
--- a/crates/verbenaring-core/src/path/mod.rs
+++ b/crates/verbenaring-core/src/path/mod.rs
@@ -2,6 +2,7 @@
 //! the answer.
 
 mod access;
+mod admit;
 pub mod call;
 pub mod choose;
 mod collect;
--- a/crates/verbenaring-core/src/state.rs
+++ b/crates/verbenaring-core/src/state.rs
@@ -3,6 +3,7 @@
 //! One lock covers all of it; a decision takes a few microseconds. Routes are
 //! kept in the node, replaced as a whole and read without the lock.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use verbenaring_policy::dispatch::doubt::DoubtfulServers;
@@ -15,6 +16,7 @@
     HeldStatements, OtherShares, RetryShares, RetryStatement,
 };
 use verbenaring_policy::dispatch::run::RunTable;
+use verbenaring_policy::dispatch::shortage::ShortageGate;
 use verbenaring_policy::dispatch::spill::SpillTracker;
 use verbenaring_policy::dispatch::standstill::StandstillDetector;
 use verbenaring_policy::dispatch::suspect::{PartVerdict, SuspectTable};
@@ -50,6 +52,8 @@
     pub standstill: StandstillDetector,
     /// Addresses of VMs that are expected and have not been heard yet.
     pub unheard_vms: usize,
+    /// Work that callers ask this VM for, by service with engines.
+    pub shortage: HashMap<ServiceName, ShortageGate>,
     /// Calls recently forwarded to other regions.
     pub spilled_calls: SpillTracker,
     /// Revision of the operators' configuration in force; 0 if none is known.
@@ -84,6 +88,7 @@
             vms: PresenceTable::default(),
             standstill: StandstillDetector::default(),
             unheard_vms: settings.seeds.len(),
+            shortage: HashMap::new(),
             spilled_calls: SpillTracker::default(),
             operator_revision: 0,
             watcher_election: WatcherElection::default(),
@@ -231,6 +236,9 @@
         self.suspects.expire(now);
         self.origins.expire(now);
         self.vms.expire(now);
+        for gate in self.shortage.values_mut() {
+            gate.expire(now);
+        }
         self.retry_shares.expire(now);
         self.held_statements.expire(now);
     }
--- a/crates/verbenaring-policy/src/dispatch/mod.rs
+++ b/crates/verbenaring-policy/src/dispatch/mod.rs
@@ -11,7 +11,8 @@
 //! crash servers are refused ([`suspect`]), as far as the calls that servers leave behind
 //! when they end ([`run`], [`doubt`]) and the [`evidence`] of other VMs show it. Another region is
 //! used if it answers sooner or is much less busy ([`spill`]), and another VM of the region
-//! if this one has lost [`contact`] with the servers. Retries come from the VM's share of a
+//! if this one has lost [`contact`] with the servers. While callers ask for more than the
+//! engines can do, [`shortage`] says which calls are admitted. Retries come from the VM's share of a
 //! budget ([`retry_share`]). [`presence`] tracks the
 //! other VMs, [`standstill`] notices when this one did not run, [`relay`] decides to
 //! which of them a VM reports, [`watcher`] decides which VMs watch the configuration
@@ -20,6 +21,7 @@
 pub mod brittle;
 pub mod build;
 pub mod call;
+pub mod candidate;
 pub mod changes;
 pub mod contact;
 pub mod doubt;
@@ -44,6 +46,7 @@
 pub mod run;
 pub mod server;
 pub mod settings;
+pub mod shortage;
 pub mod silence;
 pub mod spill;
 pub mod standstill;
--- a/crates/verbenaring-policy/src/dispatch/place.rs
+++ b/crates/verbenaring-policy/src/dispatch/place.rs
@@ -14,9 +14,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::brittle::RESERVE_DIVISOR;
 use super::build::BuildRule;
 use super::call::ServiceSettings;
+use super::candidate::OverloadCause;
 use super::ownership::RegionView;
 use super::prompt::{PromptPart, PromptRecord, rendezvous_score, short_part_id};
 use super::rate::WorkRate;
@@ -25,17 +25,6 @@
 use crate::id::{ModelName, RegionName, ServiceName};
 use crate::time::Moment;
 
-/// Calls that a plain server accepts, as a multiple of its slots. Servers queue
-/// a few times their slots and refuse the rest.
-const PLAIN_QUEUE_FACTOR: u32 = 4;
-/// Time in which an idle engine generates one token of an answer, in ms.
-const IDLE_TOKEN_MS: f64 = 4.0;
-/// Factor by which the predicted end of an answer may exceed the remaining time.
-/// Callers' estimates of the answer length are often far off.
-const LENGTH_TOLERANCE: f64 = 1.5;
-/// Upper bound of the busy fraction in the prediction of answer times.
-const MAX_BUSY: f64 = 0.9;
-
 /// Number of live VMs in a region up to which all servers are compared. So few
 /// VMs report often enough to see each other's calls.
 const FULL_COMPARISON_VMS: usize = 6;
@@ -47,12 +36,6 @@
 /// there answers in time. Reading them again takes a few milliseconds, while every
 /// call to another data centre adds to the billed traffic.
 const MAX_LOCAL_SHARED_TOKENS: u32 = 500;
-/// Cost of sending a call to another data centre of the region: the round trip.
-const CROSSING_COST: Duration = Duration::from_millis(2);
-
-/// Most of a server's penalty that enters the wait suggested to a refused call.
-/// The penalty keeps calls away for longer than the server may need to recover.
-const MAX_SUGGESTED_PENALTY: Duration = Duration::from_millis(1_000);
 
 /// Call for which a server is to be chosen.
 #[derive(Debug, Clone, Copy)]
@@ -160,26 +143,13 @@
     },
     /// The answer would arrive too late, or no server has room.
     Overloaded {
+        /// What rules out the server that would answer first.
+        cause: OverloadCause,
         /// Predicted time to the first event, suggested to the caller as a wait.
         forecast: Duration,
     },
 }
 
-/// Usable server with its predicted cost.
-#[derive(Debug, Clone, Copy)]
-struct Candidate {
-    key: ServerKey,
-    urgent: bool,
-    unread_tokens: u32,
-    queued_ahead: u32,
-    forecast: Duration,
-    /// `forecast` with the penalty limited to [`MAX_SUGGESTED_PENALTY`].
-    suggested_wait: Duration,
-    busy: f64,
-    cost: Duration,
-    in_time: bool,
-}
-
 impl ServerTable {
     /// Chooses a server of the own region for a call.
     pub fn place(
@@ -213,16 +183,16 @@
                 .iter()
                 .map(|key| self.candidate(*key, request, cache_source, now));
             // `min_by_key` returns the first of equal servers in rendezvous order.
-            candidates.min_by_key(|candidate| (!candidate.in_time, candidate.cost))
+            candidates.min_by_key(|candidate| (!candidate.is_in_time(), candidate.cost))
         };
         let sampled = best_of(&usable[..compared]);
         let best = match sampled {
-            Some(best) if best.urgent && best.in_time => best,
+            Some(best) if best.urgent && best.is_in_time() => best,
             _ => best_of(&usable).ok_or(PlacementError::NoServer)?,
         };
-        if !best.in_time {
+        if let Some(cause) = best.obstacle {
             let forecast = best.suggested_wait;
-            return Err(PlacementError::Overloaded { forecast });
+            return Err(PlacementError::Overloaded { cause, forecast });
         }
         let cache_source = cache_source
             .filter(|source| *source != best.key && !self.has_session(best.key, request));
@@ -322,57 +292,11 @@
         let prompt = request.prompt_tokens();
         let (_, first) = self.forecast(record, request.settings, prompt, true, now);
         !record.is_paced(request.settings, self.current_since, now)
+            && self.busy(record, request.settings, now)
+                <= self.settings.burst_busy_limit(request.rank)
             && request.elapsed + first <= request.goal
     }
 
-    fn candidate(
-        &self,
-        key: ServerKey,
-        request: &PlacementRequest<'_>,
-        cache_source: Option<ServerKey>,
-        now: Moment,
-    ) -> Candidate {
-        let record = &self.servers[key];
-        let busy = self.busy(record, request.settings, now);
-        let unread_tokens = self.unread_tokens(key, request, cache_source);
-        let penalty = match request.through_peer {
-            true => Duration::ZERO,
-            false => record.health.penalty(now),
-        };
-        let (queued_ahead, first) =
-            self.forecast(record, request.settings, unread_tokens, true, now);
-        let first = first + penalty;
-        let crossing = match self.is_in_own_centre(record) {
-            true => Duration::ZERO,
-            false => CROSSING_COST,
-        };
-        let cost =
-            first + crossing + self.extra_cost(record, request, unread_tokens, queued_ahead, now);
-        let urgent = request.elapsed + first <= request.goal.mul_f64(self.settings.goal_margin);
-        let (queued_ahead, forecast) = match urgent {
-            true => (queued_ahead, first),
-            false => {
-                let (queued_ahead, late_first) =
-                    self.forecast(record, request.settings, unread_tokens, false, now);
-                (queued_ahead, late_first + penalty)
-            }
-        };
-        let end = forecast + answer_time(request, busy);
-        Candidate {
-            key,
-            urgent,
-            unread_tokens,
-            queued_ahead,
-            forecast,
-            suggested_wait: forecast - penalty + penalty.min(MAX_SUGGESTED_PENALTY),
-            busy,
-            cost,
-            in_time: forecast <= request.remaining
-                && end <= request.remaining.mul_f64(LENGTH_TOLERANCE)
-                && self.has_room(key, request, now),
-        }
-    }
-
     fn eligible_servers(&self, request: &PlacementRequest<'_>, now: Moment) -> Vec<ServerKey> {
         let is_eligible = |record: &ServerRecord| {
             let entry = &record.entry;
@@ -391,36 +315,6 @@
             .collect()
     }
 
-    /// Cost of a choice in addition to the call's own wait, as time: reading
-    /// shared parts again, a slower answer, and stalls of running streams.
-    fn extra_cost(
-        &self,
-        record: &ServerRecord,
-        request: &PlacementRequest<'_>,
-        unread_tokens: u32,
-        queued_ahead: u32,
-        now: Moment,
-    ) -> Duration {
-        if request.settings.cache_tokens.is_none() {
-            return Duration::ZERO;
-        }
-        let own = request.prompt.last().map_or(0, |part| part.tokens);
-        let reread_tokens = u64::from(unread_tokens.saturating_sub(own));
-        let busy = self.busy(record, request.settings, now);
-        let idle_time = answer_time(request, 0.0);
-        let slowdown = answer_time(request, busy).saturating_sub(idle_time);
-        let settings = &self.settings;
-        let stall =
-            (f64::from(queued_ahead) + f64::from(unread_tokens)) / settings.stall_tokens - 1.0;
-        let calls = f64::from(record.load(now).calls);
-        let stall_ms = stall.max(0.0) * calls * settings.stall_ms;
-        self.model_of(request.service)
-            .read_time(reread_tokens)
-            .mul_f64(self.settings.reread_weight)
-            + slowdown.mul_f64(settings.answer_weight)
-            + Duration::from_secs_f64(stall_ms / 1_000.0)
-    }
-
     /// Server that was last sent the shared parts of a call. Servers of the own
     /// region are preferred to those of other regions.
     fn cache_source(&self, request: &PlacementRequest<'_>, now: Moment) -> Option<ServerKey> {
@@ -451,7 +345,7 @@
     }
 
     /// Prompt tokens that a server is expected to read for a call.
-    fn unread_tokens(
+    pub(super) fn unread_tokens(
         &self,
         key: ServerKey,
         request: &PlacementRequest<'_>,
@@ -465,35 +359,4 @@
         };
         prompt_record.own + (f64::from(prompt_record.shared) * unread_share) as u32
     }
-
-    fn has_room(&self, key: ServerKey, request: &PlacementRequest<'_>, now: Moment) -> bool {
-        let record = &self.servers[key];
-        let load = record.load(now);
-        match request.settings.cache_tokens {
-            None => {
-                let accepted = record.entry.slots.saturating_mul(PLAIN_QUEUE_FACTOR);
-                u32::from(load.calls) < accepted
-            }
-            Some(capacity) => {
-                let memory = u64::from(load.memory_tokens)
-                    + u64::from(request.prompt_tokens())
-                    + u64::from(request.answer_tokens);
-                let capacity = match self.is_brittle(request.service, now) {
-                    true => capacity - capacity / u64::from(RESERVE_DIVISOR),
-                    false => capacity,
-                };
-                load.calls == 0 || memory <= capacity
-            }
-        }
-    }
-}
-
-/// Time to generate the answer. Between two tokens, the engine reads a chunk of
-/// each waiting prompt.
-fn answer_time(request: &PlacementRequest<'_>, busy: f64) -> Duration {
-    if request.settings.cache_tokens.is_none() {
-        return Duration::ZERO;
-    }
-    let idle_share = 1.0 - busy.min(MAX_BUSY);
-    Duration::from_secs_f64(f64::from(request.answer_tokens) * IDLE_TOKEN_MS / idle_share / 1_000.0)
 }
--- a/crates/verbenaring-policy/src/dispatch/region_load.rs
+++ b/crates/verbenaring-policy/src/dispatch/region_load.rs
@@ -66,6 +66,27 @@
         loads.filter(|(_, share)| !share.is_idle()).collect()
     }
 
+    /// Fraction of their time that the usable engines of the region spend reading prompts,
+    /// on the mean, and their number; `None` without any.
+    pub fn mean_busy(
+        &self,
+        service: &ServiceName,
+        settings: &ServiceSettings,
+        now: Moment,
+    ) -> Option<(f64, u16)> {
+        let usable = self.servers.values().filter(|record| {
+            record.entry.service == *service
+                && self.is_usable(record, now)
+                && !record.is_paced(settings, self.current_since, now)
+        });
+        let (mut busy, mut count) = (0.0, 0_u16);
+        for record in usable {
+            busy += self.busy(record, settings, now);
+            count = count.saturating_add(1);
+        }
+        (count > 0).then(|| (busy / f64::from(count), count))
+    }
+
     /// Expected waits of urgent calls in the own region; none without usable servers.
     pub fn waits<'a>(
         &self,
--- a/crates/verbenaring-policy/src/dispatch/settings.rs
+++ b/crates/verbenaring-policy/src/dispatch/settings.rs
@@ -17,7 +17,18 @@
     /// Fraction of its time spent reading prompts above which an engine takes no
     /// calls of rank 0, because answers progress too slowly to end in time.
     pub busy_limit: f64,
-    /// Decrease of `busy_limit` per rank, so that more urgent calls are served
+    /// The same where every server is above `busy_limit` and the call is predicted to meet
+    /// its goal all the same: the rate of work is an average, which a burst raises before
+    /// queues are long.
+    pub burst_busy_limit: f64,
+    /// Factor by which the predicted end of an answer may exceed the remaining time.
+    /// Callers' estimates of the length of answers are often far off.
+    pub length_tolerance: f64,
+    /// Fraction of their time that engines are to spend reading prompts while callers ask
+    /// for more: of the least urgent calls, as many are refused as keeps it. 0 admits
+    /// calls as they come.
+    pub target_busy: f64,
+    /// Decrease of both limits per rank, so that more urgent calls are served
     /// when there is no capacity for all.
     pub busy_rank_step: f64,
     /// Weight of the time to read shared parts again, relative to the wait of the
@@ -44,6 +55,9 @@
             spill_busy: 0.3,
             spill_difference: 0.1,
             busy_limit: 0.85,
+            burst_busy_limit: 100.0,
+            length_tolerance: 1.5,
+            target_busy: 0.0,
             busy_rank_step: 0.1,
             reread_weight: 3.0,
             copy_share: 0.3,
@@ -60,4 +74,10 @@
     pub fn busy_limit(&self, rank: u8) -> f64 {
         self.busy_limit - self.busy_rank_step * f64::from(rank)
     }
+
+    /// The same for calls that are predicted to meet their goal although every server is
+    /// busier.
+    pub fn burst_busy_limit(&self, rank: u8) -> f64 {
+        self.burst_busy_limit - self.busy_rank_step * f64::from(rank)
+    }
 }
--- a/crates/verbenaring-policy/tests/dispatch/place.rs
+++ b/crates/verbenaring-policy/tests/dispatch/place.rs
@@ -109,7 +109,7 @@
         }
     }
     match refused {
-        Some(PlacementError::Overloaded { forecast }) => assert!(forecast > ms(1_000)),
+        Some(PlacementError::Overloaded { forecast, .. }) => assert!(forecast > ms(1_000)),
         Some(PlacementError::Saturated { until }) => assert!(until > Duration::ZERO),
         other => panic!("not refused: {other:?}"),
     }
@@ -229,7 +229,7 @@
     // Without a limit for cold servers, the server is only penalised, not paced.
     call.settings.cold_rate = 0.0;
     match call.place(&mut table, at(20)) {
-        Err(PlacementError::Overloaded { forecast }) => {
+        Err(PlacementError::Overloaded { forecast, .. }) => {
             assert!(forecast <= ms(1_500), "{forecast:?}");
         }
         other => panic!("{other:?}"),
