--- a/crates/verbenaring-core/src/path/mod.rs
+++ b/crates/verbenaring-core/src/path/mod.rs
@@ -1,6 +1,8 @@
 //! Request path: accepts a call, chooses a target, sends the call and relays
 //! the answer.
 
+mod access;
+mod admit;
 pub mod call;
 pub mod choose;
 mod collect;
