--- /dev/null
+++ b/crates/verbenaring-policy/src/dispatch/allowance.rs
@@ -0,0 +1,447 @@
+//! Quotas of tenants across all VMs.
+//!
+//! Load pattern: a tenant asks for several times its quota at one VM, at all of them or at
+//! VMs that change every few seconds, while VMs end, stand still or are cut off. Fixed
+//! parts of the quota would be unused at VMs without calls, and calls that cost more than
+//! a part, or that arrive at a VM once a minute, would never be let through.
+//!
+//! Each VM follows the level of one token bucket for all VMs from what they state to each
+//! other, and may use a part of the level within the time that a statement takes, in
+//! proportion to its part of the demand. What nobody uses stays in the level. A call that
+//! the part does not cover is let through with the probability with which the level covers
+//! all calls. The part of VMs that are not heard counts as used. See
+//! `docs/design/allowances.md`.
+
+use std::collections::{BTreeSet, HashMap};
+use std::time::Duration;
+
+pub use super::allowance_meter::EXCHANGE_TIME;
+use super::allowance_meter::TenantMeter;
+use super::allowance_parts::{HeldParts, OthersView, UseSum};
+pub use super::allowance_parts::{
+    AllowanceRole, AllowanceScope, AllowanceStatement, MAX_STATED_TENANTS, TenantUse,
+};
+use super::prompt::name_hash;
+use super::tenant::{Allowance, Tenant};
+use crate::id::TenantName;
+use crate::time::Moment;
+
+/// Part of the quota that follows the demand. The rest is divided evenly, for VMs whose
+/// demand has just begun.
+const DEMAND_WEIGHT: f64 = 0.75;
+/// Use of the permitted excess of a tenth: it makes up for what the delay of statements
+/// leaves unused.
+const HEADROOM: f64 = 1.02;
+/// Spending that may be missing in the level while it is full, as time of the rate.
+const UNSEEN_TIME: Duration = Duration::from_millis(900);
+/// Time in which the levels that VMs follow approach each other.
+const LEVEL_TIME: Duration = Duration::from_secs(2);
+/// Time after the start within which a VM that hears no other may not know of them.
+const START_TIME: Duration = Duration::from_secs(3);
+/// Number of VMs that is assumed until then.
+const ASSUMED_VMS: usize = 256;
+/// Shortest time without calls after which an account is dropped.
+const MIN_IDLE_TIME: Duration = Duration::from_secs(10);
+/// Longest such time.
+const MAX_IDLE_TIME: Duration = Duration::from_secs(600);
+/// Shortest suggested wait of a refused caller.
+const MIN_WAIT: Duration = Duration::from_millis(200);
+/// Longest suggested wait of a refused caller.
+const MAX_WAIT: Duration = Duration::from_secs(8);
+
+/// What a call was charged; returned if it reaches no server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AllowanceCharge {
+    tenant: u64,
+    cost: u64,
+}
+
+impl AllowanceCharge {
+    /// Units that were charged.
+    pub fn cost(&self) -> u64 {
+        self.cost
+    }
+}
+
+/// Why a call was not charged.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct QuotaExceeded {
+    /// Time after which there will be capacity, without jitter.
+    pub wait: Duration,
+    /// Units that are left of the whole allowance; negative if too much was used.
+    pub level: f64,
+    /// Part of the level that this VM may use, as a fraction.
+    pub share: f64,
+}
+
+/// State of one tenant's allowance at this VM.
+#[derive(Debug, Clone, PartialEq)]
+pub struct AllowanceUsage {
+    /// Name of the tenant.
+    pub tenant: TenantName,
+    /// Quota in units per second.
+    pub rate: f64,
+    /// Units per second that this VM charges.
+    pub spent: f64,
+    /// Units left of the whole allowance.
+    pub level: f64,
+    /// Part of the level that this VM may use, as a fraction.
+    pub share: f64,
+    /// Units charged since the account began, without those returned.
+    pub charged: u64,
+    /// Calls refused since the account began.
+    pub refused: u64,
+}
+
+#[derive(Debug)]
+struct TenantAccount {
+    name: TenantName,
+    limits: Allowance,
+    meter: TenantMeter,
+    level: f64,
+    /// Part of the quota that VMs hold which are not heard.
+    lost_share: f64,
+    lost_vms: f64,
+    /// Part of the rest that this VM may use.
+    share: f64,
+    /// Demand per second at the VMs that are heard.
+    demand: f64,
+    updated_at: Moment,
+    used_at: Moment,
+    charged: u64,
+    refused: u64,
+}
+
+impl TenantAccount {
+    fn rate(&self) -> f64 {
+        self.limits.rate * HEADROOM
+    }
+
+    fn burst(&self) -> f64 {
+        self.limits.burst * HEADROOM
+    }
+
+    /// Applies the time since the last update.
+    fn update(&mut self, others: &OthersView, now: Moment) {
+        let elapsed = now.since(self.updated_at).as_secs_f64();
+        self.updated_at = now;
+        let own_demand = self.meter.demand_rate();
+        let own_spent = self.meter.spent_rate();
+        let (demand, spent) = match others.includes_own {
+            true => (others.fresh.demand, others.fresh.spent),
+            false => (
+                others.fresh.demand + own_demand,
+                others.fresh.spent + own_spent,
+            ),
+        };
+        self.demand = demand;
+        self.hold_lost_share(others, demand);
+        self.share = self.own_share(demand, others.fresh_vms);
+        let heard = 1.0 - self.lost_share;
+        let cap = self.burst() * heard
+            + spent.clamp(0.0, self.rate()) * UNSEEN_TIME.as_secs_f64();
+        let floor = -(self.burst() + 8.0 * self.rate());
+        let level = self.level + elapsed * (self.rate() * heard - spent);
+        self.level = level.min(cap).max(floor);
+        if self.lost_share == 0.0 && others.fresh.level_vms > 0.0 {
+            let mean = match others.includes_own {
+                true => others.fresh.level / others.fresh.level_vms,
+                false => {
+                    (others.fresh.level + self.level) / (others.fresh.level_vms + 1.0)
+                }
+            };
+            let part = 1.0 - (-elapsed / LEVEL_TIME.as_secs_f64()).exp();
+            self.level += (mean.min(cap) - self.level) * part;
+        }
+    }
+
+    /// Takes what VMs may use that are not heard out of the level. Their part does not
+    /// shrink by demand that they do not know of.
+    fn hold_lost_share(&mut self, others: &OthersView, demand: f64) {
+        let lost_vms = others.lost_vms;
+        let by_vms = lost_vms / (others.fresh_vms + lost_vms);
+        let by_demand = match demand + others.lost_demand > 0.0 {
+            true => others.lost_demand / (demand + others.lost_demand),
+            false => by_vms,
+        };
+        let mut lost_share = DEMAND_WEIGHT * by_demand + (1.0 - DEMAND_WEIGHT) * by_vms;
+        if lost_vms > 0.0 && lost_vms >= self.lost_vms {
+            lost_share = lost_share.max(self.lost_share);
+        }
+        if lost_share > self.lost_share && self.level > 0.0 {
+            self.level *= (1.0 - lost_share) / (1.0 - self.lost_share);
+        }
+        self.lost_share = lost_share.min(1.0 - f64::EPSILON);
+        self.lost_vms = lost_vms;
+    }
+
+    /// Part of this VM among those that are heard. All of these know at least the demand
+    /// that it had for some time, so that the parts add up to at most 1.
+    fn own_share(&self, demand: f64, fresh_vms: f64) -> f64 {
+        let known = self.meter.known_demand_rate();
+        let by_vms = 1.0 / fresh_vms;
+        let by_demand = match demand > 0.0 {
+            true => (known / demand.max(known)).min(1.0),
+            false => by_vms,
+        };
+        DEMAND_WEIGHT * by_demand + (1.0 - DEMAND_WEIGHT) * by_vms
+    }
+
+    /// Whether a call may be charged. `draw` is a random number from 0 to 1.
+    fn covers(&self, cost: f64, draw: f64) -> bool {
+        let unseen = self.meter.unseen();
+        let part = self.share * self.level;
+        if unseen + cost <= part {
+            return true;
+        }
+        if unseen > part.max(0.0) || unseen + cost > self.level {
+            return false;
+        }
+        // Demand that has just begun here counts before the others know of it.
+        let new_demand = self.meter.demand_rate() - self.meter.known_demand_rate();
+        let demand = self.demand.max(self.meter.demand_rate()) + new_demand.max(0.0);
+        draw * demand * EXCHANGE_TIME.as_secs_f64() < self.level
+    }
+
+    fn wait(&self, cost: f64) -> Duration {
+        let missing = (cost + self.meter.unseen() - self.level).max(0.0);
+        let wait = Duration::try_from_secs_f64(missing / self.rate());
+        wait.unwrap_or(MAX_WAIT).clamp(MIN_WAIT, MAX_WAIT)
+    }
+
+    fn idle_time(&self) -> Duration {
+        let fill = Duration::try_from_secs_f64(self.limits.burst / self.limits.rate);
+        fill.unwrap_or(MAX_IDLE_TIME)
+            .clamp(MIN_IDLE_TIME, MAX_IDLE_TIME)
+    }
+}
+
+/// Accounts of the tenants with a quota, and what other VMs state of theirs.
+#[derive(Debug)]
+pub struct AllowanceTable {
+    accounts: HashMap<u64, TenantAccount>,
+    parts: HeldParts,
+    own: u32,
+    started_at: Moment,
+    cursor: usize,
+}
+
+impl AllowanceTable {
+    /// Accounts of a process that starts at `now`; `own` is the short hash of the name of
+    /// its VM.
+    pub fn new(own: u32, now: Moment) -> Self {
+        Self {
+            accounts: HashMap::new(),
+            parts: HeldParts::default(),
+            own,
+            started_at: now,
+            cursor: 0,
+        }
+    }
+
+    /// Sets to whom this VM reports, and the number of VMs that are known or expected,
+    /// this one included.
+    pub fn set_group(&mut self, role: AllowanceRole, known_vms: usize, now: Moment) {
+        self.parts.role = role;
+        let starting = now.since(self.started_at) < START_TIME && !self.parts.hears_any(now);
+        self.parts.known_vms = match starting {
+            true => known_vms.max(ASSUMED_VMS),
+            false => known_vms.max(1),
+        };
+    }
+
+    /// Charges a call of a tenant. `draw` is a random number from 0 to 1. `None` if the
+    /// tenant has no quota.
+    pub fn charge(
+        &mut self,
+        tenant: &Tenant,
+        stated_tokens: Option<u64>,
+        draw: f64,
+        now: Moment,
+    ) -> Result<Option<AllowanceCharge>, QuotaExceeded> {
+        let limits = tenant.allowance;
+        if !limits.is_limited() {
+            return Ok(None);
+        }
+        let hash = name_hash(tenant.name.as_str());
+        self.open(hash, tenant, now);
+        self.update(hash, now);
+        let cost = limits.cost(stated_tokens);
+        let account = self.accounts.get_mut(&hash).expect("opened above");
+        account.used_at = now;
+        account.meter.record_demand(cost);
+        if !account.covers(cost as f64, draw) {
+            account.refused += 1;
+            return Err(QuotaExceeded {
+                wait: account.wait(cost as f64),
+                level: account.level,
+                share: account.share,
+            });
+        }
+        account.meter.record_charge(cost as f64);
+        account.charged += cost;
+        Ok(Some(AllowanceCharge { tenant: hash, cost }))
+    }
+
+    /// Returns what a call was charged that has reached no server.
+    pub fn refund(&mut self, charge: AllowanceCharge, now: Moment) {
+        self.update(charge.tenant, now);
+        if let Some(account) = self.accounts.get_mut(&charge.tenant) {
+            account.meter.record_charge(-(charge.cost as f64));
+            account.charged = account.charged.saturating_sub(charge.cost);
+        }
+    }
+
+    fn open(&mut self, hash: u64, tenant: &Tenant, now: Moment) {
+        if let Some(account) = self.accounts.get_mut(&hash) {
+            account.limits = tenant.allowance;
+            return;
+        }
+        let limits = tenant.allowance;
+        let view = self.parts.view(hash as u32, 0.0, now);
+        let uptime = now.since(self.started_at).as_secs_f64();
+        let level = (limits.rate * uptime).min(limits.burst);
+        let level = view.fresh.mean_level().map_or(level, |mean| mean.min(level));
+        let account = TenantAccount {
+            name: tenant.name.clone(),
+            limits,
+            meter: TenantMeter::new(now),
+            level,
+            lost_share: 0.0,
+            lost_vms: 0.0,
+            share: 0.0,
+            demand: 0.0,
+            updated_at: now,
+            used_at: now,
+            charged: 0,
+            refused: 0,
+        };
+        self.accounts.insert(hash, account);
+        self.refresh(hash, now);
+    }
+
+    fn update(&mut self, hash: u64, now: Moment) {
+        let account = self.accounts.get_mut(&hash);
+        if account.is_some_and(|account| account.meter.advance(now)) {
+            self.refresh(hash, now);
+        }
+    }
+
+    fn refresh(&mut self, hash: u64, now: Moment) {
+        if let Some(account) = self.accounts.get_mut(&hash) {
+            let own_demand = account.meter.known_demand_rate();
+            let view = self.parts.view(hash as u32, own_demand, now);
+            account.update(&view, now);
+        }
+    }
+
+    /// Takes over what another VM states.
+    pub fn record(&mut self, statement: &AllowanceStatement, now: Moment) {
+        if statement.source != self.own {
+            self.parts.record(statement, now);
+        }
+    }
+
+    /// Whether there is anything to state.
+    pub fn is_idle(&self) -> bool {
+        self.accounts.is_empty() && self.parts.tenants().next().is_none()
+    }
+
+    /// What this VM states of the VMs of a scope: of [`MAX_STATED_TENANTS`] tenants, the
+    /// next ones in turn if there are more.
+    pub fn statement(&mut self, scope: AllowanceScope, now: Moment) -> AllowanceStatement {
+        let hashes: Vec<u64> = self.accounts.keys().copied().collect();
+        let mut tenants = BTreeSet::new();
+        let mut by_short = HashMap::new();
+        for hash in hashes {
+            self.update(hash, now);
+            tenants.insert(hash as u32);
+            by_short.insert(hash as u32, hash);
+        }
+        if scope != AllowanceScope::Vm {
+            tenants.extend(self.parts.tenants());
+        }
+        let tenants: Vec<u32> = tenants.into_iter().collect();
+        let count = tenants.len().min(MAX_STATED_TENANTS);
+        let start = match tenants.len() > count {
+            true => self.cursor % tenants.len(),
+            false => 0,
+        };
+        let stated = (0..count).map(|index| tenants[(start + index) % tenants.len()]);
+        let uses = stated.map(|tenant| {
+            let account = by_short.get(&tenant).and_then(|hash| self.accounts.get(hash));
+            self.stated_use(tenant, account, scope, now)
+        });
+        let uses = uses.collect();
+        if scope != AllowanceScope::Far {
+            self.cursor = start + count;
+        }
+        let vms = match scope {
+            AllowanceScope::Vm => 1,
+            AllowanceScope::Near => 1 + self.parts.group_vms(true),
+            AllowanceScope::Far => 1 + self.parts.group_vms(false),
+            AllowanceScope::Total => self.parts.view(0, 0.0, now).fresh_vms as usize,
+        };
+        AllowanceStatement {
+            source: self.own,
+            scope,
+            vms: u16::try_from(vms).unwrap_or(u16::MAX),
+            uses,
+        }
+    }
+
+    fn stated_use(
+        &self,
+        tenant: u32,
+        account: Option<&TenantAccount>,
+        scope: AllowanceScope,
+        now: Moment,
+    ) -> TenantUse {
+        let rate = account.map_or(0.0, TenantAccount::rate);
+        let all_demand = account.map_or(0.0, |account| account.demand);
+        let stale_spent = |demand: f64| match demand > 0.0 {
+            true => rate * demand / all_demand.max(demand),
+            false => 0.0,
+        };
+        let mut sum = match scope {
+            AllowanceScope::Vm => UseSum::default(),
+            AllowanceScope::Near => self.parts.group_sum(tenant, true, stale_spent, now),
+            AllowanceScope::Far => self.parts.group_sum(tenant, false, stale_spent, now),
+            AllowanceScope::Total => self.parts.view(tenant, 0.0, now).fresh,
+        };
+        if let Some(account) = account {
+            let demand = account.meter.demand_rate();
+            sum.add(demand, account.meter.spent_rate(), account.level, 1.0);
+            if scope == AllowanceScope::Total {
+                sum.spent += account.lost_share * account.rate();
+            }
+        }
+        sum.stated(tenant)
+    }
+
+    /// State of the tenants' allowances, those with most refusals first.
+    pub fn usages(&self) -> Vec<AllowanceUsage> {
+        let usages = self.accounts.values().map(|account| AllowanceUsage {
+            tenant: account.name.clone(),
+            rate: account.limits.rate,
+            spent: account.meter.spent_rate(),
+            level: account.level,
+            share: account.share * (1.0 - account.lost_share),
+            charged: account.charged,
+            refused: account.refused,
+        });
+        let mut usages: Vec<AllowanceUsage> = usages.collect();
+        usages.sort_by(|one, other| {
+            let refused = other.refused.cmp(&one.refused);
+            refused.then_with(|| one.tenant.cmp(&other.tenant))
+        });
+        usages
+    }
+
+    /// Drops accounts that are full again, and statements on which nothing depends.
+    pub fn expire(&mut self, now: Moment) {
+        self.accounts
+            .retain(|_, account| now.since(account.used_at) < account.idle_time());
+        self.parts.expire(now);
+    }
+}
--- a/crates/verbenaring-policy/src/dispatch/mod.rs
+++ b/crates/verbenaring-policy/src/dispatch/mod.rs
@@ -12,11 +12,15 @@
 //! when they end ([`run`], [`doubt`]) and the [`evidence`] of other VMs show it. Another region is
 //! used if it answers sooner or is much less busy ([`spill`]), and another VM of the region
 //! if this one has lost [`contact`] with the servers. Retries come from the VM's share of a
-//! budget ([`retry_share`]). [`presence`] tracks the
+//! budget ([`retry_share`]), and the quotas of tenants bind all VMs together
+//! ([`allowance`]). [`presence`] tracks the
 //! other VMs, [`standstill`] notices when this one did not run, [`relay`] decides to
 //! which of them a VM reports, [`watcher`] decides which VMs watch the configuration
 //! source, and [`changes`] passes their view of the servers on.
 
+pub mod allowance;
+mod allowance_meter;
+mod allowance_parts;
 pub mod brittle;
 pub mod build;
 pub mod call;
