--- a/crates/verbenaring-core/src/cluster/message.rs
+++ b/crates/verbenaring-core/src/cluster/message.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use verbenaring_policy::dispatch::allowance::AllowanceStatement;
 use verbenaring_policy::dispatch::build::DeclaredBuild;
 use verbenaring_policy::dispatch::evidence::SuspectNews;
 use verbenaring_policy::dispatch::limit::LimitUpdate;
@@ -34,9 +35,14 @@
 const ORIGINS: u8 = 6;
 const BUILDS: u8 = 7;
 const RETRIES: u8 = 8;
+const ALLOWANCES: u8 = 9;
 
 /// Format of the statements behind the limits.
 const STATEMENTS_FORMAT: u8 = 1;
+/// Format of the use of quotas behind these statements.
+const ALLOWANCES_FORMAT: u8 = 1;
+/// Bytes that a relay puts before an encoded digest.
+const LOADS_PREFIX_BYTES: usize = 5;
 
 /// What a VM states about itself.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -202,6 +208,8 @@
     pub limits: Vec<LimitUpdate>,
     /// What the sender has spent of the retry budgets; empty if it does not state it now.
     pub retries: Vec<RetryStatement>,
+    /// Use of the tenants' quotas; at most one statement.
+    pub allowances: Vec<AllowanceStatement>,
 }
 
 /// Message of one datagram.
@@ -225,6 +233,8 @@
     /// What the process of the receiver's VM before this one has spent of the retry
     /// budgets.
     Retries(RetryStatement),
+    /// Use of the tenants' quotas by the group of a relay of another region.
+    Allowances(AllowanceStatement),
 }
 
 /// Encodes the report of a VM, with as much of the tail as fits.
@@ -234,7 +244,8 @@
 }
 
 /// Appends limits and statements to a datagram. Receivers of an earlier version ignore
-/// what they do not know: first the statements, then the limits as well.
+/// what they do not know: first the use of quotas, then the statements of retries, then
+/// the limits as well.
 fn append_tail(datagram: Vec<u8>, tail: &MessageTail) -> Result<Vec<u8>, postcard::Error> {
     let room = MAX_DATAGRAM_BYTES.saturating_sub(datagram.len() + 1);
     let retries = match tail.retries.is_empty() {
@@ -246,16 +257,46 @@
     } else {
         Vec::new()
     };
-    let room = room.saturating_sub(retries.len()) / MAX_LIMIT_BYTES;
+    let room = room.saturating_sub(retries.len());
+    // Neither limits nor quotas crowd the other out.
+    let allowances = encode_allowance_tail(&tail.allowances, room / 2, retries.is_empty())?;
+    let room = room.saturating_sub(allowances.len()) / MAX_LIMIT_BYTES;
     let limits = &tail.limits[..tail.limits.len().min(room)];
-    if limits.is_empty() && retries.is_empty() {
+    if limits.is_empty() && retries.is_empty() && allowances.is_empty() {
         return Ok(datagram);
     }
     let mut datagram = postcard::to_extend(limits, datagram)?;
     datagram.extend_from_slice(&retries);
+    datagram.extend_from_slice(&allowances);
     Ok(datagram)
 }
 
+/// Encodes as much of the use of quotas as fits; with an empty list of statements of
+/// retries before it if there are none.
+fn encode_allowance_tail(
+    allowances: &[AllowanceStatement],
+    room: usize,
+    needs_retries: bool,
+) -> Result<Vec<u8>, postcard::Error> {
+    let mut fitting = allowances.to_vec();
+    while !fitting.is_empty() {
+        let mut bytes = match needs_retries {
+            true => postcard::to_extend::<[RetryStatement], _>(&[], vec![STATEMENTS_FORMAT])?,
+            false => Vec::new(),
+        };
+        bytes.push(ALLOWANCES_FORMAT);
+        let bytes = postcard::to_extend(&fitting, bytes)?;
+        if bytes.len() + LOADS_PREFIX_BYTES <= room {
+            return Ok(bytes);
+        }
+        let shortened = fitting.iter_mut().map(|statement| statement.uses.pop());
+        if shortened.flatten().count() == 0 {
+            break;
+        }
+    }
+    Ok(Vec::new())
+}
+
 /// Decodes a message and what is stated behind it. Datagrams of earlier versions end
 /// sooner; statements in a format of a later version are left out.
 fn decode_with_tail<'a, T: Deserialize<'a>>(
@@ -266,11 +307,20 @@
         return Ok((message, MessageTail::default()));
     }
     let (limits, rest) = postcard::take_from_bytes(rest)?;
-    let retries = match rest.split_first() {
-        Some((&STATEMENTS_FORMAT, statements)) => postcard::from_bytes(statements)?,
+    let (retries, rest) = match rest.split_first() {
+        Some((&STATEMENTS_FORMAT, statements)) => postcard::take_from_bytes(statements)?,
+        Some(_) | None => (Vec::new(), &[][..]),
+    };
+    let allowances = match rest.split_first() {
+        Some((&ALLOWANCES_FORMAT, allowances)) => postcard::from_bytes(allowances)?,
         Some(_) | None => Vec::new(),
     };
-    Ok((message, MessageTail { limits, retries }))
+    let tail = MessageTail {
+        limits,
+        retries,
+        allowances,
+    };
+    Ok((message, tail))
 }
 
 /// Encodes a digest of VMs.
@@ -303,6 +353,11 @@
     postcard::to_extend(statement, vec![RETRIES])
 }
 
+/// Encodes the use of quotas for a relay of another region.
+pub fn encode_allowances(statement: &AllowanceStatement) -> Result<Vec<u8>, postcard::Error> {
+    postcard::to_extend(statement, vec![ALLOWANCES])
+}
+
 /// Encodes loads and their tail, which are the same for all receivers.
 pub fn encode_digest(digest: &LoadDigest, tail: &MessageTail) -> Result<Vec<u8>, postcard::Error> {
     append_tail(postcard::to_allocvec(digest)?, tail)
@@ -339,6 +394,7 @@
         ORIGINS => Ok(VmMessage::Origins(postcard::from_bytes(body)?)),
         BUILDS => Ok(VmMessage::Builds(postcard::from_bytes(body)?)),
         RETRIES => Ok(VmMessage::Retries(postcard::from_bytes(body)?)),
+        ALLOWANCES => Ok(VmMessage::Allowances(postcard::from_bytes(body)?)),
         _ => Err(postcard::Error::DeserializeBadEnum),
     }
 }
--- a/crates/verbenaring-core/src/cluster/mod.rs
+++ b/crates/verbenaring-core/src/cluster/mod.rs
@@ -1,5 +1,6 @@
 //! State exchanged with other VMs, and the directory of VMs for callers.
 
+mod allowances;
 pub mod builds;
 pub mod directory;
 pub mod message;
--- a/crates/verbenaring-core/src/cluster/receive.rs
+++ b/crates/verbenaring-core/src/cluster/receive.rs
@@ -25,11 +25,13 @@
             Ok(VmMessage::Report(report, tail)) => {
                 self.node.merge_limits(&tail.limits, StatementSource::Vm);
                 self.hold_statements(tail.retries, report.vm.report_address);
+                self.hold_allowances(&tail.allowances);
                 self.apply_report(report);
             }
             Ok(VmMessage::Loads(included, digest, tail)) => {
                 self.node.merge_limits(&tail.limits, StatementSource::Relay);
                 self.hold_statements(tail.retries, digest.vm.report_address);
+                self.hold_allowances(&tail.allowances);
                 self.apply_loads(included, digest);
             }
             Ok(VmMessage::Members(digest)) => self.apply_members(digest),
@@ -38,6 +40,7 @@
             Ok(VmMessage::Origins(origins)) => self.apply_origins(&origins),
             Ok(VmMessage::Builds(declared)) => self.apply_builds(&declared),
             Ok(VmMessage::Retries(statement)) => self.inherit_retries(&statement),
+            Ok(VmMessage::Allowances(statement)) => self.hold_allowances(&[statement]),
             Err(error) => {
                 if let Some(suppressed) = self.node.allow_log_line(true) {
                     log::warn!(from:% = from, bytes = datagram.len(), error:% = error,
--- a/crates/verbenaring-core/src/cluster/relay.rs
+++ b/crates/verbenaring-core/src/cluster/relay.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use verbenaring_policy::dispatch::allowance::AllowanceScope;
 use verbenaring_policy::dispatch::limit::StatementSource;
 use verbenaring_policy::dispatch::presence::{RegionWaits, VmKey, VmNews, VmRecord};
 use verbenaring_policy::dispatch::prompt::{PromptRecord, name_hash};
@@ -95,12 +96,13 @@
         let group_digest = digest(LoadScope::Group, group_loads);
         let region_digest = digest(LoadScope::Region, region_loads);
         let retries = self.due_statement();
-        let tail = |source, retries| MessageTail {
+        let tail = |source, retries, scope| MessageTail {
             limits: self.node.lock().servers.limit_updates(source, now),
             retries,
+            allowances: self.stated_allowances(scope),
         };
-        let for_relays = tail(StatementSource::Vm, retries);
-        let for_group = tail(StatementSource::Relay, Vec::new());
+        let for_relays = tail(StatementSource::Vm, retries, AllowanceScope::Near);
+        let for_group = tail(StatementSource::Relay, Vec::new(), AllowanceScope::Total);
         let encoded = encode_digest(&group_digest, &for_relays).and_then(|group| {
             let region = encode_digest(&region_digest, &for_group)?;
             Ok((group, region))
@@ -156,7 +158,9 @@
         };
         let near = [self.plan.group.as_slice(), &self.plan.near_relays].concat();
         push_members(&digest, &addresses(&near), datagrams);
-        push_members(&far_digest, &addresses(&self.plan.far_relays), datagrams);
+        let far = addresses(&self.plan.far_relays);
+        push_members(&far_digest, &far, datagrams);
+        self.relay_allowances(&far, datagrams);
     }
 
     /// Describes the VMs of the region to those of the group that have just started.
--- a/crates/verbenaring-core/src/cluster/report.rs
+++ b/crates/verbenaring-core/src/cluster/report.rs
@@ -19,6 +19,7 @@
 
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, MissedTickBehavior};
+use verbenaring_policy::dispatch::allowance::AllowanceScope;
 use verbenaring_policy::dispatch::limit::{LimitUpdate, StatementSource};
 use verbenaring_policy::dispatch::presence::VmKey;
 use verbenaring_policy::dispatch::prompt::PromptRecord;
@@ -251,6 +252,7 @@
         let live_group: HashSet<VmKey> = plan.group.iter().copied().collect();
         self.included.retain(|key, _| live_group.contains(key));
         self.plan = plan;
+        self.update_allowance_group();
     }
 
     fn report_directly(&mut self, datagrams: &mut Datagrams) {
@@ -275,6 +277,7 @@
             let tail = MessageTail {
                 limits: Vec::new(),
                 retries: vec![self.own_statement()],
+                allowances: self.stated_allowances(AllowanceScope::Vm),
             };
             push_report(&report, &tail, &far, datagrams);
         }
@@ -320,6 +323,7 @@
         MessageTail {
             limits: self.own_limits(),
             retries: self.due_statement(),
+            allowances: self.stated_allowances(AllowanceScope::Vm),
         }
     }
 
--- a/crates/verbenaring-core/src/node.rs
+++ b/crates/verbenaring-core/src/node.rs
@@ -34,6 +34,7 @@
 use crate::observe::metrics::FrontMetrics;
 use crate::path::call::{CallOrigin, PendingCall};
 use crate::path::origin::ORIGIN_PATH;
+use crate::path::quota::ReturnedCharges;
 use crate::settings::FrontSettings;
 use crate::state::FrontState;
 use crate::supervisor::supervise;
@@ -75,6 +76,8 @@
     pub stream_tasks: TaskTracker,
     /// Memory for long answers and events that are buffered: a permit per byte.
     pub(crate) answer_memory: Arc<Semaphore>,
+    /// Charges of calls that were not sent.
+    pub(crate) returned_charges: Arc<ReturnedCharges>,
     /// Idle timeout of connections from callers.
     pub(crate) caller_idle_timeout: Arc<IdleTimeout>,
     /// Notified when servers are to be checked.
@@ -113,6 +116,7 @@
             reports: ReportTargets::default(),
             stream_tasks: TaskTracker::new(),
             answer_memory: Arc::new(Semaphore::new(settings.resources.answer_memory_bytes())),
+            returned_charges: Arc::default(),
             caller_idle_timeout: Arc::default(),
             server_check: Notify::new(),
             declaration_reads: SharedReads::default(),
@@ -277,6 +281,7 @@
                 .unreached_services
                 .set(state.servers.lost_services() as i64);
             drop(state);
+            self.show_quotas();
             self.log_quarantines();
             let opened = self.pool.opened_connections();
             let counted = self.metrics.connections.get();
--- a/crates/verbenaring-core/src/observe/metrics.rs
+++ b/crates/verbenaring-core/src/observe/metrics.rs
@@ -1,8 +1,8 @@
 //! Counters and latency histograms of the request path.
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
-    Registry, TextEncoder,
+    Encoder, GaugeVec, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    Opts, Registry, TextEncoder,
 };
 
 /// Upper bounds of the latency buckets, in seconds.
@@ -19,6 +19,9 @@
     pub refusals: IntCounterVec,
     /// Repeats asked of the retry budgets, by result (`taken` or `refused`).
     pub retries: IntCounterVec,
+    /// Quotas of the tenants with most refusals, by tenant and value (`rate`, `spent_per_s`,
+    /// `level`, `share`, `charged` or `refused`).
+    pub tenant_quotas: GaugeVec,
     /// Attempts by target (`server` or `vm`) and result.
     pub attempts: IntCounterVec,
     /// Streams that ended without an error of the connection, by framing and by the
@@ -95,6 +98,14 @@
                 "Refusals by reason",
                 &["reason"],
             ),
+            tenant_quotas: register(
+                &registry,
+                GaugeVec::new(
+                    Opts::new("verbenaring_tenant_quota", "Quotas of tenants at this VM"),
+                    &["tenant", "value"],
+                )
+                .expect("valid metric"),
+            ),
             retries: counters(
                 "verbenaring_retries_total",
                 "Repeats asked of the retry budgets, by result (taken, refused)",
--- a/crates/verbenaring-core/src/path/call.rs
+++ b/crates/verbenaring-core/src/path/call.rs
@@ -22,6 +22,7 @@
 use verbenaring_policy::id::{RegionName, ServiceName, VmId};
 use verbenaring_protocol::header;
 
+use super::quota::ChargeGuard;
 use crate::wire::CallMetadata;
 
 /// Header of a forwarded call: time since the caller sent it, in ms.
@@ -99,6 +100,20 @@
     /// Whether the call has reached a server. Each further attempt is then a
     /// retry and counts against the retry budget.
     pub reached_server: AtomicBool,
+    /// What the call was charged; `None` if its tenant has no quota, or if another VM
+    /// charged it.
+    pub charge: Option<ChargeGuard>,
+}
+
+impl Drop for PendingCall {
+    fn drop(&mut self) {
+        let sent = *self.maybe_running.get_mut()
+            || *self.reached_server.get_mut()
+            || *self.runs.get_mut() > 0;
+        if let Some(charge) = self.charge.as_mut().filter(|_| sent) {
+            charge.keep();
+        }
+    }
 }
 
 impl PendingCall {
--- a/crates/verbenaring-core/src/path/controller.rs
+++ b/crates/verbenaring-core/src/path/controller.rs
@@ -122,6 +122,10 @@
         });
         let (service, service_settings) =
             known_service.ok_or_else(|| CallRefusal::busy("no_service", STARTING_RETRY_AFTER))?;
+        let charge = match origin {
+            CallOrigin::Caller => self.charge_tenant(access.tenant.as_ref(), &metadata)?,
+            CallOrigin::Vm => None,
+        };
         let body = read_body(body, routes.document().limits.body_bytes).await?;
         let header_number = |name: &str| {
             let value = parts.headers.get(name)?.to_str().ok()?;
@@ -162,6 +166,7 @@
             runs: AtomicU32::new(0),
             maybe_running: AtomicBool::new(false),
             reached_server: AtomicBool::new(false),
+            charge,
             metadata,
             route,
             tenant: access.tenant,
--- a/crates/verbenaring-core/src/path/mod.rs
+++ b/crates/verbenaring-core/src/path/mod.rs
@@ -11,6 +11,7 @@
 pub mod framing;
 pub mod origin;
 pub mod overdue;
+pub(crate) mod quota;
 pub mod refusal;
 pub mod relay;
 pub mod reserve;
--- a/crates/verbenaring-core/src/state.rs
+++ b/crates/verbenaring-core/src/state.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use verbenaring_policy::dispatch::allowance::{AllowanceRole, AllowanceTable};
 use verbenaring_policy::dispatch::doubt::DoubtfulServers;
 use verbenaring_policy::dispatch::evidence::CallParts;
 use verbenaring_policy::dispatch::origin::StreamOrigins;
@@ -61,6 +62,8 @@
     pub retry_shares: RetryShares,
     /// What other VMs have spent of theirs.
     pub held_statements: HeldStatements,
+    /// This VM's accounts of the tenants' quotas.
+    pub allowances: AllowanceTable,
     region: RegionName,
     vm_hash: u64,
     capacity: u32,
@@ -90,6 +93,10 @@
             routine_lines: LogRateLimiter::default(),
             retry_shares: RetryShares::new(settings.bounds.budget(), Moment::default()),
             held_statements: HeldStatements::default(),
+            allowances: AllowanceTable::new(
+                name_hash(settings.vm.as_str()) as u32,
+                Moment::default(),
+            ),
             vm_hash: name_hash(settings.vm.as_str()),
             capacity: settings.capacity(),
             region,
@@ -204,6 +211,12 @@
         self.vms.iter().count() + 1
     }
 
+    /// Sets to whom this VM states the use of quotas.
+    pub(crate) fn set_allowance_group(&mut self, role: AllowanceRole, now: Moment) {
+        let known_vms = self.known_vms() + self.unheard_vms;
+        self.allowances.set_group(role, known_vms, now);
+    }
+
     /// Number of VMs among which the retry budgets are divided.
     pub fn budget_vms(&self, now: Moment) -> usize {
         self.retry_shares.divisor(self.known_vms(), now)
@@ -233,5 +246,6 @@
         self.vms.expire(now);
         self.retry_shares.expire(now);
         self.held_statements.expire(now);
+        self.allowances.expire(now);
     }
 }
--- a/crates/verbenaring-core/tests/message.rs
+++ b/crates/verbenaring-core/tests/message.rs
@@ -151,6 +151,7 @@
         let tail = MessageTail {
             limits,
             retries: vec![retry_statement()],
+            ..MessageTail::default()
         };
         let datagram = encode_report(&report(), &tail).unwrap();
         assert!(datagram.len() <= MAX_DATAGRAM_BYTES);
--- a/crates/verbenaring-policy/src/dispatch/allowance.rs
+++ b/crates/verbenaring-policy/src/dispatch/allowance.rs
@@ -17,10 +17,10 @@
 
 pub use super::allowance_meter::EXCHANGE_TIME;
 use super::allowance_meter::TenantMeter;
-use super::allowance_parts::{HeldParts, OthersView, UseSum};
 pub use super::allowance_parts::{
     AllowanceRole, AllowanceScope, AllowanceStatement, MAX_STATED_TENANTS, TenantUse,
 };
+use super::allowance_parts::{HeldParts, OthersView, UseSum};
 use super::prompt::name_hash;
 use super::tenant::{Allowance, Tenant};
 use crate::id::TenantName;
@@ -138,17 +138,14 @@
         self.hold_lost_share(others, demand);
         self.share = self.own_share(demand, others.fresh_vms);
         let heard = 1.0 - self.lost_share;
-        let cap = self.burst() * heard
-            + spent.clamp(0.0, self.rate()) * UNSEEN_TIME.as_secs_f64();
+        let cap = self.burst() * heard + spent.clamp(0.0, self.rate()) * UNSEEN_TIME.as_secs_f64();
         let floor = -(self.burst() + 8.0 * self.rate());
         let level = self.level + elapsed * (self.rate() * heard - spent);
         self.level = level.min(cap).max(floor);
         if self.lost_share == 0.0 && others.fresh.level_vms > 0.0 {
             let mean = match others.includes_own {
                 true => others.fresh.level / others.fresh.level_vms,
-                false => {
-                    (others.fresh.level + self.level) / (others.fresh.level_vms + 1.0)
-                }
+                false => (others.fresh.level + self.level) / (others.fresh.level_vms + 1.0),
             };
             let part = 1.0 - (-elapsed / LEVEL_TIME.as_secs_f64()).exp();
             self.level += (mean.min(cap) - self.level) * part;
@@ -232,7 +229,7 @@
     pub fn new(own: u32, now: Moment) -> Self {
         Self {
             accounts: HashMap::new(),
-            parts: HeldParts::default(),
+            parts: HeldParts::new(ASSUMED_VMS),
             own,
             started_at: now,
             cursor: 0,
@@ -301,7 +298,10 @@
         let view = self.parts.view(hash as u32, 0.0, now);
         let uptime = now.since(self.started_at).as_secs_f64();
         let level = (limits.rate * uptime).min(limits.burst);
-        let level = view.fresh.mean_level().map_or(level, |mean| mean.min(level));
+        let level = view
+            .fresh
+            .mean_level()
+            .map_or(level, |mean| mean.min(level));
         let account = TenantAccount {
             name: tenant.name.clone(),
             limits,
@@ -369,7 +369,9 @@
         };
         let stated = (0..count).map(|index| tenants[(start + index) % tenants.len()]);
         let uses = stated.map(|tenant| {
-            let account = by_short.get(&tenant).and_then(|hash| self.accounts.get(hash));
+            let account = by_short
+                .get(&tenant)
+                .and_then(|hash| self.accounts.get(hash));
             self.stated_use(tenant, account, scope, now)
         });
         let uses = uses.collect();
--- a/crates/verbenaring-policy/src/dispatch/allowance_parts.rs
+++ b/crates/verbenaring-policy/src/dispatch/allowance_parts.rs
@@ -13,7 +13,7 @@
 
 /// Age from which the VMs of a statement may be cut off. Two statements of another region
 /// may get lost before.
-const MAX_FRESH_AGE: Duration = Duration::from_millis(1_500);
+const MAX_FRESH_AGE: Duration = Duration::from_millis(900);
 /// Time for which parts of VMs are kept that are not heard, which may still spend them.
 /// Their records are dropped after the same time.
 const KEPT_AGE: Duration = Duration::from_secs(60);
@@ -168,6 +168,13 @@
 }
 
 impl HeldParts {
+    pub(super) fn new(known_vms: usize) -> Self {
+        Self {
+            known_vms,
+            ..Self::default()
+        }
+    }
+
     pub(super) fn record(&mut self, statement: &AllowanceStatement, now: Moment) {
         let key = (statement.source, statement.scope);
         if !self.parts.contains_key(&key) && self.parts.len() >= MAX_PARTS {
