--- a/crates/verbenaring-core/tests/allowance_message.rs
+++ b/crates/verbenaring-core/tests/allowance_message.rs
@@ -51,11 +51,13 @@
         demand: 1 << 40,
         spent: -(1 << 40),
         level: -(1 << 40),
+        lost: 1 << 40,
     };
     AllowanceStatement {
         source: u32::MAX,
         scope,
         vms: 195,
+        lost_vms: 0,
         uses: vec![stated; tenants],
     }
 }
@@ -159,7 +161,7 @@
         for limits in [0, 500] {
             let update = LimitUpdate {
                 server: u32::MAX,
-                limit: Some(1_000_000.0),
+                rate: u32::MAX,
                 age_ms: u32::MAX,
             };
             let tail = MessageTail {
--- a/crates/verbenaring-policy/src/dispatch/allowance.rs
+++ b/crates/verbenaring-policy/src/dispatch/allowance.rs
@@ -12,23 +12,31 @@
 //! all calls. The part of VMs that are not heard counts as used. See
 //! `docs/design/allowances.md`.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
 
 pub use super::allowance_meter::EXCHANGE_TIME;
-use super::allowance_meter::TenantMeter;
+use super::allowance_meter::{SLOW_TIME, TenantMeter};
 pub use super::allowance_parts::{
     AllowanceRole, AllowanceScope, AllowanceStatement, MAX_STATED_TENANTS, TenantUse,
 };
-use super::allowance_parts::{HeldParts, OthersView, UseSum};
+use super::allowance_parts::{HeldParts, MAX_FRESH_AGE, OthersView, UseSum};
 use super::prompt::name_hash;
 use super::tenant::{Allowance, Tenant};
 use crate::id::TenantName;
 use crate::time::Moment;
 
-/// Part of the quota that follows the demand. The rest is divided evenly, for VMs whose
-/// demand has just begun.
-const DEMAND_WEIGHT: f64 = 0.75;
+/// Part of the quota that follows the demand of the last second.
+const FAST_WEIGHT: f64 = 0.45;
+/// Part that follows the demand of a longer time, for VMs with rare calls.
+const SLOW_WEIGHT: f64 = 0.3;
+/// Both. The rest is divided evenly, for VMs whose demand has just begun.
+const DEMAND_WEIGHT: f64 = FAST_WEIGHT + SLOW_WEIGHT;
+/// Updates of the demand that are kept; they cover the age at which a VM counts as lost and
+/// [`EXCHANGE_TIME`].
+const KEPT_DEMANDS: usize = 34;
+/// Age at which a VM counts as lost, in seconds.
+const LOST_AFTER_S: f64 = MAX_FRESH_AGE.as_millis() as f64 / 1_000.0;
 /// Use of the permitted excess of a tenth: it makes up for what the delay of statements
 /// leaves unused.
 const HEADROOM: f64 = 1.02;
@@ -106,6 +114,10 @@
     share: f64,
     /// Demand per second at the VMs that are heard.
     demand: f64,
+    /// Average demand per second of a longer time.
+    slow_demand: f64,
+    /// Latest demands per second of all VMs, heard or not.
+    demands: VecDeque<f64>,
     updated_at: Moment,
     used_at: Moment,
     charged: u64,
@@ -135,14 +147,20 @@
             ),
         };
         self.demand = demand;
-        self.hold_lost_share(others, demand);
+        let part = (elapsed / SLOW_TIME.as_secs_f64()).min(1.0);
+        self.slow_demand += (demand - self.slow_demand) * part;
+        if self.demands.len() == KEPT_DEMANDS {
+            self.demands.pop_front();
+        }
+        self.demands.push_back(demand + others.lost_demand);
+        self.hold_lost_share(others, spent);
         self.share = self.own_share(demand, others.fresh_vms);
         let heard = 1.0 - self.lost_share;
         let cap = self.burst() * heard + spent.clamp(0.0, self.rate()) * UNSEEN_TIME.as_secs_f64();
-        let floor = -(self.burst() + 8.0 * self.rate());
+        let floor = -self.rate();
         let level = self.level + elapsed * (self.rate() * heard - spent);
         self.level = level.min(cap).max(floor);
-        if self.lost_share == 0.0 && others.fresh.level_vms > 0.0 {
+        if others.fresh.level_vms > 0.0 {
             let mean = match others.includes_own {
                 true => others.fresh.level / others.fresh.level_vms,
                 false => (others.fresh.level + self.level) / (others.fresh.level_vms + 1.0),
@@ -153,12 +171,15 @@
     }
 
     /// Takes what VMs may use that are not heard out of the level. Their part does not
-    /// shrink by demand that they do not know of.
-    fn hold_lost_share(&mut self, others: &OthersView, demand: f64) {
+    /// shrink by demand that they do not know of. What the others, which have spent `spent`
+    /// per second, used since these VMs were heard comes out of the part of the others.
+    fn hold_lost_share(&mut self, others: &OthersView, spent: f64) {
         let lost_vms = others.lost_vms;
         let by_vms = lost_vms / (others.fresh_vms + lost_vms);
-        let by_demand = match demand + others.lost_demand > 0.0 {
-            true => others.lost_demand / (demand + others.lost_demand),
+        let least = self.demands.iter().copied().fold(f64::INFINITY, f64::min);
+        let least = least.max(others.lost_demand);
+        let by_demand = match least > 0.0 {
+            true => others.lost_demand / least,
             false => by_vms,
         };
         let mut lost_share = DEMAND_WEIGHT * by_demand + (1.0 - DEMAND_WEIGHT) * by_vms;
@@ -166,7 +187,9 @@
             lost_share = lost_share.max(self.lost_share);
         }
         if lost_share > self.lost_share && self.level > 0.0 {
-            self.level *= (1.0 - lost_share) / (1.0 - self.lost_share);
+            let kept = (1.0 - lost_share) / (1.0 - self.lost_share);
+            let used = spent.max(0.0) * LOST_AFTER_S;
+            self.level = self.level * kept - used * (1.0 - kept);
         }
         self.lost_share = lost_share.min(1.0 - f64::EPSILON);
         self.lost_vms = lost_vms;
@@ -181,7 +204,14 @@
             true => (known / demand.max(known)).min(1.0),
             false => by_vms,
         };
-        DEMAND_WEIGHT * by_demand + (1.0 - DEMAND_WEIGHT) * by_vms
+        let slow = self.meter.slow_demand_rate();
+        let by_slow_demand = match self.slow_demand > 0.0 {
+            true => (slow / self.slow_demand).min(1.0),
+            false => by_vms,
+        };
+        // The least demand of VMs with rare calls is 0 most of the time.
+        let by_demand = by_demand.max(by_slow_demand);
+        FAST_WEIGHT * by_demand + SLOW_WEIGHT * by_slow_demand + (1.0 - DEMAND_WEIGHT) * by_vms
     }
 
     /// Whether a call may be charged. `draw` is a random number from 0 to 1.
@@ -311,6 +341,8 @@
             lost_vms: 0.0,
             share: 0.0,
             demand: 0.0,
+            slow_demand: 0.0,
+            demands: VecDeque::new(),
             updated_at: now,
             used_at: now,
             charged: 0,
@@ -368,7 +400,7 @@
             false => 0,
         };
         let stated = (0..count).map(|index| tenants[(start + index) % tenants.len()]);
-        let uses = stated.map(|tenant| {
+        let uses = stated.filter_map(|tenant| {
             let account = by_short
                 .get(&tenant)
                 .and_then(|hash| self.accounts.get(hash));
@@ -378,16 +410,20 @@
         if scope != AllowanceScope::Far {
             self.cursor = start + count;
         }
-        let vms = match scope {
-            AllowanceScope::Vm => 1,
-            AllowanceScope::Near => 1 + self.parts.group_vms(true),
-            AllowanceScope::Far => 1 + self.parts.group_vms(false),
-            AllowanceScope::Total => self.parts.view(0, 0.0, now).fresh_vms as usize,
+        let (vms, lost_vms) = match scope {
+            AllowanceScope::Vm => (0, 0),
+            AllowanceScope::Near => self.parts.group_vms(true, now),
+            AllowanceScope::Far => self.parts.group_vms(false, now),
+            AllowanceScope::Total => {
+                let view = self.parts.view(0, 0.0, now);
+                (view.fresh_vms as usize - 1, view.lost_vms as usize)
+            }
         };
         AllowanceStatement {
             source: self.own,
             scope,
-            vms: u16::try_from(vms).unwrap_or(u16::MAX),
+            vms: u16::try_from(vms + 1).unwrap_or(u16::MAX),
+            lost_vms: u16::try_from(lost_vms).unwrap_or(u16::MAX),
             uses,
         }
     }
@@ -398,25 +434,22 @@
         account: Option<&TenantAccount>,
         scope: AllowanceScope,
         now: Moment,
-    ) -> TenantUse {
-        let rate = account.map_or(0.0, TenantAccount::rate);
-        let all_demand = account.map_or(0.0, |account| account.demand);
-        let stale_spent = |demand: f64| match demand > 0.0 {
-            true => rate * demand / all_demand.max(demand),
-            false => 0.0,
-        };
+    ) -> Option<TenantUse> {
         let mut sum = match scope {
             AllowanceScope::Vm => UseSum::default(),
-            AllowanceScope::Near => self.parts.group_sum(tenant, true, stale_spent, now),
-            AllowanceScope::Far => self.parts.group_sum(tenant, false, stale_spent, now),
-            AllowanceScope::Total => self.parts.view(tenant, 0.0, now).fresh,
+            AllowanceScope::Near => self.parts.group_sum(tenant, true, now),
+            AllowanceScope::Far => self.parts.group_sum(tenant, false, now),
+            AllowanceScope::Total => {
+                let view = self.parts.view(tenant, 0.0, now);
+                UseSum {
+                    lost: view.lost_demand,
+                    ..view.fresh
+                }
+            }
         };
         if let Some(account) = account {
             let demand = account.meter.demand_rate();
             sum.add(demand, account.meter.spent_rate(), account.level, 1.0);
-            if scope == AllowanceScope::Total {
-                sum.spent += account.lost_share * account.rate();
-            }
         }
         sum.stated(tenant)
     }
--- a/crates/verbenaring-policy/src/dispatch/allowance_meter.rs
+++ b/crates/verbenaring-policy/src/dispatch/allowance_meter.rs
@@ -10,6 +10,8 @@
 pub const EXCHANGE_TIME: Duration = Duration::from_millis(800);
 /// Parts into which [`EXCHANGE_TIME`] is divided.
 const BUCKETS: usize = 16;
+/// Time constant of the demand of VMs with rare calls.
+pub(super) const SLOW_TIME: Duration = Duration::from_secs(6);
 const BUCKET_MICROS: i64 = EXCHANGE_TIME.as_micros() as i64 / BUCKETS as i64;
 
 /// Charges and demand within the last [`EXCHANGE_TIME`].
@@ -21,6 +23,8 @@
     /// Demand of the time before the end of each bucket.
     past_demand: [f32; BUCKETS],
     charged_sum: f64,
+    /// Average demand per second up to [`EXCHANGE_TIME`] ago.
+    slow_demand: f64,
 }
 
 impl TenantMeter {
@@ -42,6 +46,10 @@
             let demand = self.demanded.iter().sum();
             self.past_demand[slot(self.bucket)] = demand;
             self.bucket += 1;
+            let leaving = f64::from(self.demanded[slot(self.bucket)]);
+            let bucket = BUCKET_MICROS as f64 / 1e6;
+            let part = bucket / SLOW_TIME.as_secs_f64();
+            self.slow_demand += (leaving / bucket - self.slow_demand) * part;
             self.charged[slot(self.bucket)] = 0.0;
             self.demanded[slot(self.bucket)] = 0.0;
         }
@@ -50,6 +58,7 @@
             self.charged = Default::default();
             self.demanded = Default::default();
             self.past_demand = Default::default();
+            self.slow_demand = 0.0;
         }
         self.charged_sum = self.charged.iter().sum();
         true
@@ -81,6 +90,11 @@
         f64::from(demand) / EXCHANGE_TIME.as_secs_f64()
     }
 
+    /// Average demand per second of a longer time, without what others may not know.
+    pub(super) fn slow_demand_rate(&self) -> f64 {
+        self.slow_demand
+    }
+
     /// Least demand per second that this VM had within [`EXCHANGE_TIME`], so that each VM
     /// knows at least this much of it.
     pub(super) fn known_demand_rate(&self) -> f64 {
--- a/crates/verbenaring-policy/src/dispatch/allowance_parts.rs
+++ b/crates/verbenaring-policy/src/dispatch/allowance_parts.rs
@@ -13,7 +13,7 @@
 
 /// Age from which the VMs of a statement may be cut off. Two statements of another region
 /// may get lost before.
-const MAX_FRESH_AGE: Duration = Duration::from_millis(900);
+pub(super) const MAX_FRESH_AGE: Duration = Duration::from_millis(900);
 /// Time for which parts of VMs are kept that are not heard, which may still spend them.
 /// Their records are dropped after the same time.
 const KEPT_AGE: Duration = Duration::from_secs(60);
@@ -52,6 +52,8 @@
     pub spent: i64,
     /// Amount that is left of the whole allowance.
     pub level: i64,
+    /// Last known demand per second of VMs that are not heard.
+    pub lost: u64,
 }
 
 /// What a VM states of the allowances.
@@ -63,6 +65,8 @@
     pub scope: AllowanceScope,
     /// Number of these VMs.
     pub vms: u16,
+    /// Number of VMs of the scope that are not heard.
+    pub lost_vms: u16,
     /// Some of the tenants.
     pub uses: Vec<TenantUse>,
 }
@@ -75,6 +79,7 @@
     pub(super) level: f64,
     /// VMs that state a level.
     pub(super) level_vms: f64,
+    pub(super) lost: f64,
 }
 
 impl UseSum {
@@ -86,19 +91,31 @@
         self.level_vms += vms;
     }
 
+    fn add_sum(&mut self, other: &Self) {
+        self.demand += other.demand;
+        self.spent += other.spent;
+        self.level += other.level;
+        self.level_vms += other.level_vms;
+        self.lost += other.lost;
+    }
+
     /// Mean level of those that state one.
     pub(super) fn mean_level(&self) -> Option<f64> {
         (self.level_vms > 0.0).then(|| self.level / self.level_vms)
     }
 
-    /// What is stated of it.
-    pub(super) fn stated(&self, tenant: u32) -> TenantUse {
-        TenantUse {
+    /// What is stated of it; `None` if no VM uses the allowance.
+    pub(super) fn stated(&self, tenant: u32) -> Option<TenantUse> {
+        if self.level_vms == 0.0 && self.lost == 0.0 {
+            return None;
+        }
+        Some(TenantUse {
             tenant,
             demand: (self.demand * STATED_FRACTIONS).round() as u64,
             spent: (self.spent * STATED_FRACTIONS).round() as i64,
             level: (self.mean_level().unwrap_or_default() * STATED_FRACTIONS).round() as i64,
-        }
+            lost: (self.lost * STATED_FRACTIONS).round() as u64,
+        })
     }
 }
 
@@ -127,6 +144,7 @@
 #[derive(Debug)]
 struct HeldPart {
     vms: u16,
+    lost_vms: u16,
     received_at: Moment,
     uses: HashMap<u32, (UseSum, Moment)>,
 }
@@ -182,10 +200,12 @@
         }
         let part = self.parts.entry(key).or_insert_with(|| HeldPart {
             vms: 0,
+            lost_vms: 0,
             received_at: now,
             uses: HashMap::new(),
         });
         part.vms = statement.vms;
+        part.lost_vms = statement.lost_vms;
         part.received_at = now;
         for stated in &statement.uses {
             if part.uses.len() >= MAX_PART_TENANTS && !part.uses.contains_key(&stated.tenant) {
@@ -199,6 +219,7 @@
                 stated.level as f64 / STATED_FRACTIONS,
                 vms,
             );
+            sum.lost = stated.lost as f64 / STATED_FRACTIONS;
             part.uses.insert(stated.tenant, (sum, now));
         }
     }
@@ -235,25 +256,24 @@
                 (true, true) => {
                     view.fresh = sum.unwrap_or_default();
                     view.fresh_vms = vms.max(1.0);
+                    view.lost_vms = f64::from(part.lost_vms);
+                    view.lost_demand = view.fresh.lost;
                     view.includes_own = true;
                     return view;
                 }
                 (true, false) => {
                     view.fresh_vms += vms;
-                    if let Some(sum) = sum {
-                        view.fresh.demand += sum.demand;
-                        view.fresh.spent += sum.spent;
-                        view.fresh.level += sum.level;
-                        view.fresh.level_vms += sum.level_vms;
-                    }
+                    view.fresh.add_sum(&sum.unwrap_or_default());
+                    stale_vms += f64::from(part.lost_vms);
+                    stale_demand += sum.map_or(0.0, |sum| sum.lost);
                 }
                 (false, true) => {
                     stale_vms = (vms - 1.0).max(0.0);
                     stale_demand = sum.map_or(0.0, |sum| (sum.demand - own_demand).max(0.0));
                 }
                 (false, false) => {
-                    stale_vms += vms;
-                    stale_demand += sum.map_or(0.0, |sum| sum.demand);
+                    stale_vms += vms + f64::from(part.lost_vms);
+                    stale_demand += sum.map_or(0.0, |sum| sum.demand + sum.lost);
                 }
             }
         }
@@ -268,36 +288,33 @@
         view
     }
 
-    /// Use by the VMs of the group, and of the groups of other regions if `with_far`;
-    /// `stale_spent` is what a silent VM may spend, from its demand.
-    pub(super) fn group_sum(
-        &self,
-        tenant: u32,
-        with_far: bool,
-        stale_spent: impl Fn(f64) -> f64,
-        now: Moment,
-    ) -> UseSum {
+    /// Use by the VMs of the group, and of the groups of other regions if `with_far`.
+    pub(super) fn group_sum(&self, tenant: u32, with_far: bool, now: Moment) -> UseSum {
         let mut total = UseSum::default();
         for (_, part) in self.group_parts(with_far) {
             let Some(sum) = part.use_of(tenant) else {
                 continue;
             };
-            let spent = match part.is_fresh(now) {
-                true => sum.spent,
-                false => sum.spent.max(stale_spent(sum.demand)),
-            };
-            total.demand += sum.demand;
-            total.spent += spent;
-            total.level += sum.level;
-            total.level_vms += sum.level_vms;
+            match part.is_fresh(now) {
+                true => total.add_sum(&sum),
+                false => total.lost += sum.demand + sum.lost,
+            }
         }
         total
     }
 
-    /// Number of VMs in [`group_sum`](Self::group_sum).
-    pub(super) fn group_vms(&self, with_far: bool) -> usize {
-        let parts = self.group_parts(with_far);
-        parts.map(|(_, part)| usize::from(part.vms)).sum()
+    /// Numbers of VMs in [`group_sum`](Self::group_sum) that are heard and that are not.
+    pub(super) fn group_vms(&self, with_far: bool, now: Moment) -> (usize, usize) {
+        let (mut fresh, mut lost) = (0, 0);
+        for (_, part) in self.group_parts(with_far) {
+            let vms = match part.is_fresh(now) {
+                true => &mut fresh,
+                false => &mut lost,
+            };
+            *vms += usize::from(part.vms);
+            lost += usize::from(part.lost_vms);
+        }
+        (fresh, lost)
     }
 
     fn group_parts(
