--- a/crates/verbenaring-policy/src/dispatch/allowance.rs
+++ b/crates/verbenaring-policy/src/dispatch/allowance.rs
@@ -42,6 +42,8 @@
 const HEADROOM: f64 = 1.02;
 /// Spending that may be missing in the level while it is full, as time of the rate.
 const UNSEEN_TIME: Duration = Duration::from_millis(900);
+/// Excess that is made up for by refusals, as time of the rate.
+const MAX_DEBT: Duration = Duration::from_secs(8);
 /// Time in which the levels that VMs follow approach each other.
 const LEVEL_TIME: Duration = Duration::from_secs(2);
 /// Time after the start within which a VM that hears no other may not know of them.
@@ -130,7 +132,7 @@
     }
 
     fn burst(&self) -> f64 {
-        self.limits.burst * HEADROOM
+        self.limits.burst
     }
 
     /// Applies the time since the last update.
@@ -157,7 +159,7 @@
         self.share = self.own_share(demand, others.fresh_vms);
         let heard = 1.0 - self.lost_share;
         let cap = self.burst() * heard + spent.clamp(0.0, self.rate()) * UNSEEN_TIME.as_secs_f64();
-        let floor = -self.rate();
+        let floor = -MAX_DEBT.as_secs_f64() * self.rate();
         let level = self.level + elapsed * (self.rate() * heard - spent);
         self.level = level.min(cap).max(floor);
         if others.fresh.level_vms > 0.0 {
@@ -221,13 +223,21 @@
         if unseen + cost <= part {
             return true;
         }
-        if unseen > part.max(0.0) || unseen + cost > self.level {
+        // Demand that has just begun here counts before the others know of it; this call
+        // is part of the average demand.
+        let time = EXCHANGE_TIME.as_secs_f64();
+        let new_demand = self.meter.demand_rate() - self.meter.known_demand_rate();
+        let expected =
+            self.demand.max(self.meter.demand_rate()) * time + (new_demand * time - cost).max(0.0);
+        if unseen + cost > self.level {
             return false;
         }
-        // Demand that has just begun here counts before the others know of it.
-        let new_demand = self.meter.demand_rate() - self.meter.known_demand_rate();
-        let demand = self.demand.max(self.meter.demand_rate()) + new_demand.max(0.0);
-        draw * demand * EXCHANGE_TIME.as_secs_f64() < self.level
+        // While the level covers all calls, one more than those that others allow for may
+        // be let through; calls do not arrive evenly.
+        if expected < self.level {
+            return unseen <= part.max(0.0) + cost;
+        }
+        unseen <= part.max(0.0) && draw * expected < self.level - cost
     }
 
     fn wait(&self, cost: f64) -> Duration {
@@ -327,11 +337,8 @@
         let limits = tenant.allowance;
         let view = self.parts.view(hash as u32, 0.0, now);
         let uptime = now.since(self.started_at).as_secs_f64();
-        let level = (limits.rate * uptime).min(limits.burst);
-        let level = view
-            .fresh
-            .mean_level()
-            .map_or(level, |mean| mean.min(level));
+        let earned = limits.rate * uptime;
+        let level = view.fresh.mean_level().unwrap_or(limits.burst).min(earned);
         let account = TenantAccount {
             name: tenant.name.clone(),
             limits,
