Do not lock the state of a relay twice

Cause: a relay hung as soon as a tenant had a quota: the lock that read the limits of servers lived to the end of the expression in which the use of quotas takes it again.

Ruled out: an endless loop of the accounts (VMs that are no relays went on).

Change: the limits are read in a statement of their own.

--- a/crates/verbenaring-core/src/cluster/relay.rs
+++ b/crates/verbenaring-core/src/cluster/relay.rs
@@ -96,10 +96,14 @@
         let group_digest = digest(LoadScope::Group, group_loads);
         let region_digest = digest(LoadScope::Region, region_loads);
         let retries = self.due_statement();
-        let tail = |source, retries, scope| MessageTail {
-            limits: self.node.lock().servers.limit_updates(source, now),
-            retries,
-            allowances: self.stated_allowances(scope),
+        let tail = |source, retries, scope| {
+            // The lock is released before the quotas are read under it again.
+            let limits = self.node.lock().servers.limit_updates(source, now);
+            MessageTail {
+                limits,
+                retries,
+                allowances: self.stated_allowances(scope),
+            }
         };
         let for_relays = tail(StatementSource::Vm, retries, AllowanceScope::Near);
         let for_group = tail(StatementSource::Relay, Vec::new(), AllowanceScope::Total);
