Do not count slots of engines that are only reported to have failed

Cause, for calls that the first engine back refuses: a node that had no call at an engine when it ended knows only the report of another node. It sent the engine nothing, but its queue still counted the engine's slots, so the calls for all went to the engine that was left. After 1 s it used the engine again although it had not listed its models.

Cause, for chats that are not forwarded: a node forwards once all its engines have ended. While none was left to use, it chose among those known to have ended and the one not yet tried, and by the last load reports might never try that one.

Third, seen on the way: nodes repeat their reports of a failure for minutes. An engine that had listed its models was avoided again, for up to 1 s after its end, and was asked for its models every 200 ms as long as reports came.

Ruled out: nodes that do not know each other. With the slots of one engine, three nodes send at most 12 calls, whatever they know of each other. The list of remote nodes has the configured peers from the start.

Change: slots do not count of engines that get no work. An engine that has failed is not used like others until it lists its models, also after 1 s. If all have failed, those that refuse connections come last. Reports of failures from before a listing are ignored. Messages are unchanged.

--- a/crates/verbenaring-gateway/src/backend.rs
+++ b/crates/verbenaring-gateway/src/backend.rs
@@ -127,7 +127,7 @@
         state.apply(catalog, &self.centre, &self.clock);
         let state = &mut *state;
         let excluded = state.excluded_servers(work, tried, alone, now);
-        let all_excluded = [excluded.permanent.as_slice(), &excluded.temporary].concat();
+        let all_excluded = state.all_excluded(work, &excluded);
         let Some(index) = state.plan(work, &all_excluded, &self.clock) else {
             return if state.offers(work, &excluded.permanent) {
                 ServerChoice::Busy
@@ -167,9 +167,13 @@
 
     /// Engines that have ended and are not back yet.
     pub fn ended_engines(&self) -> Vec<ServerId> {
-        let state = self.lock();
-        let ended = state.servers.iter().filter(|record| record.gone);
-        ended.map(|record| record.terms.server.clone()).collect()
+        self.lock().ended_engines()
+    }
+
+    /// Engines that get no work now because they have failed.
+    pub fn unused_engines(&self) -> Vec<ServerId> {
+        let now = self.clock.now();
+        self.lock().unused_engines(now)
     }
 
     /// Decides whether a request may be sent, by the crashes that are attributed to
@@ -306,7 +310,7 @@
         for report in reports {
             state.quarantine.merge(report, now);
             for crash in &report.crashes {
-                state.avoid(&crash.server, now - crash.age);
+                state.avoid_reported(&crash.server, now - crash.age);
             }
         }
     }
@@ -367,6 +371,7 @@
             let models = asked.models.iter().filter(|model| loaded.contains(model));
             record.models = models.map(served_model).collect();
             record.models_known = true;
+            record.failed = false;
             if std::mem::take(&mut record.gone) {
                 record.avoided_until = now;
             }
--- a/crates/verbenaring-gateway/src/controller.rs
+++ b/crates/verbenaring-gateway/src/controller.rs
@@ -277,7 +277,7 @@
         }
         let capacity = QueueCapacity {
             nodes: nodes.local.len() + 1,
-            ended: self.backends.ended_engines(),
+            unused: self.backends.unused_engines(),
         };
         self.queues.wait_for_slot(&catalog, capacity, work).await
     }
--- a/crates/verbenaring-gateway/src/lib.rs
+++ b/crates/verbenaring-gateway/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod operation;
 pub mod operator;
 pub mod order;
+pub mod outage;
 pub mod peer;
 pub mod poller;
 pub mod records;
--- a/crates/verbenaring-gateway/src/schedule.rs
+++ b/crates/verbenaring-gateway/src/schedule.rs
@@ -44,8 +44,8 @@
 pub struct QueueCapacity {
     /// Live entry VMs of the data centre.
     pub nodes: usize,
-    /// Engines that have ended and are not back yet; their slots do not count.
-    pub ended: Vec<ServerId>,
+    /// Engines that get no work because they have failed; their slots do not count.
+    pub unused: Vec<ServerId>,
 }
 
 /// Fair queues of a node, one per model.
@@ -134,10 +134,10 @@
         let layout = catalog
             .layout()
             .and_then(|document| NodeLayout::from_document(document, &self.settings.vm).ok());
-        let ended = version
+        let unused = version
             .as_ref()
-            .map_or(&[][..], |(_, capacity)| &capacity.ended);
-        let slots = local_slots(catalog, &self.settings, ended);
+            .map_or(&[][..], |(_, capacity)| &capacity.unused);
+        let slots = local_slots(catalog, &self.settings, unused);
         state
             .queues
             .retain(|model, queue| slots.contains_key(model) || queue.running() > 0);
@@ -180,11 +180,11 @@
 }
 
 /// Slots of the engines in this data centre, by model; leaving engines are left out, and the
-/// slots of those in `ended`.
+/// slots of those in `unused`.
 fn local_slots(
     catalog: &ServingCatalog,
     settings: &NodeSettings,
-    ended: &[ServerId],
+    unused: &[ServerId],
 ) -> HashMap<ModelName, usize> {
     let mut slots = HashMap::new();
     for terms in catalog.servers() {
@@ -192,7 +192,7 @@
         if is_here && !terms.leaving {
             for model in &terms.models {
                 let slots = slots.entry(model.clone()).or_insert(0);
-                if !ended.contains(&terms.server) {
+                if !unused.contains(&terms.server) {
                     *slots += terms.slots as usize;
                 }
             }
--- a/crates/verbenaring-gateway/src/server.rs
+++ b/crates/verbenaring-gateway/src/server.rs
@@ -42,12 +42,6 @@
 /// Interval of model listings from an engine that has loaded all its configured models.
 const LISTING_PERIOD: Duration = Duration::from_secs(60);
 
-/// Time for which no request is sent to a server that crashed or refused a connection.
-///
-/// Otherwise requests use up their attempts and the retry budget on servers that
-/// are known to be restarting.
-const AVOID_TIME: Duration = Duration::from_secs(1);
-
 /// Assumed duration of the longest request. A server takes no new work from this
 /// long before a planned stop.
 const MAX_REQUEST_TIME: Duration = Duration::from_secs(30);
@@ -74,6 +68,9 @@
     pub(crate) avoided_until: Moment,
     /// Whether the engine has ended and not listed its models since.
     pub(crate) gone: bool,
+    /// Whether the engine has failed and not listed its models since. It may have ended: a node
+    /// that had no request there notices only when it sends one.
+    pub(crate) failed: bool,
     /// Whether the server takes no new work because of a planned stop or notice.
     pub(crate) leaving: bool,
 }
@@ -178,6 +175,7 @@
                 report: None,
                 avoided_until: Moment::default(),
                 gone: false,
+                failed: false,
                 leaving: false,
             });
             self.servers.len() - 1
@@ -253,27 +251,6 @@
         records.find(|record| record.terms.server == *server)
     }
 
-    /// Stops using a server that has ended, an engine until it lists its models.
-    pub(crate) fn record_end(&mut self, server: &ServerId, now: Moment) {
-        self.avoid(server, now);
-        if let Some(record) = self.record_of(server) {
-            record.gone = record.terms.kind == KindDocument::Engine;
-        }
-    }
-
-    /// Stops using a server that failed at `since` until it may have restarted.
-    pub(crate) fn avoid(&mut self, server: &ServerId, since: Moment) {
-        if let Some(record) = self.record_of(server) {
-            // Other nodes report the same end again and again.
-            if since >= record.avoided_until {
-                record.prefixes.clear();
-            }
-            record.avoided_until = record.avoided_until.max(since + AVOID_TIME);
-            // The engine may have loaded other models when it is back.
-            record.models_known = false;
-        }
-    }
-
     /// Whether any server outside `excluded` can run the work, busy or not.
     pub(crate) fn offers(&self, work: &PendingWork, excluded: &[ServerId]) -> bool {
         self.servers.iter().any(|record| {
@@ -461,7 +438,7 @@
         if self.leaving {
             return ServerState::Leaving;
         }
-        if now < self.avoided_until || self.gone {
+        if self.is_avoided(now) {
             return ServerState::Ejected { probe_due: false };
         }
         match target {
--- a/crates/verbenaring-testbed/tests/failure/main.rs
+++ b/crates/verbenaring-testbed/tests/failure/main.rs
@@ -7,6 +7,7 @@
 mod crash;
 mod forward;
 mod operation;
+mod outage;
 mod restart;
 mod returns;
 mod stream;
