Second attempts of slow repeatable calls: decisions and request path

A few slow responses decide the operators' 99th percentile, and verbenaring-front had no second attempts while the first one runs.

policy::dispatch::hedge decides when one is due and where it goes, without I/O; path::hedge races the two attempts. Off by default (tuning.hedge.share 0): calls then take the path that they took before. The flag whether an attempt may be running is kept per attempt, so that an attempt that was not run does not hide one that runs. A timeout is also reported as unknown if an earlier attempt may have run and the next one has not been sent; it was reported as not run.

No message changes.

--- a/crates/verbenaring-core/src/observe/metrics.rs
+++ b/crates/verbenaring-core/src/observe/metrics.rs
@@ -19,6 +19,10 @@
     pub refusals: IntCounterVec,
     /// Repeats asked of the retry budgets, by result (`taken` or `refused`).
     pub retries: IntCounterVec,
+    /// Second attempts of calls that took long, by result (`sent`, `won` or `lost`).
+    pub hedges: IntCounterVec,
+    /// Calls that took long and were not hedged when it was due, by reason.
+    pub withheld_hedges: IntCounterVec,
     /// Attempts by target (`server` or `vm`) and result.
     pub attempts: IntCounterVec,
     /// Streams that ended without an error of the connection, by framing and by the
@@ -100,6 +104,16 @@
                 "Repeats asked of the retry budgets, by result (taken, refused)",
                 &["result"],
             ),
+            hedges: counters(
+                "verbenaring_hedges_total",
+                "Second attempts of slow calls, by result (sent, won, lost)",
+                &["result"],
+            ),
+            withheld_hedges: counters(
+                "verbenaring_hedges_withheld_total",
+                "Slow calls that got no second attempt when it was due, by reason",
+                &["reason"],
+            ),
             attempts: counters(
                 "verbenaring_call_attempts_total",
                 "Attempts by target (server, vm) and result",
--- a/crates/verbenaring-core/src/path/call.rs
+++ b/crates/verbenaring-core/src/path/call.rs
@@ -53,6 +53,56 @@
     Vm,
 }
 
+/// Which of the attempts of a call that are made at the same time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AttemptRole {
+    /// The first one, or the only one.
+    First,
+    /// The one that is made because the first takes long.
+    Hedge,
+}
+
+/// Attempts of a call that may be running, or whose end is not known.
+#[derive(Debug, Default)]
+pub struct RunningAttempts {
+    first: AtomicBool,
+    hedge: AtomicBool,
+}
+
+impl RunningAttempts {
+    /// Records whether an attempt may be running.
+    pub fn set(&self, role: AttemptRole, running: bool) {
+        self.of(role).store(running, Ordering::Relaxed);
+    }
+
+    /// Whether an attempt may be running.
+    pub fn includes(&self, role: AttemptRole) -> bool {
+        self.of(role).load(Ordering::Relaxed)
+    }
+
+    /// Number of attempts that may be running.
+    pub fn count(&self) -> u32 {
+        let roles = [AttemptRole::First, AttemptRole::Hedge];
+        roles
+            .map(|role| u32::from(self.includes(role)))
+            .iter()
+            .sum()
+    }
+
+    /// Records that none is running.
+    pub fn clear(&self) {
+        self.set(AttemptRole::First, false);
+        self.set(AttemptRole::Hedge, false);
+    }
+
+    fn of(&self, role: AttemptRole) -> &AtomicBool {
+        match role {
+            AttemptRole::First => &self.first,
+            AttemptRole::Hedge => &self.hedge,
+        }
+    }
+}
+
 /// Call that has been accepted and not yet answered.
 #[derive(Debug)]
 pub struct PendingCall {
@@ -93,9 +143,9 @@
     pub build: OnceLock<BuildId>,
     /// Number of servers on which the call may have run.
     pub runs: AtomicU32,
-    /// Whether the latest attempt may be running, or may have run. Decides
-    /// whether a timeout is reported as unknown or as not run.
-    pub maybe_running: AtomicBool,
+    /// Attempts that may be running. Decides whether a timeout is reported as unknown
+    /// or as not run.
+    pub running: RunningAttempts,
     /// Whether the call has reached a server. Each further attempt is then a
     /// retry and counts against the retry budget.
     pub reached_server: AtomicBool,
@@ -113,6 +163,20 @@
         self.route.kind.is_repeatable() && self.runs.load(Ordering::Relaxed) < self.max_attempts
     }
 
+    /// Whether an attempt may be running or may have run.
+    pub fn may_have_run(&self) -> bool {
+        self.running.count() > 0 || self.runs.load(Ordering::Relaxed) > 0
+    }
+
+    /// Whether the call may run at a second server while it runs at a first one. Limited by
+    /// the route as well, as callers may state attempts in the header of forwarded calls.
+    pub fn may_be_hedged(&self) -> bool {
+        let attempts = self.max_attempts.min(self.route.attempts);
+        self.origin == CallOrigin::Caller
+            && self.route.kind.may_overlap()
+            && self.runs.load(Ordering::Relaxed) + 1 < attempts
+    }
+
     /// Rank of the call under load; 0 is the most urgent.
     pub fn rank(&self) -> u8 {
         let tenant = self.tenant.as_ref().and_then(|tenant| tenant.rank);
--- a/crates/verbenaring-core/src/path/choose.rs
+++ b/crates/verbenaring-core/src/path/choose.rs
@@ -185,6 +185,7 @@
                     return Ok(self.forward_in_region(call, vm, placement, state, now));
                 }
                 let sent = self.send_to_server(call, tried, placement, state, now);
+                let sent = sent.map(CallTarget::Server);
                 return sent.ok_or_else(|| refusal_for(call, &PlacementError::NoServer));
             };
             match self.pick_vm(call, tried, &offer.region, |_| true, state, now) {
@@ -253,14 +254,14 @@
         state.region_view(discovery_time, now)
     }
 
-    fn send_to_server(
+    pub(super) fn send_to_server(
         &self,
         call: &PendingCall,
         tried: &TriedTargets,
         placement: &Placement,
         state: &mut FrontState,
         now: Moment,
-    ) -> Option<CallTarget> {
+    ) -> Option<ChosenServer> {
         let entry = state.servers.entry(placement.key)?;
         let (id, address) = (entry.id.clone(), entry.address);
         let build = state.servers.build_of(placement.key);
@@ -282,14 +283,14 @@
         }
         let request = call.placement_request(&tried.servers);
         let work = state.servers.record_sent(placement, &request, now);
-        Some(CallTarget::Server(ChosenServer {
+        Some(ChosenServer {
             id,
             address,
             build,
             work,
             forecast: placement.forecast,
             cache_source: placement.cache_source,
-        }))
+        })
     }
 
     /// Forwards a call to a VM of this region, which reaches the servers.
--- a/crates/verbenaring-core/src/path/controller.rs
+++ b/crates/verbenaring-core/src/path/controller.rs
@@ -21,9 +21,10 @@
 use verbenaring_policy::dispatch::suspect::PartVerdict;
 use verbenaring_policy::time::Moment;
 
+use super::attempts::{EndedAttempt, EndedTarget};
 use super::call::{
     ATTEMPTS_HEADER, BUILD_HEADER, CallOrigin, ELAPSED_HEADER, PendingCall, REPEATABLE_HEADER,
-    TriedTargets, strip_connection_headers,
+    RunningAttempts, TriedTargets, strip_connection_headers,
 };
 use super::choose::CallTarget;
 use super::exchange::{AttemptOutcome, UpstreamStream};
@@ -160,7 +161,7 @@
             forwarded_repeatable,
             build: build.map_or_else(OnceLock::new, OnceLock::from),
             runs: AtomicU32::new(0),
-            maybe_running: AtomicBool::new(false),
+            running: RunningAttempts::default(),
             reached_server: AtomicBool::new(false),
             metadata,
             route,
@@ -169,7 +170,11 @@
         };
         if origin == CallOrigin::Caller {
             let now = self.clock.now();
-            self.lock().retry_shares.record_call(&call.service, now);
+            let mut state = self.lock();
+            state.retry_shares.record_call(&call.service, now);
+            if call.may_be_hedged() {
+                state.hedges.record_call(&call.service);
+            }
         }
         Ok(call)
     }
@@ -206,7 +211,7 @@
             }
             Some(Err(refusal)) => self.refuse_call(&call, refusal),
             None => {
-                let refusal = match call.maybe_running.load(Ordering::Relaxed) {
+                let refusal = match call.may_have_run() {
                     true => CallRefusal::unknown(StatusCode::GATEWAY_TIMEOUT, "timed_out"),
                     false => CallRefusal::busy("not_sent_in_time", UNSENT_RETRY_AFTER),
                 };
@@ -255,53 +260,63 @@
             {
                 self.lock().suspects.record_trial(part, now);
             }
-            let name = target_name(&target);
-            let target_id = TargetId::of(&target);
-            targets += 1;
-            let reason = match self.attempt(call, target, tried, last_event_id).await {
-                AttemptOutcome::Whole(answer) => return Ok(UpstreamAnswer::Whole(answer)),
-                AttemptOutcome::Stream(stream) => return Ok(UpstreamAnswer::Stream(stream)),
-                AttemptOutcome::NotRun {
-                    reason,
-                    reached_server,
-                } => {
-                    call.reached_server
-                        .fetch_or(reached_server, Ordering::Relaxed);
-                    let unreached = !reached_server && matches!(target_id, TargetId::Server(_));
-                    tried.unreached_servers += usize::from(unreached);
-                    target_id.exclude(tried);
-                    reason
-                }
-                AttemptOutcome::Withdrawn { reason, excluded } => {
-                    match excluded {
-                        true => target_id.exclude(tried),
-                        false => targets -= 1,
-                    }
-                    withdrawals += 1;
-                    // A server counts as tried with the part, and no second trial is due yet.
-                    withdrawn = Some(match is_server {
-                        true => PartVerdict::Free,
-                        false => verdict,
-                    });
-                    reason
-                }
-                AttemptOutcome::Failed(answer) => {
-                    call.reached_server.store(true, Ordering::Relaxed);
-                    call.runs.fetch_add(1, Ordering::Relaxed);
-                    // A server that failed a call often fails it again.
-                    target_id.exclude(tried);
-                    let reason = format!("the server failed with {}", answer.status());
-                    failed = Some(answer);
-                    reason
-                }
-                AttemptOutcome::Broken { reason } => {
-                    call.reached_server.store(true, Ordering::Relaxed);
-                    call.runs.fetch_add(1, Ordering::Relaxed);
-                    target_id.exclude(tried);
-                    reason
-                }
+            let class = self.hedge_class(call, &target);
+            let ended = match class {
+                None => self.attempt_once(call, target, tried, last_event_id).await,
+                // Boxed, so that calls that are not hedged have no memory for two attempts.
+                Some(class) => Box::pin(self.attempt_hedged(call, target, tried, class)).await,
             };
-            self.report_attempt(call, &name, &reason);
+            for attempt in ended.earlier.into_iter().chain([ended.last]) {
+                let EndedAttempt { target, outcome } = attempt;
+                targets += 1;
+                let is_server = matches!(target, EndedTarget::Server { .. });
+                let reason = match outcome {
+                    AttemptOutcome::Whole(answer) => return Ok(UpstreamAnswer::Whole(answer)),
+                    AttemptOutcome::Stream(stream) => return Ok(UpstreamAnswer::Stream(stream)),
+                    AttemptOutcome::NotRun {
+                        reason,
+                        reached_server,
+                    } => {
+                        call.reached_server
+                            .fetch_or(reached_server, Ordering::Relaxed);
+                        let unreached = !reached_server && is_server;
+                        tried.unreached_servers += usize::from(unreached);
+                        target.exclude(tried);
+                        reason
+                    }
+                    AttemptOutcome::Withdrawn { reason, excluded } => {
+                        match excluded {
+                            true => target.exclude(tried),
+                            false => targets -= 1,
+                        }
+                        withdrawals += 1;
+                        // A server counts as tried with the part, and no second trial is due
+                        // yet.
+                        withdrawn = Some(match is_server {
+                            true => PartVerdict::Free,
+                            false => verdict,
+                        });
+                        reason
+                    }
+                    AttemptOutcome::Failed(answer) => {
+                        call.reached_server.store(true, Ordering::Relaxed);
+                        call.runs.fetch_add(1, Ordering::Relaxed);
+                        // A server that failed a call often fails it again.
+                        target.exclude(tried);
+                        let reason = format!("the server failed with {}", answer.status());
+                        failed = Some(answer);
+                        reason
+                    }
+                    AttemptOutcome::Broken { reason } => {
+                        call.reached_server.store(true, Ordering::Relaxed);
+                        call.runs.fetch_add(1, Ordering::Relaxed);
+                        target.exclude(tried);
+                        reason
+                    }
+                };
+                self.report_attempt(call, target.name(), &reason);
+            }
+            call.running.clear();
             let ran = call.runs.load(Ordering::Relaxed) > 0;
             if ran && !call.may_run_again() {
                 break;
@@ -386,35 +401,6 @@
     }
 }
 
-/// Identity of a target, used to exclude it after a failure.
-enum TargetId {
-    Server(verbenaring_policy::dispatch::server::ServerKey),
-    Vm(verbenaring_policy::id::VmId),
-}
-
-impl TargetId {
-    fn of(target: &CallTarget) -> Self {
-        match target {
-            CallTarget::Server(server) => TargetId::Server(server.work.key),
-            CallTarget::Vm(vm) => TargetId::Vm(vm.vm.clone()),
-        }
-    }
-
-    fn exclude(self, tried: &mut TriedTargets) {
-        match self {
-            TargetId::Server(server) => tried.servers.push(server),
-            TargetId::Vm(vm) => tried.vms.push(vm),
-        }
-    }
-}
-
-fn target_name(target: &CallTarget) -> String {
-    match target {
-        CallTarget::Server(server) => server.id.to_string(),
-        CallTarget::Vm(vm) => vm.vm.to_string(),
-    }
-}
-
 /// Final answer of a call after its last attempt: the failed answer of a server
 /// if there is one, else a refusal.
 fn final_answer<P: WireProtocol>(
--- a/crates/verbenaring-core/src/path/exchange.rs
+++ b/crates/verbenaring-core/src/path/exchange.rs
@@ -1,7 +1,6 @@
 //! One attempt of a call: sends it to a server or a VM and reads the answer.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -17,7 +16,7 @@
 use verbenaring_protocol::header;
 
 use super::call::{
-    ATTEMPTS_HEADER, BUILD_HEADER, ELAPSED_HEADER, NO_CONTACT_HEADER, PendingCall,
+    ATTEMPTS_HEADER, AttemptRole, BUILD_HEADER, ELAPSED_HEADER, NO_CONTACT_HEADER, PendingCall,
     REACHED_SERVER_HEADER, REPEATABLE_HEADER, TriedTargets, strip_connection_headers,
 };
 use super::choose::{CallTarget, ChosenServer, ChosenVm};
@@ -95,6 +94,7 @@
     pub(crate) options: ConnectOptions,
     pub(super) vm: Option<VmId>,
     pub(super) forecast: Duration,
+    pub(crate) role: AttemptRole,
     /// Work at a server; `None` if the target is a VM.
     pub(crate) work: Option<InFlightCall>,
 }
@@ -108,10 +108,12 @@
         target: CallTarget,
         tried: &TriedTargets,
         last_event_id: Option<&str>,
+        role: AttemptRole,
     ) -> AttemptOutcome<P> {
         let (attempt, mut guard) = match target {
             CallTarget::Server(server) => {
                 let attempt = self.server_request(call, &server, last_event_id);
+                let attempt = AttemptRequest { role, ..attempt };
                 (attempt, WorkGuard::at_server(self, call, &server))
             }
             CallTarget::Vm(vm) => {
@@ -158,7 +160,7 @@
             }
         };
         if let AttemptOutcome::NotRun { .. } | AttemptOutcome::Withdrawn { .. } = outcome {
-            call.maybe_running.store(false, Ordering::Relaxed);
+            call.running.set(role, false);
         }
         let attempts = &self.metrics.attempts;
         attempts.with_label_values(&[target, result]).inc();
@@ -369,6 +371,7 @@
             },
             vm: None,
             forecast: server.forecast,
+            role: AttemptRole::First,
             work: Some(server.work),
         }
     }
@@ -409,6 +412,7 @@
             },
             vm: Some(vm.vm),
             forecast: vm.forecast,
+            role: AttemptRole::First,
             work: None,
         }
     }
--- a/crates/verbenaring-core/src/path/mod.rs
+++ b/crates/verbenaring-core/src/path/mod.rs
@@ -2,6 +2,7 @@
 //! the answer.
 
 mod access;
+mod attempts;
 pub mod call;
 pub mod choose;
 mod collect;
@@ -9,6 +10,7 @@
 pub mod event;
 pub mod exchange;
 pub mod framing;
+mod hedge;
 pub mod origin;
 pub mod overdue;
 pub mod refusal;
--- a/crates/verbenaring-core/src/path/overdue.rs
+++ b/crates/verbenaring-core/src/path/overdue.rs
@@ -15,7 +15,7 @@
 use verbenaring_policy::id::VmId;
 use verbenaring_policy::time::Moment;
 
-use super::call::{CallOrigin, PendingCall, TriedTargets};
+use super::call::{AttemptRole, CallOrigin, PendingCall, TriedTargets};
 use super::exchange::AttemptRequest;
 use crate::node::FrontNode;
 use crate::upstream::pool::{ConnectionLease, SendError};
@@ -34,6 +34,7 @@
 struct OverdueAttempt<'a> {
     call: &'a PendingCall,
     tried: &'a TriedTargets,
+    role: AttemptRole,
     server: Option<ServerKey>,
     vm: Option<&'a VmId>,
     limit: Duration,
@@ -51,10 +52,12 @@
         let limit = attempt.forecast * RESPONSE_TIMEOUT_FACTOR + RESPONSE_TIMEOUT_SLACK;
         let sent_at = self.clock.now();
         let vm = attempt.vm.clone();
+        let role = attempt.role;
         let server = attempt.work.map(|work| work.key);
         let mut overdue = OverdueAttempt {
             call,
             tried,
+            role,
             server,
             vm: vm.as_ref(),
             limit,
@@ -70,7 +73,7 @@
             }
             judged_at = Instant::now() + JUDGE_INTERVAL;
             // A call that waits until its server has stated its start has not been sent.
-            let is_sent = vm.is_some() || call.maybe_running.load(Ordering::Relaxed);
+            let is_sent = vm.is_some() || call.running.includes(role);
             if is_sent && !call.may_repeat_after_attempt() {
                 continue;
             }
@@ -127,11 +130,11 @@
     /// Whether the call of an attempt may be sent elsewhere now, as far as this VM can tell.
     fn can_repeat(&self, attempt: &OverdueAttempt<'_>, now: Moment) -> bool {
         let OverdueAttempt { call, tried, .. } = attempt;
+        let is_sent = call.running.includes(attempt.role);
         if call.origin == CallOrigin::Vm {
-            return call.forwarded_repeatable || !call.maybe_running.load(Ordering::Relaxed);
+            return call.forwarded_repeatable || !is_sent;
         }
         let mut state = self.lock();
-        let is_sent = call.maybe_running.load(Ordering::Relaxed);
         if is_sent && !state.allows_retry(&call.service, now) {
             return false;
         }
@@ -155,9 +158,9 @@
 
 impl PendingCall {
     /// Whether the call may run at a further server if an attempt that is about to be made
-    /// has no answer.
+    /// has no answer. An attempt that is made at the same time counts as well.
     pub(super) fn may_repeat_after_attempt(&self) -> bool {
-        let runs = self.runs.load(Ordering::Relaxed) + 1;
+        let runs = self.runs.load(Ordering::Relaxed) + self.running.count().max(1);
         let more = runs < self.max_attempts || self.forwarded_repeatable;
         self.route.kind.is_repeatable() && more
     }
--- a/crates/verbenaring-core/src/settings.rs
+++ b/crates/verbenaring-core/src/settings.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use verbenaring_policy::dispatch::hedge::HedgeSettings;
 use verbenaring_policy::dispatch::pace::PaceLimits;
 use verbenaring_policy::dispatch::relay::RelaySettings;
 use verbenaring_policy::dispatch::settings::DispatchSettings;
@@ -207,6 +208,8 @@
     pub dispatch: DispatchSettings,
     /// When reports go through relays.
     pub relay: RelaySettings,
+    /// Second attempts of calls that take long.
+    pub hedge: HedgeSettings,
 }
 
 impl Default for TuningSettings {
@@ -222,6 +225,7 @@
             routine_lines_per_s: 20,
             dispatch: DispatchSettings::default(),
             relay: RelaySettings::default(),
+            hedge: HedgeSettings::default(),
         }
     }
 }
@@ -249,6 +253,10 @@
             let reason = "report intervals must be at least 1 ms".to_owned();
             return Err(invalid("tuning", reason));
         }
+        if !(0.0..=1.0).contains(&settings.tuning.hedge.share) {
+            let reason = "the share of hedged calls must be from 0 to 1".to_owned();
+            return Err(invalid("tuning.hedge.share", reason));
+        }
         Ok(settings)
     }
 
--- a/crates/verbenaring-core/src/state.rs
+++ b/crates/verbenaring-core/src/state.rs
@@ -7,6 +7,7 @@
 
 use verbenaring_policy::dispatch::doubt::DoubtfulServers;
 use verbenaring_policy::dispatch::evidence::CallParts;
+use verbenaring_policy::dispatch::hedge::HedgePlanner;
 use verbenaring_policy::dispatch::origin::StreamOrigins;
 use verbenaring_policy::dispatch::ownership::RegionView;
 use verbenaring_policy::dispatch::presence::{PresenceTable, VmState};
@@ -61,6 +62,8 @@
     pub retry_shares: RetryShares,
     /// What other VMs have spent of theirs.
     pub held_statements: HeldStatements,
+    /// Budgets and delays of second attempts.
+    pub hedges: HedgePlanner,
     region: RegionName,
     vm_hash: u64,
     capacity: u32,
@@ -90,6 +93,7 @@
             routine_lines: LogRateLimiter::default(),
             retry_shares: RetryShares::new(settings.bounds.budget(), Moment::default()),
             held_statements: HeldStatements::default(),
+            hedges: HedgePlanner::new(settings.tuning.hedge),
             vm_hash: name_hash(settings.vm.as_str()),
             capacity: settings.capacity(),
             region,
@@ -233,5 +237,6 @@
         self.vms.expire(now);
         self.retry_shares.expire(now);
         self.held_statements.expire(now);
+        self.hedges.expire(now);
     }
 }
--- a/crates/verbenaring-core/src/upstream/process.rs
+++ b/crates/verbenaring-core/src/upstream/process.rs
@@ -6,7 +6,6 @@
 //! [`verbenaring_policy::dispatch::process`].
 
 use std::net::SocketAddr;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use hyper::Response;
@@ -59,9 +58,10 @@
             address,
             options,
             work,
+            role,
             ..
         } = attempt;
-        call.maybe_running.store(true, Ordering::Relaxed);
+        call.running.set(role, true);
         let mut work = work.filter(|_| call.service_settings.cold_rate > 0.0);
         let may_send = || match &mut work {
             Some(work) => self.may_send_now(call, work, address),
@@ -75,12 +75,12 @@
             IdleSend::Answered(answer, lease) => return Ok((answer, lease)),
             IdleSend::Unsent(request) => request,
         };
-        call.maybe_running.store(false, Ordering::Relaxed);
+        call.running.set(role, false);
         let lease = match work {
             Some(mut work) => self.open_asked(call, &mut work, address, options).await?,
             None => self.pool.open(address, options).await?,
         };
-        call.maybe_running.store(true, Ordering::Relaxed);
+        call.running.set(role, true);
         lease.send(request).await
     }
 
--- a/crates/verbenaring-policy/src/dispatch/health.rs
+++ b/crates/verbenaring-policy/src/dispatch/health.rs
@@ -51,6 +51,8 @@
     refused_at: Option<Moment>,
     waiting_calls: u32,
     silent_since: Moment,
+    /// Time that cancelled calls have waited since the last first event or answer.
+    cancelled_wait: Duration,
 }
 
 impl ServerHealth {
@@ -70,6 +72,18 @@
     /// Records a first event or an answer, which ends a silence.
     pub fn record_progress(&mut self, now: Moment) {
         self.silent_since = now;
+        self.cancelled_wait = Duration::ZERO;
+    }
+
+    /// Records a call that was cancelled after it had waited for its first event, because
+    /// another server answered it. It counts as silence: a server that hangs would otherwise
+    /// never be silent for long.
+    pub fn record_cancelled(&mut self, waited: Duration, now: Moment) {
+        let decay = self.decay(now);
+        self.failure_share *= decay;
+        self.broken_share *= decay;
+        self.cancelled_wait = self.cancelled_wait.mul_f64(decay) + waited;
+        self.updated_at = now;
     }
 
     /// Records the quality of an answer. A good one ends the avoidance of a server
@@ -82,6 +96,7 @@
         };
         self.failure_share = updated_share(self.failure_share, quality == AnswerQuality::Failed);
         self.broken_share = updated_share(self.broken_share, quality == AnswerQuality::Broken);
+        self.cancelled_wait = self.cancelled_wait.mul_f64(decay);
         self.updated_at = now;
         if quality == AnswerQuality::Good {
             self.refused_at = None;
@@ -132,7 +147,8 @@
         let decay = self.decay(now);
         let excess_failures = (self.failure_share * decay - TOLERATED_FAILURE_SHARE).max(0.0);
         let broken = self.broken_share * decay;
-        let silence = self.silence(now).saturating_sub(TOLERATED_SILENCE);
+        let silence = self.silence(now) + self.cancelled_wait.mul_f64(decay);
+        let silence = silence.saturating_sub(TOLERATED_SILENCE);
         FAILURE_PENALTY.mul_f64(excess_failures) + BROKEN_PENALTY.mul_f64(broken) + silence
     }
 
--- a/crates/verbenaring-policy/src/dispatch/in_flight.rs
+++ b/crates/verbenaring-policy/src/dispatch/in_flight.rs
@@ -1,6 +1,8 @@
 //! Accounts for calls from the moment they are sent until they end, and learns from them
 //! how long work takes.
 
+use std::time::Duration;
+
 use super::forecast::{FirstEventModel, FirstEventSample};
 use super::health::AnswerQuality;
 use super::place::{Placement, PlacementRequest};
@@ -59,8 +61,29 @@
         record.release_unread(call);
         record.health.record_progress(now);
         record.signs.unanswered_since = None;
+        self.learn_time(call, now.since(call.sent_at), now);
+    }
+
+    /// Time to the first event or the answer that was to be expected of a call; `None` once
+    /// its server is dropped.
+    pub(super) fn expected_time(&self, call: &InFlightCall) -> Option<Duration> {
+        let entry = self.entry(call.key)?;
+        if entry.models.is_empty() {
+            let model = self.service_time_models.get(&entry.service);
+            let model = model.cloned().unwrap_or_default();
+            return Some(model.predict(call.queued_ahead, entry.slots));
+        }
+        let model = self.model_of(&entry.service);
+        let (own, ahead) = (call.unread_tokens, call.queued_ahead);
+        Some(model.predict(u64::from(own), u64::from(ahead)))
+    }
+
+    /// Learns the time to the first event or the answer of a call.
+    pub(super) fn learn_time(&mut self, call: &InFlightCall, observed: Duration, now: Moment) {
+        let Some(record) = self.servers.get(call.key) else {
+            return;
+        };
         let service = record.entry.service.clone();
-        let observed = now.since(call.sent_at);
         if record.entry.models.is_empty() {
             let slots = record.entry.slots;
             let model = self.service_time_models.entry(service).or_default();
--- a/crates/verbenaring-policy/src/dispatch/mod.rs
+++ b/crates/verbenaring-policy/src/dispatch/mod.rs
@@ -12,7 +12,8 @@
 //! when they end ([`run`], [`doubt`]) and the [`evidence`] of other VMs show it. Another region is
 //! used if it answers sooner or is much less busy ([`spill`]), and another VM of the region
 //! if this one has lost [`contact`] with the servers. Retries come from the VM's share of a
-//! budget ([`retry_share`]). [`presence`] tracks the
+//! budget ([`retry_share`]). Calls that take longer than others get a second attempt
+//! ([`hedge`]). [`presence`] tracks the
 //! other VMs, [`standstill`] notices when this one did not run, [`relay`] decides to
 //! which of them a VM reports, [`watcher`] decides which VMs watch the configuration
 //! source, and [`changes`] passes their view of the servers on.
@@ -27,6 +28,7 @@
 pub mod forecast;
 mod former;
 pub mod health;
+pub mod hedge;
 pub mod in_flight;
 pub mod limit;
 pub mod origin;
