Tests of hedged calls: under named loads, and with the stand-ins

Ruled out: tests that count on what the quantile does after a few slow calls in turn (with 60 known times, two slow ones already raise the delay above theirs); the calls are sent at once instead.

--- a/crates/verbenaring-policy/tests/dispatch/main.rs
+++ b/crates/verbenaring-policy/tests/dispatch/main.rs
@@ -7,6 +7,8 @@
 mod doubt;
 mod fixture;
 mod forecast;
+mod hedge;
+mod hedge_load;
 mod limit;
 mod ownership;
 mod place;
