--- a/crates/verbenaring-core/src/path/call.rs
+++ b/crates/verbenaring-core/src/path/call.rs
@@ -168,13 +168,11 @@
         self.running.count() > 0 || self.runs.load(Ordering::Relaxed) > 0
     }
 
-    /// Whether the call may run at a second server while it runs at a first one. Limited by
-    /// the route as well, as callers may state attempts in the header of forwarded calls.
+    /// Whether the call may run at a second server while it runs at a first one.
     pub fn may_be_hedged(&self) -> bool {
-        let attempts = self.max_attempts.min(self.route.attempts);
         self.origin == CallOrigin::Caller
             && self.route.kind.may_overlap()
-            && self.runs.load(Ordering::Relaxed) + 1 < attempts
+            && self.runs.load(Ordering::Relaxed) + 1 < self.max_attempts
     }
 
     /// Rank of the call under load; 0 is the most urgent.
--- a/crates/verbenaring-core/src/path/controller.rs
+++ b/crates/verbenaring-core/src/path/controller.rs
@@ -134,8 +134,8 @@
         if !self.can_finish(deadline) {
             return Err(CallRefusal::busy("stopping", self.stopping_retry_after()));
         }
-        let max_attempts =
-            header_number(ATTEMPTS_HEADER).map_or(route.attempts, |attempts| attempts as u32);
+        let stated_attempts = header_number(ATTEMPTS_HEADER).filter(|_| origin == CallOrigin::Vm);
+        let max_attempts = stated_attempts.map_or(route.attempts, |attempts| attempts as u32);
         let forwarded_repeatable =
             origin == CallOrigin::Vm && parts.headers.contains_key(REPEATABLE_HEADER);
         let build = header_number(BUILD_HEADER).filter(|_| origin == CallOrigin::Vm);
