--- a/crates/verbenaring-policy/tests/dispatch/hedge.rs
+++ b/crates/verbenaring-policy/tests/dispatch/hedge.rs
@@ -13,7 +13,7 @@
 
 /// Prints what hedges change under a load; the figures are in the design note.
 fn report(name: &str, load: &Load) {
-    for share in [0.0, SHARE, 0.1] {
+    for share in [0.0, SHARE, 0.05, 0.1] {
         let outcome = play(load, share, 1);
         println!(
             "{name} share {share}: p50 {:.0} p99 {:.0} p99.9 {:.0} ms, extra {:.4}, unanswered {}, withheld {:?}",
