--- a/crates/verbenaring-policy/src/dispatch/mod.rs
+++ b/crates/verbenaring-policy/src/dispatch/mod.rs
@@ -16,13 +16,15 @@
 //! ([`hedge`]). [`presence`] tracks the
 //! other VMs, [`standstill`] notices when this one did not run, [`relay`] decides to
 //! which of them a VM reports, [`watcher`] decides which VMs watch the configuration
-//! source, and [`changes`] passes their view of the servers on.
+//! source, and [`changes`] passes their view of the servers on. Before a configuration is
+//! published, [`review`] finds what in it has no effect.
 
 pub mod brittle;
 pub mod build;
 pub mod call;
 pub mod changes;
 pub mod contact;
+pub mod difference;
 pub mod doubt;
 pub mod evidence;
 pub mod forecast;
@@ -43,6 +45,7 @@
 pub mod relay;
 mod retry_pool;
 pub mod retry_share;
+pub mod review;
 pub mod run;
 pub mod server;
 pub mod settings;
--- a/crates/verbenaring-policy/tests/dispatch/main.rs
+++ b/crates/verbenaring-policy/tests/dispatch/main.rs
@@ -19,6 +19,7 @@
 mod relay;
 mod restarts;
 mod retry_shares;
+mod review;
 mod routes;
 mod run;
 mod servers;
