Only answered calls at servers of the region earn hedges

Cause: calls that were refused or forwarded, which cannot be hedged, added to the budget of hedges as well; and the accept path took a hedge step while off.

The credit is added when a call is answered. The simulation does the same, and does not record calls that reach their deadline, as the path. The attempt that failed first is boxed, so that calls without a hedge carry no room for it.

--- a/crates/verbenaring-core/src/path/attempts.rs
+++ b/crates/verbenaring-core/src/path/attempts.rs
@@ -53,8 +53,8 @@
 /// Attempts that were made at the same time and have ended. Those that were cancelled are
 /// left out.
 pub(super) struct EndedAttempts<P: WireProtocol> {
-    /// Attempt that failed while the other one went on.
-    pub(super) earlier: Option<EndedAttempt<P>>,
+    /// Attempt that failed while the other one went on. Boxed, as few calls have one.
+    pub(super) earlier: Option<Box<EndedAttempt<P>>>,
     /// Attempt that ended last; only this one may have an answer to be passed on.
     pub(super) last: EndedAttempt<P>,
 }
--- a/crates/verbenaring-core/src/path/controller.rs
+++ b/crates/verbenaring-core/src/path/controller.rs
@@ -170,11 +170,7 @@
         };
         if origin == CallOrigin::Caller {
             let now = self.clock.now();
-            let mut state = self.lock();
-            state.retry_shares.record_call(&call.service, now);
-            if call.may_be_hedged() {
-                state.hedges.record_call(&call.service);
-            }
+            self.lock().retry_shares.record_call(&call.service, now);
         }
         Ok(call)
     }
@@ -266,7 +262,12 @@
                 // Boxed, so that calls that are not hedged have no memory for two attempts.
                 Some(class) => Box::pin(self.attempt_hedged(call, target, tried, class)).await,
             };
-            for attempt in ended.earlier.into_iter().chain([ended.last]) {
+            for attempt in ended
+                .earlier
+                .map(|earlier| *earlier)
+                .into_iter()
+                .chain([ended.last])
+            {
                 let EndedAttempt { target, outcome } = attempt;
                 targets += 1;
                 let is_server = matches!(target, EndedTarget::Server { .. });
--- a/crates/verbenaring-core/src/path/hedge.rs
+++ b/crates/verbenaring-core/src/path/hedge.rs
@@ -97,7 +97,7 @@
                     outcome,
                 };
                 return EndedAttempts {
-                    earlier: Some(earlier),
+                    earlier: Some(Box::new(earlier)),
                     ..EndedAttempts::one(ended_target, last)
                 };
             }
@@ -108,9 +108,9 @@
             }
         };
         self.report_hedge(call, "lost", &ended.last.target, &ended_target, began);
-        let earlier = earlier.map(|outcome| EndedAttempt {
-            target: ended_target,
-            outcome,
+        let earlier = earlier.map(|outcome| {
+            let target = ended_target;
+            Box::new(EndedAttempt { target, outcome })
         });
         EndedAttempts { earlier, ..ended }
     }
@@ -178,12 +178,15 @@
         sent.ok_or(HedgeRefusal::NoServer)
     }
 
-    /// Records how long the first attempt took, or has taken when the second one answered.
+    /// Records how long the first attempt took, or has taken when the second one answered;
+    /// the answered call adds to the budget of its service.
     fn record_call_time(&self, class: &HedgeClass, began: Instant, outcome: &AttemptOutcome<P>) {
         if matches!(outcome, AttemptOutcome::Whole(_)) {
             let now = self.clock.now();
             let time = began.elapsed();
-            self.lock().hedges.record_time(class, time, now);
+            let hedges = &mut self.lock().hedges;
+            hedges.record_call(class.service());
+            hedges.record_time(class, time, now);
         }
     }
 
--- a/crates/verbenaring-policy/src/dispatch/hedge.rs
+++ b/crates/verbenaring-policy/src/dispatch/hedge.rs
@@ -207,7 +207,8 @@
         }
     }
 
-    /// Counts a call that may be hedged; it adds to the budget of its service.
+    /// Counts an answered call that might have been hedged; it adds to the budget of its
+    /// service.
     pub fn record_call(&mut self, service: &ServiceName) {
         if !self.settings.is_on() {
             return;
--- a/crates/verbenaring-policy/tests/dispatch/hedge_load.rs
+++ b/crates/verbenaring-policy/tests/dispatch/hedge_load.rs
@@ -239,7 +239,6 @@
         self.done.push(false);
         self.by_call.push(Vec::new());
         self.withheld.push(false);
-        self.planner.record_call(&service);
         let work = self.table.record_sent(&placement, &request, moment(now));
         self.run(call, work, false, now);
         let class = HedgeClass::of("route", &request);
@@ -323,7 +322,10 @@
         let (service, settings) = (service("engine"), plain_settings());
         let class = HedgeClass::of("route", &plain_request(&service, &settings, &[]));
         let taken = Duration::from_micros(time);
-        self.planner.record_time(&class, taken, moment(now));
+        if winner.is_some() {
+            self.planner.record_call(&service);
+            self.planner.record_time(&class, taken, moment(now));
+        }
         for index in self.by_call[call].clone() {
             let attempt = &mut self.attempts[index];
             attempt.running = false;
