--- a/crates/verbenaring-core/src/path/admit.rs
+++ b/crates/verbenaring-core/src/path/admit.rs
@@ -53,7 +53,6 @@
         let admitted = rng.random::<f64>() < admission.part;
         let _ = call.admitted.set(admitted);
         if admitted {
-            gate.record_admitted(placement.unread_tokens, now);
             return Ok(None);
         }
         if let Some(target) = self.forward_excess(call, tried, admission, servers, state, now) {
