Quotas: intervals of statements, lists of many tenants, lost relays

Change: the age at which a VM counts as lost follows the interval of its reports; VMs state quotas while any tenant has one; only the stated accounts are updated; Retry-After grows with the excess of the demand.

--- a/crates/verbenaring-core/src/cluster/allowances.rs
+++ b/crates/verbenaring-core/src/cluster/allowances.rs
@@ -4,6 +4,7 @@
 //! use by its group in a datagram of its own, since nothing that it sends there has room.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use verbenaring_policy::dispatch::allowance::{AllowanceRole, AllowanceScope, AllowanceStatement};
 
@@ -16,9 +17,9 @@
     pub(super) fn stated_allowances(&self, scope: AllowanceScope) -> Vec<AllowanceStatement> {
         let now = self.node.clock.now();
         let mut state = self.node.lock();
-        match state.allowances.is_idle() {
-            true => Vec::new(),
-            false => vec![state.allowances.statement(scope, now)],
+        match state.allowances.is_stated(now) {
+            true => vec![state.allowances.statement(scope, now)],
+            false => Vec::new(),
         }
     }
 
@@ -35,11 +36,12 @@
         }
     }
 
-    pub(super) fn hold_allowances(&self, statements: &[AllowanceStatement]) {
+    /// Holds what another VM states every `interval`.
+    pub(super) fn hold_allowances(&self, statements: &[AllowanceStatement], interval: Duration) {
         let now = self.node.clock.now();
         let mut state = self.node.lock();
         for statement in statements {
-            state.allowances.record(statement, now);
+            state.allowances.record(statement, interval, now);
         }
     }
 
@@ -51,6 +53,11 @@
             (true, false) => AllowanceRole::Member,
             (true, true) => AllowanceRole::Relay,
         };
-        self.node.lock().set_allowance_group(role, now);
+        let routes = self.node.routes.load();
+        let mut tenants = routes.tenants().iter();
+        let enabled = tenants.any(|tenant| tenant.allowance.is_limited());
+        let mut state = self.node.lock();
+        state.allowances.set_enabled(enabled);
+        state.set_allowance_group(role, now);
     }
 }
--- a/crates/verbenaring-core/src/cluster/receive.rs
+++ b/crates/verbenaring-core/src/cluster/receive.rs
@@ -12,7 +12,7 @@
 use super::message::{
     LoadDigest, LoadScope, MemberDigest, ReadDigest, VmDescription, VmMessage, VmReport, decode,
 };
-use super::relay::MAX_WAITING_READS;
+use super::relay::{MAX_WAITING_READS, MEMBER_INTERVAL};
 use super::report::Reporter;
 use crate::wire::WireProtocol;
 
@@ -25,13 +25,15 @@
             Ok(VmMessage::Report(report, tail)) => {
                 self.node.merge_limits(&tail.limits, StatementSource::Vm);
                 self.hold_statements(tail.retries, report.vm.report_address);
-                self.hold_allowances(&tail.allowances);
+                let interval = Duration::from_millis(u64::from(report.interval_ms));
+                self.hold_allowances(&tail.allowances, interval);
                 self.apply_report(report);
             }
             Ok(VmMessage::Loads(included, digest, tail)) => {
                 self.node.merge_limits(&tail.limits, StatementSource::Relay);
                 self.hold_statements(tail.retries, digest.vm.report_address);
-                self.hold_allowances(&tail.allowances);
+                let interval = Duration::from_millis(u64::from(digest.interval_ms));
+                self.hold_allowances(&tail.allowances, interval);
                 self.apply_loads(included, digest);
             }
             Ok(VmMessage::Members(digest)) => self.apply_members(digest),
@@ -40,7 +42,9 @@
             Ok(VmMessage::Origins(origins)) => self.apply_origins(&origins),
             Ok(VmMessage::Builds(declared)) => self.apply_builds(&declared),
             Ok(VmMessage::Retries(statement)) => self.inherit_retries(&statement),
-            Ok(VmMessage::Allowances(statement)) => self.hold_allowances(&[statement]),
+            Ok(VmMessage::Allowances(statement)) => {
+                self.hold_allowances(&[statement], MEMBER_INTERVAL)
+            }
             Err(error) => {
                 if let Some(suppressed) = self.node.allow_log_line(true) {
                     log::warn!(from:% = from, bytes = datagram.len(), error:% = error,
--- a/crates/verbenaring-core/src/cluster/relay.rs
+++ b/crates/verbenaring-core/src/cluster/relay.rs
@@ -22,7 +22,7 @@
 use crate::wire::WireProtocol;
 
 /// Interval at which relays state the VMs and regions that they know.
-const MEMBER_INTERVAL: Duration = Duration::from_millis(300);
+pub(super) const MEMBER_INTERVAL: Duration = Duration::from_millis(300);
 /// Time for which a VM that was first heard, or that changed, goes before others.
 const RECENT_TIME: Duration = Duration::from_millis(1_500);
 /// VMs that are described in one datagram beside news of others.
--- a/crates/verbenaring-core/src/path/quota.rs
+++ b/crates/verbenaring-core/src/path/quota.rs
@@ -113,7 +113,7 @@
     /// Shows the quotas of the tenants with most refusals in the metrics.
     pub(crate) fn show_quotas(&self) {
         self.return_charges();
-        let usages = self.lock().allowances.usages();
+        let usages = self.lock().allowances.usages(self.clock.now());
         let quotas = &self.metrics.tenant_quotas;
         quotas.reset();
         for usage in usages.iter().take(MAX_METRIC_TENANTS) {
--- a/crates/verbenaring-policy/src/dispatch/allowance.rs
+++ b/crates/verbenaring-policy/src/dispatch/allowance.rs
@@ -20,7 +20,7 @@
 pub use super::allowance_parts::{
     AllowanceRole, AllowanceScope, AllowanceStatement, MAX_STATED_TENANTS, TenantUse,
 };
-use super::allowance_parts::{HeldParts, MAX_FRESH_AGE, OthersView, UseSum};
+use super::allowance_parts::{HeldParts, MAX_FRESH_AGE, OthersView, USE_AGE, UseSum};
 use super::prompt::name_hash;
 use super::tenant::{Allowance, Tenant};
 use crate::id::TenantName;
@@ -34,7 +34,7 @@
 const DEMAND_WEIGHT: f64 = FAST_WEIGHT + SLOW_WEIGHT;
 /// Updates of the demand that are kept; they cover the age at which a VM counts as lost and
 /// [`EXCHANGE_TIME`].
-const KEPT_DEMANDS: usize = 34;
+const KEPT_DEMANDS: usize = 46;
 /// Age at which a VM counts as lost, in seconds.
 const LOST_AFTER_S: f64 = MAX_FRESH_AGE.as_millis() as f64 / 1_000.0;
 /// Use of the permitted excess of a tenth: it makes up for what the delay of statements
@@ -50,12 +50,16 @@
 const START_TIME: Duration = Duration::from_secs(3);
 /// Number of VMs that is assumed until then.
 const ASSUMED_VMS: usize = 256;
+/// Time after which the list of stated tenants is made again if it is long.
+const LIST_TIME: Duration = Duration::from_millis(500);
 /// Shortest time without calls after which an account is dropped.
 const MIN_IDLE_TIME: Duration = Duration::from_secs(10);
 /// Longest such time.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(600);
 /// Shortest suggested wait of a refused caller.
 const MIN_WAIT: Duration = Duration::from_millis(200);
+/// Excess of the demand over the quota up to which refused callers are spread.
+const MAX_EXCESS: f64 = 5.0;
 /// Longest suggested wait of a refused caller.
 const MAX_WAIT: Duration = Duration::from_secs(8);
 
@@ -185,8 +189,9 @@
             false => by_vms,
         };
         let mut lost_share = DEMAND_WEIGHT * by_demand + (1.0 - DEMAND_WEIGHT) * by_vms;
-        if lost_vms > 0.0 && lost_vms >= self.lost_vms {
-            lost_share = lost_share.max(self.lost_share);
+        if lost_vms > 0.0 && self.lost_vms > 0.0 {
+            let still_lost = (lost_vms / self.lost_vms).min(1.0);
+            lost_share = lost_share.max(self.lost_share * still_lost);
         }
         if lost_share > self.lost_share && self.level > 0.0 {
             let kept = (1.0 - lost_share) / (1.0 - self.lost_share);
@@ -243,7 +248,12 @@
     fn wait(&self, cost: f64) -> Duration {
         let missing = (cost + self.meter.unseen() - self.level).max(0.0);
         let wait = Duration::try_from_secs_f64(missing / self.rate());
-        wait.unwrap_or(MAX_WAIT).clamp(MIN_WAIT, MAX_WAIT)
+        // The more the demand exceeds the quota, the more callers have to come back later.
+        let excess = (self.demand / self.rate() - 1.0).clamp(0.0, MAX_EXCESS);
+        let spread = EXCHANGE_TIME.mul_f64(excess / 2.0);
+        wait.unwrap_or(MAX_WAIT)
+            .max(spread)
+            .clamp(MIN_WAIT, MAX_WAIT)
     }
 
     fn idle_time(&self) -> Duration {
@@ -258,9 +268,15 @@
 pub struct AllowanceTable {
     accounts: HashMap<u64, TenantAccount>,
     parts: HeldParts,
+    /// Hashes of the accounts' tenants by the hashes that are stated.
+    by_short_hash: HashMap<u32, u64>,
     own: u32,
     started_at: Moment,
+    enabled: bool,
+    /// Tenants that are stated, of which `cursor` is the next.
+    order: Vec<u32>,
     cursor: usize,
+    listed_at: Moment,
 }
 
 impl AllowanceTable {
@@ -270,9 +286,13 @@
         Self {
             accounts: HashMap::new(),
             parts: HeldParts::new(ASSUMED_VMS),
+            by_short_hash: HashMap::new(),
             own,
             started_at: now,
+            enabled: false,
+            order: Vec::new(),
             cursor: 0,
+            listed_at: now,
         }
     }
 
@@ -356,6 +376,7 @@
             refused: 0,
         };
         self.accounts.insert(hash, account);
+        self.by_short_hash.insert(hash as u32, hash);
         self.refresh(hash, now);
     }
 
@@ -374,46 +395,65 @@
         }
     }
 
-    /// Takes over what another VM states.
-    pub fn record(&mut self, statement: &AllowanceStatement, now: Moment) {
+    /// Takes over what another VM states, which does so again after `interval`.
+    pub fn record(&mut self, statement: &AllowanceStatement, interval: Duration, now: Moment) {
         if statement.source != self.own {
-            self.parts.record(statement, now);
+            self.parts.record(statement, interval, now);
         }
     }
 
-    /// Whether there is anything to state.
-    pub fn is_idle(&self) -> bool {
-        self.accounts.is_empty() && self.parts.tenants().next().is_none()
+    /// Sets whether any tenant has a quota.
+    pub fn set_enabled(&mut self, enabled: bool) {
+        self.enabled = enabled;
+    }
+
+    /// Whether this VM states the use of quotas: VMs without calls do as well, since a VM
+    /// that is not heard counts as lost.
+    pub fn is_stated(&self, now: Moment) -> bool {
+        self.enabled || self.parts.hears_any(now)
+    }
+
+    /// Tenants that are stated, in order.
+    fn stated_tenants(&mut self, now: Moment) -> Vec<u32> {
+        let accounts = self.accounts.iter();
+        let accounts = accounts.map(|(hash, account)| (*hash as u32, account.used_at));
+        let accounts: Vec<(u32, Moment)> = accounts.collect();
+        let mut tenants: BTreeSet<u32> = self.parts.tenants().collect();
+        if tenants.len() + accounts.len() <= MAX_STATED_TENANTS {
+            tenants.extend(accounts.iter().map(|(tenant, _)| *tenant));
+        } else {
+            let active = accounts
+                .iter()
+                .filter(|(_, used_at)| now.since(*used_at) < USE_AGE);
+            tenants.extend(active.map(|(tenant, _)| *tenant));
+        }
+        tenants.into_iter().collect()
     }
 
     /// What this VM states of the VMs of a scope: of [`MAX_STATED_TENANTS`] tenants, the
     /// next ones in turn if there are more.
     pub fn statement(&mut self, scope: AllowanceScope, now: Moment) -> AllowanceStatement {
-        let hashes: Vec<u64> = self.accounts.keys().copied().collect();
-        let mut tenants = BTreeSet::new();
-        let mut by_short = HashMap::new();
-        for hash in hashes {
-            self.update(hash, now);
-            tenants.insert(hash as u32);
-            by_short.insert(hash as u32, hash);
+        if now.since(self.listed_at) >= LIST_TIME || self.order.len() <= MAX_STATED_TENANTS {
+            self.order = self.stated_tenants(now);
+            self.listed_at = now;
         }
-        if scope != AllowanceScope::Vm {
-            tenants.extend(self.parts.tenants());
-        }
-        let tenants: Vec<u32> = tenants.into_iter().collect();
+        let tenants = std::mem::take(&mut self.order);
         let count = tenants.len().min(MAX_STATED_TENANTS);
         let start = match tenants.len() > count {
             true => self.cursor % tenants.len(),
             false => 0,
         };
-        let stated = (0..count).map(|index| tenants[(start + index) % tenants.len()]);
-        let uses = stated.filter_map(|tenant| {
-            let account = by_short
-                .get(&tenant)
-                .and_then(|hash| self.accounts.get(hash));
-            self.stated_use(tenant, account, scope, now)
-        });
-        let uses = uses.collect();
+        let mut uses = Vec::with_capacity(count);
+        for index in 0..count {
+            let tenant = tenants[(start + index) % tenants.len()];
+            let hash = self.by_short_hash.get(&tenant).copied();
+            if let Some(hash) = hash {
+                self.update(hash, now);
+            }
+            let account = hash.and_then(|hash| self.accounts.get(&hash));
+            uses.extend(self.stated_use(tenant, account, scope, now));
+        }
+        self.order = tenants;
         if scope != AllowanceScope::Far {
             self.cursor = start + count;
         }
@@ -462,7 +502,10 @@
     }
 
     /// State of the tenants' allowances, those with most refusals first.
-    pub fn usages(&self) -> Vec<AllowanceUsage> {
+    pub fn usages(&mut self, now: Moment) -> Vec<AllowanceUsage> {
+        for account in self.accounts.values_mut() {
+            let _ = account.meter.advance(now);
+        }
         let usages = self.accounts.values().map(|account| AllowanceUsage {
             tenant: account.name.clone(),
             rate: account.limits.rate,
@@ -484,6 +527,9 @@
     pub fn expire(&mut self, now: Moment) {
         self.accounts
             .retain(|_, account| now.since(account.used_at) < account.idle_time());
+        let accounts = &self.accounts;
+        self.by_short_hash
+            .retain(|_, hash| accounts.contains_key(hash));
         self.parts.expire(now);
     }
 }
--- a/crates/verbenaring-policy/src/dispatch/allowance_parts.rs
+++ b/crates/verbenaring-policy/src/dispatch/allowance_parts.rs
@@ -11,14 +11,20 @@
 
 use crate::time::Moment;
 
-/// Age from which the VMs of a statement may be cut off. Two statements of another region
-/// may get lost before.
+/// Age from which the VMs of a statement may be cut off. One or two statements may get lost
+/// before.
 pub(super) const MAX_FRESH_AGE: Duration = Duration::from_millis(900);
+/// Intervals of the statements that are waited for at least.
+const MIN_FRESH_INTERVALS: u32 = 2;
+/// Longest interval that is taken into account.
+const MAX_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Time that a statement takes on its way.
+const TRANSIT_TIME: Duration = Duration::from_millis(150);
 /// Time for which parts of VMs are kept that are not heard, which may still spend them.
 /// Their records are dropped after the same time.
 const KEPT_AGE: Duration = Duration::from_secs(60);
 /// Time after which what was stated of a tenant is dropped unless it is stated again.
-const USE_AGE: Duration = Duration::from_secs(4);
+pub(super) const USE_AGE: Duration = Duration::from_secs(4);
 /// Tenants of one statement; the others follow in the next ones.
 pub const MAX_STATED_TENANTS: usize = 24;
 /// Statements that are held at most.
@@ -145,13 +151,15 @@
 struct HeldPart {
     vms: u16,
     lost_vms: u16,
+    /// Age from which the VMs may be cut off.
+    fresh_age: Duration,
     received_at: Moment,
     uses: HashMap<u32, (UseSum, Moment)>,
 }
 
 impl HeldPart {
     fn is_fresh(&self, now: Moment) -> bool {
-        now.since(self.received_at) < MAX_FRESH_AGE
+        now.since(self.received_at) < self.fresh_age
     }
 
     /// Use of a tenant. What a fresh part does not state again is over.
@@ -193,7 +201,13 @@
         }
     }
 
-    pub(super) fn record(&mut self, statement: &AllowanceStatement, now: Moment) {
+    /// Holds a statement; the next one follows after `interval`.
+    pub(super) fn record(
+        &mut self,
+        statement: &AllowanceStatement,
+        interval: Duration,
+        now: Moment,
+    ) {
         let key = (statement.source, statement.scope);
         if !self.parts.contains_key(&key) && self.parts.len() >= MAX_PARTS {
             return;
@@ -201,12 +215,15 @@
         let part = self.parts.entry(key).or_insert_with(|| HeldPart {
             vms: 0,
             lost_vms: 0,
+            fresh_age: MAX_FRESH_AGE,
             received_at: now,
             uses: HashMap::new(),
         });
         part.vms = statement.vms;
         part.lost_vms = statement.lost_vms;
         part.received_at = now;
+        let expected = interval.min(MAX_INTERVAL) * MIN_FRESH_INTERVALS + TRANSIT_TIME;
+        part.fresh_age = MAX_FRESH_AGE.max(expected);
         for stated in &statement.uses {
             if part.uses.len() >= MAX_PART_TENANTS && !part.uses.contains_key(&stated.tenant) {
                 continue;
@@ -343,7 +360,7 @@
         self.parts.retain(|(_, scope), part| {
             let silence = now.since(part.received_at);
             let used = role.includes(*scope);
-            silence < MAX_FRESH_AGE || (used && !complete && silence < KEPT_AGE)
+            part.is_fresh(now) || (used && !complete && silence < KEPT_AGE)
         });
         for part in self.parts.values_mut() {
             let received_at = part.received_at;
--- a/crates/verbenaring-policy/tests/allowances/failures.rs
+++ b/crates/verbenaring-policy/tests/allowances/failures.rs
@@ -8,7 +8,7 @@
 
 use super::fleet::{Arrival, Cases, Fleet, Load, REGIONS, tokens};
 
-const VMS: [usize; 3] = [7, 90, 195];
+const VMS: [usize; 4] = [7, 23, 90, 195];
 const RATE: f64 = 400_000.0;
 const BURST: f64 = 800_000.0;
 
@@ -142,6 +142,25 @@
     cases.finish();
 }
 
+/// Guards against a quota that is left unused after the loss of relays, whose groups report
+/// to others.
+#[test]
+fn lost_relays_are_replaced() {
+    let mut cases = Cases::default();
+    for vms in [90, 195] {
+        let mut fleet = fleet(vms);
+        fleet.run(seconds(4), load(0.9));
+        fleet.stop_relay(0);
+        fleet.stop_relay(1);
+        fleet.run(seconds(3), load(0.9));
+        let used = fleet.measure(seconds(16), load(0.9));
+        cases.check(used >= 0.95, format!("{vms} VMs: use {used:.3}"));
+        fleet.run(seconds(10), load(10.0));
+        fleet.check_bound(&mut cases, &format!("{vms} VMs"));
+    }
+    cases.finish();
+}
+
 /// Guards against a level that was filled under a higher limit.
 #[test]
 fn a_lowered_limit_binds_what_is_held() {
@@ -186,7 +205,7 @@
                 expected -= charge.cost();
                 table.refund(charge, now);
             }
-            let charged: u64 = table.usages().iter().map(|usage| usage.charged).sum();
+            let charged: u64 = table.usages(now).iter().map(|usage| usage.charged).sum();
             prop_assert_eq!(charged, expected);
         }
     }
--- a/crates/verbenaring-policy/tests/allowances/fleet.rs
+++ b/crates/verbenaring-policy/tests/allowances/fleet.rs
@@ -20,6 +20,7 @@
 const STEP_MS: i64 = 5;
 const NEAR_MS: i64 = 100;
 const FAR_MS: i64 = 300;
+const FAR_MS_PER_VM: i64 = 40;
 /// Share of the statements that are lost, and of those that arrive twice.
 const LOST: f64 = 0.02;
 const REPEATED: f64 = 0.02;
@@ -51,6 +52,7 @@
     next_tick: i64,
     next_far: i64,
     frozen_until: i64,
+    stopped: bool,
 }
 
 /// Where calls arrive.
@@ -75,7 +77,7 @@
     pub now_ms: i64,
     pub tenant: Tenant,
     vms: Vec<Vm>,
-    queue: BTreeMap<(i64, u64), (usize, AllowanceStatement)>,
+    queue: BTreeMap<(i64, u64), (usize, Duration, AllowanceStatement)>,
     sent: u64,
     rng: ChaCha8Rng,
     /// Whether a statement from one VM to another is lost.
@@ -123,12 +125,13 @@
             next_tick: self.now_ms + self.rng.random_range(0..NEAR_MS),
             next_far: self.now_ms + self.rng.random_range(0..FAR_MS),
             frozen_until: 0,
+            stopped: false,
         }
     }
 
     pub fn restart(&mut self, index: usize) {
         self.vms[index] = self.start(index, self.vms.len());
-        self.queue.retain(|_, (to, _)| *to != index);
+        self.queue.retain(|_, (to, ..)| *to != index);
     }
 
     pub fn restart_all(&mut self) {
@@ -137,6 +140,17 @@
         }
     }
 
+    /// Ends a relay; its group reports to the next one of the region.
+    pub fn stop_relay(&mut self, index: usize) {
+        self.vms[index].stopped = true;
+        let next = index + GROUP_SIZE * REGIONS;
+        for vm in &mut self.vms {
+            if vm.relay == Some(index) {
+                vm.relay = Some(next);
+            }
+        }
+    }
+
     pub fn freeze(&mut self, index: usize, time: Duration) {
         self.vms[index].frozen_until = self.now_ms + time.as_millis() as i64;
     }
@@ -154,7 +168,9 @@
             while due >= 1.0 {
                 due -= 1.0;
                 let vm = self.arrival(load.arrival);
-                self.call(vm, load.cost);
+                if !self.vms[vm].stopped {
+                    self.call(vm, load.cost);
+                }
             }
         }
     }
@@ -200,15 +216,16 @@
         while let Some(entry) = self.queue.first_entry()
             && entry.key().0 <= self.now_ms
         {
-            let (to, statement) = entry.remove();
+            let (to, interval, statement) = entry.remove();
             let vm = &mut self.vms[to];
             if self.now_ms < vm.frozen_until {
                 self.sent += 1;
                 let key = (vm.frozen_until, self.sent);
-                self.queue.insert(key, (to, statement));
+                self.queue.insert(key, (to, interval, statement));
                 continue;
             }
-            vm.table.record(&statement, Moment(self.now_ms * 1_000));
+            vm.table
+                .record(&statement, interval, Moment(self.now_ms * 1_000));
         }
     }
 
@@ -216,14 +233,15 @@
         let count = self.vms.len();
         let (now, now_ms) = (self.now(), self.now_ms);
         for index in 0..count {
+            let far_ms = self.far_ms(index);
             let vm = &mut self.vms[index];
-            if now_ms < vm.next_tick || now_ms < vm.frozen_until {
+            if now_ms < vm.next_tick || now_ms < vm.frozen_until || vm.stopped {
                 continue;
             }
             vm.next_tick = now_ms + NEAR_MS;
             let far_due = now_ms >= vm.next_far;
             if far_due {
-                vm.next_far = now_ms + FAR_MS;
+                vm.next_far = now_ms + far_ms;
             }
             let role = match vm.relay {
                 None => AllowanceRole::Direct,
@@ -249,6 +267,16 @@
         }
     }
 
+    /// Interval of statements to other regions. Where all VMs report to each other, it
+    /// grows with their number.
+    fn far_ms(&self, index: usize) -> i64 {
+        let count = self.vms.len();
+        match self.vms[index].relay {
+            Some(_) => FAR_MS,
+            None => FAR_MS.max(FAR_MS_PER_VM * (count - count / REGIONS) as i64),
+        }
+    }
+
     fn relay(&mut self, index: usize, far_due: bool) {
         let now = self.now();
         let is_relay = |vm: &usize| self.vms[*vm].relay == Some(*vm);
@@ -280,6 +308,10 @@
             if (self.cut)(from, to) || self.rng.random_bool(LOST) {
                 continue;
             }
+            let interval_ms = match from % REGIONS == to % REGIONS {
+                true => NEAR_MS,
+                false => self.far_ms(from),
+            };
             let copies = 1 + usize::from(self.rng.random_bool(REPEATED));
             for _ in 0..copies {
                 let delay = match from % REGIONS == to % REGIONS {
@@ -288,7 +320,8 @@
                 };
                 self.sent += 1;
                 let key = (self.now_ms + delay, self.sent);
-                self.queue.insert(key, (to, stated.clone()));
+                let interval = Duration::from_millis(interval_ms as u64);
+                self.queue.insert(key, (to, interval, stated.clone()));
             }
         }
     }
--- a/crates/verbenaring-policy/tests/allowances/use_of_quota.rs
+++ b/crates/verbenaring-policy/tests/allowances/use_of_quota.rs
@@ -8,7 +8,7 @@
 
 const STEADY_USE: f64 = 0.95;
 const MOVING_USE: f64 = 0.8;
-const VMS: [usize; 4] = [7, 73, 90, 195];
+const VMS: [usize; 5] = [7, 23, 73, 90, 195];
 const WARM_UP: Duration = Duration::from_secs(12);
 
 fn seconds(count: u64) -> Duration {
