--- a/crates/verbenaring-policy/src/dispatch/allowance.rs
+++ b/crates/verbenaring-policy/src/dispatch/allowance.rs
@@ -205,6 +205,9 @@
     /// Part of this VM among those that are heard. All of these know at least the demand
     /// that it had for some time, so that the parts add up to at most 1.
     fn own_share(&self, demand: f64, fresh_vms: f64) -> f64 {
+        if fresh_vms <= 1.0 {
+            return 1.0;
+        }
         let known = self.meter.known_demand_rate();
         let by_vms = 1.0 / fresh_vms;
         let by_demand = match demand > 0.0 {
