--- a/crates/verbenaring-policy/src/dispatch/mod.rs
+++ b/crates/verbenaring-policy/src/dispatch/mod.rs
@@ -19,6 +19,7 @@
 //! source, and [`changes`] passes their view of the servers on.
 
 pub mod allowance;
+mod allowance_account;
 mod allowance_meter;
 mod allowance_parts;
 pub mod brittle;
