--- a/crates/verbenaring-policy/src/dispatch/mod.rs
+++ b/crates/verbenaring-policy/src/dispatch/mod.rs
@@ -22,6 +22,7 @@
 //! published, [`review`] finds what in it has no effect.
 
 pub mod allowance;
+mod allowance_account;
 mod allowance_meter;
 mod allowance_parts;
 pub mod brittle;
