Bound the memory and descriptors that clients take up in verbenaring-front

Cause: every body was buffered without a limit on all bodies together, kept until the end of its call, and copied when it was sent. A declared length over the limit was read all the same, and chunks of one byte were kept one by one. New connections were closed while idle ones or half heads held all places.

Change: - One account for the heads and bodies of requests (a quarter of memory_mb). Bodies over 128 KB may fill half of it, bodies over 16 KB three quarters. A declared length is held before it is read, chunks are copied into blocks. A full account answers 503 no_memory, not run, with a Retry-After of 0.5 to 1.5 s; a declared length over the limit gets 413 without being read. - A body must grow by 256 bytes in 3 s. The rest of a refused request is discarded for up to 1 s, so that the client reads the refusal. - Bodies of streams that are not sent again are released when the answer begins. Connections send them block by block. - Long answers and large parts of streams hold their memory until sent. - Each listener has its own places. When all are taken, the connection without a whole request that is quiet for longest (at least 1 s) gives its place to a new one, or one idle for idleTimeoutMs. Heads have twice headerTimeoutMs.

Ruled out: queueing for memory, as callers give up after 1 s; one limit for all sizes, as few large bodies would keep out ordinary calls.

--- a/crates/verbenaring-cli/src/logs/explain.rs
+++ b/crates/verbenaring-cli/src/logs/explain.rs
@@ -211,6 +211,7 @@
         "servers_limited" => "the servers that may run the call take no more of them for now",
         "servers_cold" => "the servers that may run the call have just started",
         "repeat_budget" => "the budget of repeats is used up",
+        "no_memory" => "requests of clients take up the memory for them",
         "quarantined" => "servers ended under the request or a part of its prompt",
         "starting" => "the VM has no configuration yet",
         "stopping" => "the VM stops before the call could end",
--- a/crates/verbenaring-core/src/cluster/snapshot.rs
+++ b/crates/verbenaring-core/src/cluster/snapshot.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::{Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
@@ -25,6 +25,7 @@
 use crate::config::source::ConfigScope;
 use crate::node::FrontNode;
 use crate::upstream::pool::ConnectOptions;
+use crate::upstream::request_body::RequestBody;
 use crate::wire::WireProtocol;
 
 /// Path of the snapshot at the peer address.
@@ -198,7 +199,7 @@
         };
         let request = Request::get(format!("{SNAPSHOT_PATH}?{}", known.to_query()))
             .header("host", address.to_string())
-            .body(Full::default())
+            .body(RequestBody::default())
             .map_err(|error| error.to_string())?;
         let options = ConnectOptions {
             connect_timeout: SNAPSHOT_TIMEOUT,
--- a/crates/verbenaring-core/src/config/sync.rs
+++ b/crates/verbenaring-core/src/config/sync.rs
@@ -375,7 +375,7 @@
             return;
         }
         let routes = document.routes.len();
-        self.caller_idle_timeout.set(document.limits.idle_timeout);
+        self.caller_timeouts.set(&document.limits);
         self.routes.store(Arc::new(RouteTable::new(document)));
         self.routes_known.store(true, Ordering::Relaxed);
         self.metrics.routes_version.set(version as i64);
--- a/crates/verbenaring-core/src/node.rs
+++ b/crates/verbenaring-core/src/node.rs
@@ -17,10 +17,11 @@
 use verbenaring_policy::dispatch::presence::VmState;
 use verbenaring_policy::dispatch::server::ServerKey;
 use verbenaring_policy::id::{CentreName, DataCentre};
+use verbenaring_policy::memory::MemoryAccount;
 use verbenaring_policy::time::Moment;
 
 use crate::caller::body::AnswerBody;
-use crate::caller::listener::{IdleTimeout, ListenerOptions, ShutdownPhase, bind, serve};
+use crate::caller::listener::{ClientTimeouts, ListenerOptions, ShutdownPhase, bind, serve};
 use crate::clock::NodeClock;
 use crate::cluster::report::{ReportTargets, exchange_reports};
 use crate::cluster::snapshot::{SNAPSHOT_PATH, poll_snapshots};
@@ -46,8 +47,6 @@
 const CLEANUP_PERIOD: Duration = Duration::from_millis(500);
 /// Time between log lines about learned engine times.
 const LEARNED_TIMES_LOG_PERIOD: Duration = Duration::from_secs(5);
-/// File descriptors reserved for listeners, the store, other VMs and files.
-const RESERVED_DESCRIPTORS: usize = 300;
 /// Limit on log lines per second about refusals and failed attempts.
 const FAILURE_LINES_PER_S: u32 = 200;
 
@@ -75,8 +74,10 @@
     pub stream_tasks: TaskTracker,
     /// Memory for long answers and events that are buffered: a permit per byte.
     pub(crate) answer_memory: Arc<Semaphore>,
-    /// Idle timeout of connections from callers.
-    pub(crate) caller_idle_timeout: Arc<IdleTimeout>,
+    /// Memory for the heads and bodies of requests.
+    pub(crate) client_memory: Arc<MemoryAccount>,
+    /// Timeouts of connections from clients.
+    pub(crate) caller_timeouts: Arc<ClientTimeouts>,
     /// Notified when servers are to be checked.
     pub(crate) server_check: Notify,
     pub(crate) declaration_reads: SharedReads,
@@ -113,7 +114,8 @@
             reports: ReportTargets::default(),
             stream_tasks: TaskTracker::new(),
             answer_memory: Arc::new(Semaphore::new(settings.resources.answer_memory_bytes())),
-            caller_idle_timeout: Arc::default(),
+            client_memory: MemoryAccount::new(settings.client_memory_bytes()),
+            caller_timeouts: Arc::default(),
             server_check: Notify::new(),
             declaration_reads: SharedReads::default(),
             origin_reads: SharedReads::default(),
@@ -262,6 +264,8 @@
                 self.log_learned_times(now);
             }
             self.pool.close_expired();
+            let held = self.client_memory.held();
+            self.metrics.client_memory.set(held as i64);
             let mut state = self.lock();
             state.expire(now);
             self.metrics
@@ -361,13 +365,14 @@
         let node = Arc::new(self.node);
         let source = Arc::new(source);
         let connections = TaskTracker::new();
-        let descriptors = node.settings.max_descriptors;
-        let permits = descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(16) / 2;
+        let limits = node.settings.connection_limits();
         let options = ListenerOptions {
             shutdown_phase: node.shutdown_phase.subscribe(),
             connections: connections.clone(),
-            permits: Arc::new(Semaphore::new(permits)),
-            idle_timeout: node.caller_idle_timeout.clone(),
+            max_connections: limits.callers,
+            timeouts: node.caller_timeouts.clone(),
+            memory: node.client_memory.clone(),
+            metrics: node.metrics.clone(),
         };
         tokio::spawn(serve(self.callers, options.clone(), {
             let node = node.clone();
@@ -376,18 +381,21 @@
         // The shutdown does not wait for connections of health checks and other VMs.
         let options = ListenerOptions {
             connections: TaskTracker::new(),
-            permits: Arc::new(Semaphore::new(permits)),
             ..options
         };
-        tokio::spawn(serve(self.peers, options.clone(), {
+        let limited = |max_connections: usize| ListenerOptions {
+            max_connections,
+            ..options.clone()
+        };
+        tokio::spawn(serve(self.peers, limited(limits.peers), {
             let node = node.clone();
             move |request| answer_peer(node.clone(), request)
         }));
-        tokio::spawn(serve(self.ready, options.clone(), {
+        tokio::spawn(serve(self.ready, limited(limits.operations), {
             let node = node.clone();
             move |_| std::future::ready(node.answer_ready())
         }));
-        tokio::spawn(serve(self.directory, options.clone(), {
+        tokio::spawn(serve(self.directory, limited(limits.directory), {
             let node = node.clone();
             move |request| std::future::ready(directory(&node, &request))
         }));
@@ -397,7 +405,7 @@
                 let body = AnswerBody::whole(metrics.render());
                 std::future::ready(Response::new(body))
             };
-            tokio::spawn(serve(listener, options, answer));
+            tokio::spawn(serve(listener, limited(limits.operations), answer));
         }
         let reports = Arc::new(self.reports);
         supervise("reports", {
--- a/crates/verbenaring-core/src/observe/metrics.rs
+++ b/crates/verbenaring-core/src/observe/metrics.rs
@@ -33,6 +33,10 @@
     pub restarted_servers: IntCounter,
     /// Requests and parts of prompts whose calls are refused.
     pub quarantined_parts: IntGauge,
+    /// Connections of clients that this VM closed, by reason.
+    pub closed_connections: IntCounterVec,
+    /// Bytes that clients hold of the memory account.
+    pub client_memory: IntGauge,
     /// Seconds from acceptance to the first event or the whole answer, by kind
     /// (`stream` or `plain`).
     pub first_event: HistogramVec,
@@ -131,6 +135,15 @@
                 "verbenaring_quarantined_parts",
                 "Requests and parts of prompts whose calls are refused",
             ),
+            closed_connections: counters(
+                "verbenaring_closed_connections_total",
+                "Connections of clients that this VM closed, by reason",
+                &["reason"],
+            ),
+            client_memory: gauge(
+                "verbenaring_client_memory_bytes",
+                "Bytes that clients hold of the memory account",
+            ),
             first_event: register(
                 &registry,
                 HistogramVec::new(first_event, &["kind"]).expect("valid metric"),
--- a/crates/verbenaring-core/src/path/call.rs
+++ b/crates/verbenaring-core/src/path/call.rs
@@ -1,10 +1,9 @@
 //! A call that is being processed, and the headers that VMs exchange about it.
 
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
-use std::sync::{Arc, OnceLock};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
-use bytes::Bytes;
 use hyper::header::{
     CONNECTION, HeaderName, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
     TRANSFER_ENCODING, UPGRADE,
@@ -22,6 +21,7 @@
 use verbenaring_policy::id::{RegionName, ServiceName, VmId};
 use verbenaring_protocol::header;
 
+use crate::upstream::request_body::RequestBody;
 use crate::wire::CallMetadata;
 
 /// Header of a forwarded call: time since the caller sent it, in ms.
@@ -74,8 +74,8 @@
     pub uri: Uri,
     /// Headers to pass on, without those of one connection or of the gateway.
     pub headers: HeaderMap,
-    /// Whole request body, kept so that it can be sent again.
-    pub body: Bytes,
+    /// Whole request body, kept as long as it may be sent again.
+    pub body: Mutex<RequestBody>,
     /// What of the call may crash servers.
     pub parts: CallParts,
     /// Who sent the call to this VM.
@@ -107,6 +107,20 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    fn lock_body(&self) -> MutexGuard<'_, RequestBody> {
+        self.body.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Body for one attempt; shares its bytes with those of other attempts.
+    pub fn body(&self) -> RequestBody {
+        self.lock_body().clone()
+    }
+
+    /// Releases the body of a call that is sent no more.
+    pub fn release_body(&self) {
+        std::mem::take(&mut *self.lock_body());
+    }
+
     /// Whether the call may be sent to a server once more although it may have
     /// run already.
     pub fn may_run_again(&self) -> bool {
--- a/crates/verbenaring-core/src/path/collect.rs
+++ b/crates/verbenaring-core/src/path/collect.rs
@@ -7,7 +7,7 @@
 use hyper::body::Incoming;
 use tokio::sync::Semaphore;
 
-use super::reserve::AnswerReserve;
+use super::reserve::{AnswerReserve, with_memory};
 
 /// Largest answer that is not a stream; it is buffered as a whole.
 const MAX_WHOLE_BYTES: usize = 8 * 1024 * 1024;
@@ -33,7 +33,8 @@
 }
 
 /// Collects a body. Beyond [`FREE_WHOLE_BYTES`], it takes its part of `memory`, so
-/// that servers that send without end cannot exhaust the memory of the process.
+/// that servers that send without end and callers that do not read cannot exhaust the memory
+/// of the process. The part is returned once the answer has been sent.
 pub(super) async fn collect_answer(
     mut body: Incoming,
     memory: &Arc<Semaphore>,
@@ -52,5 +53,9 @@
         }
         collected.extend_from_slice(&data);
     }
-    Ok(collected.freeze())
+    let collected = collected.freeze();
+    Ok(match reserve.is_empty() {
+        true => collected,
+        false => with_memory(collected, reserve),
+    })
 }
--- a/crates/verbenaring-core/src/path/controller.rs
+++ b/crates/verbenaring-core/src/path/controller.rs
@@ -5,16 +5,15 @@
 //! deadline, or as soon as no further attempt is possible.
 
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
-use std::sync::{Arc, OnceLock};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, HOST};
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode, Uri};
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, timeout_at};
 use verbenaring_policy::dispatch::build::BuildId;
 use verbenaring_policy::dispatch::evidence::CallParts;
 use verbenaring_policy::dispatch::prompt::{name_hash, short_part_id};
@@ -29,8 +28,10 @@
 use super::exchange::{AttemptOutcome, UpstreamStream};
 use super::refusal::CallRefusal;
 use super::relay::StreamRelay;
+use super::upload::read_body;
 use crate::caller::body::AnswerBody;
 use crate::node::FrontNode;
+use crate::upstream::request_body::RequestBody;
 use crate::wire::{CallMetadata, WireProtocol};
 
 /// Limit on the targets tried for one call, including those that could not be
@@ -39,9 +40,6 @@
 /// Limit on the placements of one call that are withdrawn before it is sent, as the servers
 /// of a region turn out to have started again.
 const MAX_WITHDRAWALS: usize = 64;
-/// Time limit for reading a request body. Callers that take longer have stopped
-/// sending.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// `Retry-After` while this VM lacks the configuration for a call.
 const STARTING_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// `Retry-After` of a VM that is stopping. Short, because other VMs of the region
@@ -122,7 +120,9 @@
         });
         let (service, service_settings) =
             known_service.ok_or_else(|| CallRefusal::busy("no_service", STARTING_RETRY_AFTER))?;
-        let body = read_body(body, routes.document().limits.body_bytes).await?;
+        let limit = routes.document().limits.body_bytes;
+        let clients = &self.settings.tuning.clients;
+        let body = read_body(body, limit, &self.client_memory, clients).await?;
         let header_number = |name: &str| {
             let value = parts.headers.get(name)?.to_str().ok()?;
             value.parse::<u64>().ok()
@@ -152,7 +152,7 @@
             method: parts.method,
             uri: parts.uri,
             headers,
-            body,
+            body: Mutex::new(body),
             origin,
             received_at: started.checked_sub(elapsed).unwrap_or(started),
             deadline,
@@ -431,29 +431,13 @@
     Err(refusal)
 }
 
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, CallRefusal> {
-    let collected = timeout(BODY_TIMEOUT, Limited::new(body, limit).collect()).await;
-    match collected {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(CallRefusal::not_run(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            "body_too_large",
-        )),
-        Ok(Err(_)) => Err(CallRefusal::not_run(StatusCode::BAD_REQUEST, "body_broken")),
-        Err(_) => Err(CallRefusal::not_run(
-            StatusCode::REQUEST_TIMEOUT,
-            "body_timeout",
-        )),
-    }
-}
-
 /// What may crash servers: the request as a whole, by method, host, target and body, and
 /// the shared parts of its prompt.
 fn call_parts(
     method: &Method,
     host: &str,
     uri: &Uri,
-    body: &Bytes,
+    body: &RequestBody,
     metadata: &CallMetadata,
 ) -> CallParts {
     let target = uri.path_and_query().map_or("", |target| target.as_str());
@@ -463,7 +447,9 @@
         // Separates the fields; none of them holds this byte.
         hasher.update(&[0]);
     }
-    hasher.update(body);
+    for part in body.parts() {
+        hasher.update(part);
+    }
     let [b0, b1, b2, b3, ..] = *hasher.finalize().as_bytes();
     let shared = metadata.prompt.split_last();
     let shared = shared.map_or(&[][..], |(_, shared)| shared);
--- a/crates/verbenaring-core/src/path/exchange.rs
+++ b/crates/verbenaring-core/src/path/exchange.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, HeaderValue};
 use hyper::http::response::Parts;
@@ -26,6 +26,7 @@
 use super::work::WorkGuard;
 use crate::node::FrontNode;
 use crate::upstream::pool::{ConnectOptions, ConnectionLease, SendError};
+use crate::upstream::request_body::RequestBody;
 use crate::wire::{AnswerKind, AttemptMetadata, WireProtocol};
 
 /// Idle time after which a connection is not reused for a call that must not be
@@ -90,7 +91,7 @@
 
 /// Request of an attempt with its destination.
 pub(crate) struct AttemptRequest {
-    pub(crate) request: Request<Full<Bytes>>,
+    pub(crate) request: Request<RequestBody>,
     pub(crate) address: std::net::SocketAddr,
     pub(crate) options: ConnectOptions,
     pub(super) vm: Option<VmId>,
@@ -417,8 +418,8 @@
 fn build_request<P: WireProtocol>(
     call: &PendingCall,
     metadata: &AttemptMetadata<'_>,
-) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(call.body.clone()));
+) -> Request<RequestBody> {
+    let mut request = Request::new(call.body());
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = call.uri.clone();
     *request.headers_mut() = call.headers.clone();
--- a/crates/verbenaring-core/src/path/mod.rs
+++ b/crates/verbenaring-core/src/path/mod.rs
@@ -15,4 +15,5 @@
 pub mod relay;
 pub mod reserve;
 pub mod statement;
+mod upload;
 pub mod work;
--- a/crates/verbenaring-core/src/path/origin.rs
+++ b/crates/verbenaring-core/src/path/origin.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::{Request, Response, StatusCode};
 use verbenaring_policy::dispatch::build::BuildId;
 use verbenaring_policy::dispatch::origin::{OriginRecord, StreamId};
@@ -25,6 +25,7 @@
 use crate::node::FrontNode;
 use crate::state::FrontState;
 use crate::upstream::pool::ConnectOptions;
+use crate::upstream::request_body::RequestBody;
 use crate::wire::WireProtocol;
 
 /// Path at the peer address that answers where a stream began.
@@ -125,7 +126,7 @@
     async fn ask_vm(&self, address: SocketAddr, stream: StreamId) -> Option<BuildId> {
         let request = Request::get(format!("{ORIGIN_PATH}?{:x}", stream.0))
             .header("host", address.to_string())
-            .body(Full::default());
+            .body(RequestBody::default());
         let options = ConnectOptions {
             connect_timeout: ASK_TIMEOUT,
             max_idle: MAX_IDLE,
--- a/crates/verbenaring-core/src/path/relay.rs
+++ b/crates/verbenaring-core/src/path/relay.rs
@@ -27,7 +27,7 @@
 use super::event::{EventProgress, EventSplitter};
 use super::exchange::UpstreamStream;
 use super::framing::AnswerFraming;
-use super::reserve::AnswerReserve;
+use super::reserve::{AnswerReserve, with_memory};
 use crate::caller::body::{AnswerBody, AnswerPart, PartSender};
 use crate::node::FrontNode;
 use crate::wire::WireProtocol;
@@ -35,6 +35,9 @@
 /// Bytes of an incomplete event that take no part of the memory for answers; nearly all
 /// events are smaller.
 const FREE_EVENT_BYTES: usize = 16 * 1024;
+/// Largest part of a stream that takes none of the memory for answers; nearly all parts are
+/// smaller.
+const FREE_PART_BYTES: usize = 4 * 1024;
 
 /// Why relaying a stream ended.
 enum RelayOutcome {
@@ -111,6 +114,9 @@
         *answer.status_mut() = stream.head.status;
         *answer.headers_mut() = stream.head.headers.clone();
         let resumable = call.route.kind == CallKind::Stream { resumable: true };
+        if !call.may_repeat_after_attempt() {
+            call.release_body();
+        }
         let relay = Self {
             node: node.clone(),
             call: call.clone(),
@@ -281,9 +287,26 @@
 
     async fn send_data(&mut self, data: Bytes) -> bool {
         self.parts += 1;
+        let Some(data) = self.hold_part(data).await else {
+            return false;
+        };
         self.send(AnswerPart::Data(data)).await
     }
 
+    /// Joins a part with its memory. While callers that do not read take up the memory, the
+    /// server is slowed down; `None` at the deadline.
+    async fn hold_part(&self, data: Bytes) -> Option<Bytes> {
+        if data.len() <= FREE_PART_BYTES {
+            return Some(data);
+        }
+        let memory = &self.node.answer_memory;
+        let total = self.node.settings.resources.answer_memory_bytes();
+        let permits = data.len().min(total) as u32;
+        let held = memory.clone().acquire_many_owned(permits);
+        let held = timeout_at(self.call.deadline, held).await.ok()?.ok()?;
+        Some(with_memory(data, held))
+    }
+
     async fn send(&mut self, part: AnswerPart) -> bool {
         let sending = self.sender.send(part);
         // A caller that does not read is disconnected at the deadline.
--- a/crates/verbenaring-core/src/path/reserve.rs
+++ b/crates/verbenaring-core/src/path/reserve.rs
@@ -5,8 +5,29 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
+/// Bytes with the memory that they take, which is returned once they have been sent.
+struct HeldBytes<T> {
+    bytes: Bytes,
+    _memory: T,
+}
+
+impl<T> AsRef<[u8]> for HeldBytes<T> {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+/// Joins bytes with the memory that they take.
+pub(super) fn with_memory<T: Send + 'static>(bytes: Bytes, memory: T) -> Bytes {
+    Bytes::from_owner(HeldBytes {
+        bytes,
+        _memory: memory,
+    })
+}
+
 /// Part of the shared memory that one answer holds; returned when dropped.
 #[derive(Debug)]
 pub struct AnswerReserve {
@@ -29,6 +50,11 @@
         }
     }
 
+    /// Whether any memory is held.
+    pub fn is_empty(&self) -> bool {
+        self.held_bytes == 0
+    }
+
     /// Holds memory for `bytes` in all; returns whether there is enough.
     pub fn hold(&mut self, bytes: usize) -> bool {
         let needed = bytes.saturating_sub(self.free_bytes);
--- a/crates/verbenaring-core/src/settings.rs
+++ b/crates/verbenaring-core/src/settings.rs
@@ -203,6 +203,8 @@
     /// Limit on log lines per second about calls that succeeded. Failures have a
     /// separate limit.
     pub routine_lines_per_s: u32,
+    /// Limits on what clients may make this process hold.
+    pub clients: ClientSettings,
     /// Weights and limits for choosing a server and a region.
     pub dispatch: DispatchSettings,
     /// When reports go through relays.
@@ -220,13 +222,85 @@
             watch_ms: 5_000,
             server_watch_ms: 1_500,
             routine_lines_per_s: 20,
+            clients: ClientSettings::default(),
             dispatch: DispatchSettings::default(),
             relay: RelaySettings::default(),
         }
     }
 }
 
+/// Limits on what clients may make the process hold, beside the limits on one request.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct ClientSettings {
+    /// Part of the memory for request heads and bodies, in percent.
+    pub body_memory_percent: u32,
+    /// Part of the memory for the buffers of connections, in percent.
+    pub connection_memory_percent: u32,
+    /// Time in which a body must grow by `body_interval_bytes`, in ms.
+    pub body_interval_ms: u64,
+    /// Least growth of a body in each interval, in bytes.
+    pub body_interval_bytes: usize,
+}
+
+impl Default for ClientSettings {
+    fn default() -> Self {
+        Self {
+            body_memory_percent: 25,
+            connection_memory_percent: 20,
+            body_interval_ms: 3_000,
+            body_interval_bytes: 256,
+        }
+    }
+}
+
+/// Connections that each listener may have open.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConnectionLimits {
+    /// Connections of callers.
+    pub callers: usize,
+    /// Connections of other VMs.
+    pub peers: usize,
+    /// Connections to the directory.
+    pub directory: usize,
+    /// Connections for readiness checks, and as many for metrics.
+    pub operations: usize,
+}
+
+/// File descriptors reserved for listeners, the store, other VMs and files.
+const RESERVED_DESCRIPTORS: usize = 300;
+/// Largest part of the memory for bodies and connections, in percent. Answers have an eighth
+/// beside it, and the process needs the rest.
+const MAX_CLIENT_PERCENT: u64 = 65;
+/// Least number of connections of a listener.
+const MIN_CONNECTIONS: usize = 16;
+/// Memory of a connection: its buffers and its task.
+const CONNECTION_BYTES: f64 = 20.0 * 1024.0;
+
 impl FrontSettings {
+    /// Memory for request heads and bodies, in bytes.
+    pub fn client_memory_bytes(&self) -> usize {
+        let memory = self.resources.memory_mb.max(0.0) * 1024.0 * 1024.0;
+        (memory / 100.0 * f64::from(self.tuning.clients.body_memory_percent)) as usize
+    }
+
+    /// Limits on connections, from the descriptors and the memory of the VM. Half of the
+    /// descriptors are for callers; each listener has its own part, so that a flood of one
+    /// leaves room at the others.
+    pub fn connection_limits(&self) -> ConnectionLimits {
+        let descriptors = self.max_descriptors.saturating_sub(RESERVED_DESCRIPTORS);
+        let percent = f64::from(self.tuning.clients.connection_memory_percent);
+        let memory = self.resources.memory_mb.max(0.0) * 1024.0 * 1024.0 / 100.0 * percent;
+        let held = (memory / CONNECTION_BYTES) as usize;
+        let part = |divisor: usize| (descriptors / divisor).min(held * 2 / divisor);
+        ConnectionLimits {
+            callers: part(2).max(MIN_CONNECTIONS),
+            peers: part(4).max(MIN_CONNECTIONS),
+            directory: part(16).max(MIN_CONNECTIONS),
+            operations: part(32).max(MIN_CONNECTIONS),
+        }
+    }
+
     /// Reads and checks a settings file.
     pub fn load(file: &Path) -> Result<Self> {
         let text = std::fs::read_to_string(file).map_err(|source| Error::File {
@@ -249,6 +323,19 @@
             let reason = "report intervals must be at least 1 ms".to_owned();
             return Err(invalid("tuning", reason));
         }
+        let clients = &settings.tuning.clients;
+        let percent =
+            u64::from(clients.body_memory_percent) + u64::from(clients.connection_memory_percent);
+        if percent > MAX_CLIENT_PERCENT {
+            let reason = format!(
+                "{percent}% of the memory for bodies and connections, over {MAX_CLIENT_PERCENT}%"
+            );
+            return Err(invalid("tuning.clients", reason));
+        }
+        if clients.body_interval_ms == 0 {
+            let reason = "the interval must be at least 1 ms".to_owned();
+            return Err(invalid("tuning.clients.body_interval_ms", reason));
+        }
         Ok(settings)
     }
 
--- a/crates/verbenaring-core/src/upstream/mod.rs
+++ b/crates/verbenaring-core/src/upstream/mod.rs
@@ -7,4 +7,5 @@
 pub mod history;
 pub mod pool;
 mod process;
+pub mod request_body;
 pub mod reset;
--- a/crates/verbenaring-core/src/upstream/pool.rs
+++ b/crates/verbenaring-core/src/upstream/pool.rs
@@ -14,7 +14,7 @@
 
 use bytes::Bytes;
 use futures::FutureExt;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::HeaderName;
@@ -28,6 +28,7 @@
 use super::connect::{ConnectError, open_stream};
 use super::filter::AnswerFilter;
 use super::history::{CallHash, CallHistory};
+use super::request_body::RequestBody;
 use super::reset::{EndWatcher, ResetGuard};
 use crate::caller::listener::READ_BUFFER_BYTES;
 
@@ -62,7 +63,7 @@
 }
 
 struct IdleConnection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<RequestBody>,
     task: AbortHandle,
     history: CallHistory,
     end: EndWatcher,
@@ -85,7 +86,7 @@
     /// It was sent, and the head of its answer arrived.
     Answered(Response<Incoming>, ConnectionLease),
     /// No byte of it was sent.
-    Unsent(Request<Full<Bytes>>),
+    Unsent(Request<RequestBody>),
 }
 
 /// What a new connection shows of a server.
@@ -105,7 +106,7 @@
 pub struct ConnectionLease {
     pool: Arc<ConnectionPool>,
     address: SocketAddr,
-    sender: Option<SendRequest<Full<Bytes>>>,
+    sender: Option<SendRequest<RequestBody>>,
     task: AbortHandle,
     history: CallHistory,
     end: EndWatcher,
@@ -184,7 +185,7 @@
     pub async fn send(
         self: &Arc<Self>,
         address: SocketAddr,
-        request: Request<Full<Bytes>>,
+        request: Request<RequestBody>,
         options: ConnectOptions,
     ) -> Result<(Response<Incoming>, ConnectionLease), SendError> {
         let sent = self.send_on_idle(address, request, options, || true);
@@ -199,7 +200,7 @@
     pub(crate) async fn send_on_idle(
         self: &Arc<Self>,
         address: SocketAddr,
-        mut request: Request<Full<Bytes>>,
+        mut request: Request<RequestBody>,
         options: ConnectOptions,
         mut may_send: impl FnMut() -> bool,
     ) -> Result<IdleSend, SendError> {
@@ -375,7 +376,7 @@
 
 async fn start_connection<S>(
     stream: S,
-) -> Result<(SendRequest<Full<Bytes>>, AbortHandle), hyper::Error>
+) -> Result<(SendRequest<RequestBody>, AbortHandle), hyper::Error>
 where
     S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
 {
@@ -391,14 +392,14 @@
     Ok((sender, task.abort_handle()))
 }
 
-type UnsentRequest = Option<Box<Request<Full<Bytes>>>>;
+type UnsentRequest = Option<Box<Request<RequestBody>>>;
 
 impl ConnectionLease {
     /// Sends a request on a connection that was just opened, and waits for the head of its
     /// answer.
     pub(crate) async fn send(
         mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<RequestBody>,
     ) -> Result<(Response<Incoming>, Self), SendError> {
         let call = self.pool.call_hash(request.headers());
         match self.try_send(request, call).await {
@@ -413,7 +414,7 @@
     /// The connection can carry a call afterwards unless [`Self::is_open`] denies it.
     pub(crate) async fn ask(
         &mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<RequestBody>,
         max_bytes: usize,
     ) -> Result<Response<Bytes>, String> {
         self.history.record_unnamed();
@@ -441,7 +442,7 @@
     /// Sends a request; the error includes it if no byte of it was sent.
     async fn try_send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<RequestBody>,
         call: Option<CallHash>,
     ) -> Result<Response<Incoming>, (String, UnsentRequest)> {
         let Some(sender) = &mut self.sender else {
--- a/crates/verbenaring-core/src/wire.rs
+++ b/crates/verbenaring-core/src/wire.rs
@@ -3,14 +3,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::header::HeaderName;
 use hyper::{HeaderMap, Request, StatusCode};
 use verbenaring_policy::dispatch::prompt::PromptPart;
 use verbenaring_policy::dispatch::tenant::KeyHash;
 use verbenaring_policy::id::{ModelName, ServerId, TenantName};
 
+use crate::upstream::request_body::RequestBody;
+
 /// What the headers of a call state.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct CallMetadata {
@@ -123,7 +123,7 @@
         attempt_id: &str,
     ) -> Option<ServerStatement>;
     /// Request by which a server shows that it answers; it takes no place of a call.
-    fn status_request(server: &ServerId) -> Request<Full<Bytes>>;
+    fn status_request(server: &ServerId) -> Request<RequestBody>;
     /// Start of the process that gave this answer to a status request, in Unix ms; `None`
     /// if the answer does not state it.
     fn read_start(status: StatusCode, body: &[u8]) -> Option<u64>;
--- a/crates/verbenaring-core/tests/connections.rs
+++ b/crates/verbenaring-core/tests/connections.rs
@@ -5,13 +5,13 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::Request;
 use hyper::header::HeaderName;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use verbenaring_core::upstream::pool::{ConnectOptions, ConnectionPool, SendError};
+use verbenaring_core::upstream::request_body::RequestBody;
 
 const ID_HEADER: HeaderName = HeaderName::from_static("call-id");
 
@@ -61,7 +61,7 @@
     address: SocketAddr,
     id: &str,
 ) -> Result<(u16, String), SendError> {
-    let mut request = Request::new(Full::<Bytes>::default());
+    let mut request = Request::new(RequestBody::default());
     request.headers_mut().insert(ID_HEADER, id.parse().unwrap());
     request.headers_mut().insert("host", "h".parse().unwrap());
     let (answer, lease) = pool.send(address, request, OPTIONS).await?;
--- a/crates/verbenaring-policy/src/lib.rs
+++ b/crates/verbenaring-policy/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod load;
 pub mod loan;
 pub mod membership;
+pub mod memory;
 pub mod operation;
 pub mod outcome;
 mod probing;
