Bound the memory and connections that clients take up in verbenaringd

Cause: the listeners for callers, nodes and operators buffered every body without a limit on all bodies together, also before the sender of a forwarded request was known to be a node. Idle connections and half heads held all places of a listener until header_timeout_ms ended them.

Change: - One account for bodies, with the classes of verbenaring-front: a quarter of the memory that the system states, at most of 256 MB. A declared length is held before it is read; a full account answers 503 no_memory, not run, with a Retry-After of 1 to 3 s; a declared length over the limit gets 413 without being read. A body must grow by 256 bytes in 3 s. - While all connections of a listener are taken, those that are quiet for 1 s without a whole request are closed, up to a quarter of them every 100 ms. Further connections wait in the kernel, as before.

Ruled out: a field memory_mb in the settings file.

Messages between nodes do not change; an earlier node takes the 503 as a refusal that was not run.

--- a/crates/verbenaring-core/src/caller/connection.rs
+++ b/crates/verbenaring-core/src/caller/connection.rs
@@ -11,7 +11,6 @@
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
-use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 use slab::Slab;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -20,7 +19,6 @@
 use tokio::time::{Instant, Sleep, sleep};
 use verbenaring_policy::memory::{MemoryAccount, MemoryHold};
 
-use super::body::{AnswerBody, IncompleteAnswer};
 use crate::clock::NodeClock;
 use crate::observe::logger::LogRateLimiter;
 use crate::observe::metrics::FrontMetrics;
@@ -148,7 +146,7 @@
     }
 
     /// Records bytes that were read; fails if the head of a request exceeds the memory.
-    fn record_read(&self, bytes: usize) -> io::Result<()> {
+    pub fn record_read(&self, bytes: usize) -> io::Result<()> {
         let mut activity = self.lock();
         if activity.open_requests > 0 {
             return Ok(());
@@ -210,6 +208,11 @@
     pub fn report_closed(&self, metrics: &FrontMetrics, reason: &str) {
         let closed = &metrics.closed_connections;
         closed.with_label_values(&[reason]).inc();
+        self.log_closed(reason);
+    }
+
+    /// Logs a connection that is closed before its client closes it.
+    pub fn log_closed(&self, reason: &str) {
         let lines = self.closed_lines.lock();
         let mut lines = lines.unwrap_or_else(PoisonError::into_inner);
         let now = self.clock.now();
@@ -228,10 +231,10 @@
         }
     }
 
-    /// Closes the connection that has made no progress for longest; returns whether there
-    /// is one. A connection that has carried requests may be used again until it has been
-    /// quiet for `idle_limit`.
-    pub fn replace_one(&self, idle_limit: Duration) -> bool {
+    /// Closes up to `count` connections that have made no progress, those that are quiet for
+    /// longest first; returns their number. A connection that has carried requests may be
+    /// used again until it has been quiet for `idle_limit`.
+    pub fn close_stalled(&self, idle_limit: Duration, count: usize) -> usize {
         let now = Instant::now();
         let connections = self.lock();
         let stalled = connections.iter().filter_map(|(_, state)| {
@@ -242,11 +245,15 @@
             let stalled = activity.open_requests == 0 && activity.close.is_none() && quiet >= limit;
             stalled.then_some((used, activity.quiet_since, state))
         });
-        let first = stalled.min_by_key(|(used, since, _)| (*used, *since));
-        if let Some((_, _, state)) = first {
+        let mut stalled: Vec<_> = stalled.collect();
+        if stalled.len() > count {
+            stalled.select_nth_unstable_by_key(count, |(used, since, _)| (*used, *since));
+            stalled.truncate(count);
+        }
+        for (_, _, state) in &stalled {
             state.close(CloseReason::Replaced);
         }
-        first.is_some()
+        stalled.len()
     }
 
     /// Closes connections whose request heads were begun longer than `limit` ago.
@@ -372,14 +379,14 @@
 
 /// Body of an answer whose request stays open until the body has been handed on.
 #[derive(Debug)]
-pub struct TrackedBody {
-    body: AnswerBody,
+pub struct TrackedBody<B> {
+    body: B,
     _request: RequestGuard,
 }
 
-impl TrackedBody {
+impl<B> TrackedBody<B> {
     /// Joins a body and its request.
-    pub fn new(body: AnswerBody, request: RequestGuard) -> Self {
+    pub fn new(body: B, request: RequestGuard) -> Self {
         Self {
             body,
             _request: request,
@@ -387,14 +394,14 @@
     }
 }
 
-impl Body for TrackedBody {
-    type Data = Bytes;
-    type Error = IncompleteAnswer;
+impl<B: Body + Unpin> Body for TrackedBody<B> {
+    type Data = B::Data;
+    type Error = B::Error;
 
     fn poll_frame(
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, IncompleteAnswer>>> {
+    ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
         Pin::new(&mut self.get_mut().body).poll_frame(context)
     }
 
--- a/crates/verbenaring-core/src/caller/listener.rs
+++ b/crates/verbenaring-core/src/caller/listener.rs
@@ -165,7 +165,7 @@
         let permit = permits.clone().try_acquire_owned().ok();
         // A connection may be reused until half of the time after which it is closed.
         let idle_limit = options.timeouts.idle() / TIMEOUT_FACTOR;
-        if permit.is_none() && !table.replace_one(idle_limit) {
+        if permit.is_none() && table.close_stalled(idle_limit, 1) == 0 {
             table.report_closed(&options.metrics, "full");
             continue;
         }
--- a/crates/verbenaring-gateway/src/controller.rs
+++ b/crates/verbenaring-gateway/src/controller.rs
@@ -9,12 +9,12 @@
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
 use hyper::{Method, Response, StatusCode};
 use tokio_util::task::TaskTracker;
+use verbenaring_policy::memory::MemoryAccount;
 use verbenaring_policy::outcome::RunOutcome;
 use verbenaring_policy::quarantine::suspect_delay;
 use verbenaring_policy::retry::{AttemptPlan, NextAttempt};
@@ -47,6 +47,7 @@
 use crate::schedule::{QueueCapacity, RequestQueues, SlotGuard};
 use crate::store::PlatformStore;
 use crate::timeline::{EventKind, TimelineRing};
+use crate::upload::read_body;
 use crate::view::ClusterView;
 use crate::work::{PendingWork, WorkTarget};
 
@@ -75,6 +76,8 @@
     pub region_router: RegionRouter,
     /// Receivers of the progress and result of each answer.
     pub observers: AnswerObservers,
+    /// Memory for the bodies of requests at all listeners.
+    pub client_memory: Arc<MemoryAccount>,
     /// HTTP client for backend servers and other nodes.
     pub client: AttemptClient,
     /// Verifies the signatures of requests that other nodes forward.
@@ -384,28 +387,7 @@
     }
 
     pub(crate) async fn read_body(&self, body: Incoming) -> Result<Bytes, Refusal> {
-        let limits = self.live.limits();
-        let limited = Limited::new(body, limits.max_body_bytes);
-        match tokio::time::timeout(limits.body_timeout, limited.collect()).await {
-            Ok(Ok(body)) => Ok(body.to_bytes()),
-            Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-                Err(Refusal::not_run(
-                    StatusCode::PAYLOAD_TOO_LARGE,
-                    "body_too_large",
-                    format!("body is larger than {} bytes", limits.max_body_bytes),
-                ))
-            }
-            Ok(Err(error)) => Err(Refusal::not_run(
-                StatusCode::BAD_REQUEST,
-                "body_incomplete",
-                format!("body cannot be read: {error}"),
-            )),
-            Err(_) => Err(Refusal::not_run(
-                StatusCode::REQUEST_TIMEOUT,
-                "body_timeout",
-                format!("body was not complete within {:?}", limits.body_timeout),
-            )),
-        }
+        read_body(body, &self.live.limits(), &self.client_memory).await
     }
 
     fn answer_ready(&self) -> AnswerResult {
--- a/crates/verbenaring-gateway/src/lib.rs
+++ b/crates/verbenaring-gateway/src/lib.rs
@@ -57,6 +57,7 @@
 pub mod store;
 pub mod timeline;
 pub mod tls;
+mod upload;
 pub mod usage;
 pub mod view;
 pub mod watcher;
--- a/crates/verbenaring-gateway/src/listener.rs
+++ b/crates/verbenaring-gateway/src/listener.rs
@@ -18,6 +18,7 @@
 use bytes::{Buf, Bytes};
 use hyper::StatusCode;
 use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
@@ -28,6 +29,8 @@
 use tokio::sync::Semaphore;
 use tokio::time::Sleep;
 use tokio_util::sync::CancellationToken;
+use verbenaring_core::caller::connection::{ConnectionState, ConnectionTable, TrackedBody};
+use verbenaring_policy::memory::MemoryAccount;
 use verbenaring_protocol::header;
 
 use crate::body::AnswerBody;
@@ -37,6 +40,15 @@
 use crate::refusal::Refusal;
 use crate::tls::NodeStream;
 
+/// Time for which a listener whose connections are all taken waits before it closes some
+/// that make no progress.
+const REPLACE_PERIOD: Duration = Duration::from_millis(100);
+/// Part of the connections that is closed at a time, as a divisor.
+const REPLACE_DIVISOR: usize = 4;
+/// Part of the connections, as a divisor. While fewer places are left, answers close their
+/// connections, so that clients with many of them do not keep others out.
+const CROWDED_DIVISOR: usize = 8;
+
 /// Handler of the requests that arrive at a listening socket.
 pub trait RequestHandler: Clone + Send + Sync + 'static {
     /// Answers one request.
@@ -130,13 +142,26 @@
     }
 
     /// Serves until `shutdown`, then stops listening and waits for open requests.
-    pub async fn serve<H: RequestHandler>(self, handler: H, shutdown: CancellationToken) {
-        let permits = Arc::new(Semaphore::new(self.settings.limits().max_connections));
+    ///
+    /// While all connections are taken, those that have sent no whole request and are quiet
+    /// make room for the ones that wait. `memory` is for the heads of requests.
+    pub async fn serve<H: RequestHandler>(
+        self,
+        handler: H,
+        memory: Arc<MemoryAccount>,
+        shutdown: CancellationToken,
+    ) {
+        let max_connections = self.settings.limits().max_connections;
+        let places = Arc::new(ConnectionPlaces {
+            permits: Arc::new(Semaphore::new(max_connections)),
+            table: Arc::default(),
+            max_connections,
+        });
         let graceful = GracefulShutdown::new();
         loop {
             let accepted = tokio::select! {
                 () = shutdown.cancelled() => break,
-                accepted = self.accept(&permits) => accepted,
+                accepted = self.accept(&places) => accepted,
             };
             let (socket, permit) = match accepted {
                 Ok(accepted) => accepted,
@@ -151,9 +176,16 @@
             let settings = self.settings.clone();
             let handler = handler.clone();
             let watcher = graceful.watcher();
+            let places = places.clone();
+            let entry = places.table.insert(&memory);
             tokio::spawn(async move {
                 let _permit = permit;
-                serve_connection(socket, settings, handler, watcher).await;
+                let state = entry.state.clone();
+                let served = serve_connection(socket, settings, handler, watcher, &state, &places);
+                tokio::select! {
+                    () = served => {}
+                    reason = state.closed() => places.table.log_closed(reason.as_str()),
+                }
             });
         }
         drop(self.listener);
@@ -162,40 +194,77 @@
 
     async fn accept(
         &self,
-        permits: &Arc<Semaphore>,
+        places: &ConnectionPlaces,
     ) -> io::Result<(TcpStream, tokio::sync::OwnedSemaphorePermit)> {
-        let permit = permits
-            .clone()
-            .acquire_owned()
-            .await
-            .map_err(|_| io::ErrorKind::BrokenPipe)?;
+        let permit = loop {
+            let permit = places.permits.clone().acquire_owned();
+            match tokio::time::timeout(REPLACE_PERIOD, permit).await {
+                Ok(permit) => break permit.map_err(|_| io::ErrorKind::BrokenPipe)?,
+                Err(_) => {
+                    let count = (places.max_connections / REPLACE_DIVISOR).max(1);
+                    let idle_limit = self.settings.limits().header_timeout;
+                    places.table.close_stalled(idle_limit, count);
+                }
+            }
+        };
         let (socket, _) = self.listener.accept().await?;
         socket.set_nodelay(true)?;
         Ok((socket, permit))
     }
 }
 
+/// Places for the connections of a listener.
+struct ConnectionPlaces {
+    permits: Arc<Semaphore>,
+    table: Arc<ConnectionTable>,
+    max_connections: usize,
+}
+
+impl ConnectionPlaces {
+    /// Whether so few places are left that answers close their connections.
+    fn is_crowded(&self) -> bool {
+        self.permits.available_permits() < self.max_connections / CROWDED_DIVISOR
+    }
+}
+
 async fn serve_connection<H: RequestHandler>(
     socket: TcpStream,
     settings: ConnectionSettings,
     handler: H,
     watcher: Watcher,
+    state: &Arc<ConnectionState>,
+    places: &Arc<ConnectionPlaces>,
 ) {
     let limits = settings.limits();
     let request_handled = Arc::new(AtomicBool::new(false));
-    let stream = WriteTimeoutStream::new(socket, limits.stall_timeout, request_handled.clone());
+    let stream = WriteTimeoutStream::new(
+        socket,
+        limits.stall_timeout,
+        request_handled.clone(),
+        state.clone(),
+    );
     let stream =
         match tokio::time::timeout(limits.header_timeout, settings.accept_tls(stream)).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) => return log::info!("connection refused: {error}"),
             Err(_) => return log::info!("connection refused: TLS handshake timed out"),
         };
+    let (state, places) = (state.clone(), places.clone());
     let service = service_fn(move |request| {
         request_handled.store(true, Ordering::Relaxed);
+        let request_guard = state.begin_request();
+        let is_crowded = places.is_crowded();
         let handler = handler.clone();
         // hyper keeps this future allocated while it writes the answer. The large
         // handler future is boxed, so that it is freed before that.
-        async move { Ok::<_, Infallible>(Box::pin(handler.handle(request)).await) }
+        async move {
+            let mut answer = Box::pin(handler.handle(request)).await;
+            if is_crowded {
+                let close = HeaderValue::from_static("close");
+                answer.headers_mut().insert(CONNECTION, close);
+            }
+            Ok::<_, Infallible>(answer.map(|body| TrackedBody::new(body, request_guard)))
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -222,16 +291,24 @@
     request_handled: Arc<AtomicBool>,
     /// Part of the replacement refusal that is not written yet.
     refusal: Option<Bytes>,
+    /// Records what arrives.
+    state: Arc<ConnectionState>,
 }
 
 impl WriteTimeoutStream {
-    fn new(socket: TcpStream, timeout: Duration, request_handled: Arc<AtomicBool>) -> Self {
+    fn new(
+        socket: TcpStream,
+        timeout: Duration,
+        request_handled: Arc<AtomicBool>,
+        state: Arc<ConnectionState>,
+    ) -> Self {
         Self {
             socket,
             timeout,
             write_timer: None,
             request_handled,
             refusal: None,
+            state,
         }
     }
 
@@ -279,7 +356,12 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_read(context, buffer)
+        let before = buffer.filled().len();
+        ready!(Pin::new(&mut self.socket).poll_read(context, buffer))?;
+        match buffer.filled().len() - before {
+            0 => Poll::Ready(Ok(())),
+            read => Poll::Ready(self.state.record_read(read)),
+        }
     }
 }
 
--- a/crates/verbenaring-gateway/src/node.rs
+++ b/crates/verbenaring-gateway/src/node.rs
@@ -38,6 +38,7 @@
 use crate::route::RegionRouter;
 use crate::schedule::RequestQueues;
 use crate::timeline::{EventKind, TimelineRing};
+use crate::upload::body_account;
 use crate::usage::{UsageDriver, UsageLedger};
 use crate::view::ClusterView;
 use crate::watcher::ConfigWatcher;
@@ -126,6 +127,7 @@
             queues: Arc::new(RequestQueues::new(&settings, clock)),
             region_router: RegionRouter::new(clock),
             observers,
+            client_memory: body_account(),
             client: AttemptClient::new(settings.limits.connect_timeout, &live),
             forward_verifier: ForwardVerifier::new(&settings.vm, &live, clock.unix_ms()),
             records: RecordStore::start(store.clone()),
@@ -136,24 +138,30 @@
             live: live.clone(),
         });
         let shutdown = CancellationToken::new();
+        let memory = core.client_memory.clone();
         let mut servers = JoinSet::new();
         servers.spawn(
             self.callers
                 .with_live_settings(&live, PeerRole::Caller)
-                .serve(CallerHandler(core.clone()), shutdown.clone()),
-        );
-        servers.spawn(
-            self.peers
-                .with_live_settings(&live, PeerRole::Node)
-                .serve(PeerHandler(core.clone()), shutdown.clone()),
+                .serve(
+                    CallerHandler(core.clone()),
+                    memory.clone(),
+                    shutdown.clone(),
+                ),
         );
+        servers.spawn(self.peers.with_live_settings(&live, PeerRole::Node).serve(
+            PeerHandler(core.clone()),
+            memory.clone(),
+            shutdown.clone(),
+        ));
         let background = CancellationToken::new();
         start_cluster(&core, self.control, &store, &background);
         // Stays up during a graceful shutdown, so that operators can watch it.
-        tokio::spawn(
-            self.operators
-                .serve(OperatorHandler::new(&core, &store), background.clone()),
-        );
+        tokio::spawn(self.operators.serve(
+            OperatorHandler::new(&core, &store),
+            memory,
+            background.clone(),
+        ));
         RunningNode {
             core,
             servers,
