--- a/crates/verbenaring-core/src/path/exchange.rs
+++ b/crates/verbenaring-core/src/path/exchange.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, HeaderValue};
 use hyper::http::response::Parts;
@@ -25,6 +25,7 @@
 use super::work::WorkGuard;
 use crate::node::FrontNode;
 use crate::upstream::pool::{ConnectOptions, ConnectionLease, SendError};
+use crate::upstream::request_body::RequestBody;
 use crate::wire::{AnswerKind, AttemptMetadata, WireProtocol};
 
 /// Idle time after which a connection is not reused for a call that must not be
@@ -89,7 +90,7 @@
 
 /// Request of an attempt with its destination.
 pub(crate) struct AttemptRequest {
-    pub(crate) request: Request<Full<Bytes>>,
+    pub(crate) request: Request<RequestBody>,
     pub(crate) address: std::net::SocketAddr,
     pub(crate) options: ConnectOptions,
     pub(super) vm: Option<VmId>,
@@ -315,7 +316,11 @@
         let body = match collected {
             Ok(body) => body,
             Err(error) => {
-                guard.set_end(CallOutcome::Broken);
+                // Too little memory here says nothing about the server.
+                guard.set_end(match error {
+                    CollectError::NoMemory => CallOutcome::Abandoned,
+                    _ => CallOutcome::Broken,
+                });
                 let reason = format!("the answer broke off: {error}");
                 return (AttemptOutcome::Broken { reason }, "unknown");
             }
@@ -421,8 +426,8 @@
 fn build_request<P: WireProtocol>(
     call: &PendingCall,
     metadata: &AttemptMetadata<'_>,
-) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(call.body.clone()));
+) -> Request<RequestBody> {
+    let mut request = Request::new(call.body());
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = call.uri.clone();
     *request.headers_mut() = call.headers.clone();
