--- a/crates/verbenaring-core/src/observe/metrics.rs
+++ b/crates/verbenaring-core/src/observe/metrics.rs
@@ -22,6 +22,10 @@
     /// Quotas of the tenants with most refusals, by tenant and value (`rate`, `spent_per_s`,
     /// `level`, `share`, `charged` or `refused`).
     pub tenant_quotas: GaugeVec,
+    /// Second attempts of calls that took long, by result (`sent`, `won` or `lost`).
+    pub hedges: IntCounterVec,
+    /// Calls that took long and were not hedged when it was due, by reason.
+    pub withheld_hedges: IntCounterVec,
     /// Attempts by target (`server` or `vm`) and result.
     pub attempts: IntCounterVec,
     /// Streams that ended without an error of the connection, by framing and by the
@@ -36,6 +40,10 @@
     pub restarted_servers: IntCounter,
     /// Requests and parts of prompts whose calls are refused.
     pub quarantined_parts: IntGauge,
+    /// Connections of clients that this VM closed, by reason.
+    pub closed_connections: IntCounterVec,
+    /// Bytes that clients hold of the memory account.
+    pub client_memory: IntGauge,
     /// Seconds from acceptance to the first event or the whole answer, by kind
     /// (`stream` or `plain`).
     pub first_event: HistogramVec,
@@ -111,6 +119,16 @@
                 "Repeats asked of the retry budgets, by result (taken, refused)",
                 &["result"],
             ),
+            hedges: counters(
+                "verbenaring_hedges_total",
+                "Second attempts of slow calls, by result (sent, won, lost)",
+                &["result"],
+            ),
+            withheld_hedges: counters(
+                "verbenaring_hedges_withheld_total",
+                "Slow calls that got no second attempt when it was due, by reason",
+                &["reason"],
+            ),
             attempts: counters(
                 "verbenaring_call_attempts_total",
                 "Attempts by target (server, vm) and result",
@@ -142,6 +160,15 @@
                 "verbenaring_quarantined_parts",
                 "Requests and parts of prompts whose calls are refused",
             ),
+            closed_connections: counters(
+                "verbenaring_closed_connections_total",
+                "Connections of clients that this VM closed, by reason",
+                &["reason"],
+            ),
+            client_memory: gauge(
+                "verbenaring_client_memory_bytes",
+                "Bytes that clients hold of the memory account",
+            ),
             first_event: register(
                 &registry,
                 HistogramVec::new(first_event, &["kind"]).expect("valid metric"),
--- a/crates/verbenaring-core/src/path/controller.rs
+++ b/crates/verbenaring-core/src/path/controller.rs
@@ -5,32 +5,34 @@
 //! deadline, or as soon as no further attempt is possible.
 
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
-use std::sync::{Arc, OnceLock};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, HOST};
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode, Uri};
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, timeout_at};
 use verbenaring_policy::dispatch::build::BuildId;
 use verbenaring_policy::dispatch::evidence::CallParts;
 use verbenaring_policy::dispatch::prompt::{name_hash, short_part_id};
 use verbenaring_policy::dispatch::suspect::PartVerdict;
 use verbenaring_policy::time::Moment;
 
+use super::attempts::{EndedAttempt, EndedTarget};
 use super::call::{
     ATTEMPTS_HEADER, BUILD_HEADER, CallOrigin, ELAPSED_HEADER, PendingCall, REPEATABLE_HEADER,
-    TriedTargets, strip_connection_headers,
+    RunningAttempts, TriedTargets, strip_connection_headers,
 };
 use super::choose::CallTarget;
 use super::exchange::{AttemptOutcome, UpstreamStream};
 use super::refusal::CallRefusal;
 use super::relay::StreamRelay;
+use super::upload::read_body;
 use crate::caller::body::AnswerBody;
 use crate::node::FrontNode;
+use crate::upstream::request_body::RequestBody;
 use crate::wire::{CallMetadata, WireProtocol};
 
 /// Limit on the targets tried for one call, including those that could not be
@@ -39,9 +41,6 @@
 /// Limit on the placements of one call that are withdrawn before it is sent, as the servers
 /// of a region turn out to have started again.
 const MAX_WITHDRAWALS: usize = 64;
-/// Time limit for reading a request body. Callers that take longer have stopped
-/// sending.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// `Retry-After` while this VM lacks the configuration for a call.
 const STARTING_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// `Retry-After` of a VM that is stopping. Short, because other VMs of the region
@@ -126,7 +125,9 @@
             CallOrigin::Caller => self.charge_tenant(access.tenant.as_ref(), &metadata)?,
             CallOrigin::Vm => None,
         };
-        let body = read_body(body, routes.document().limits.body_bytes).await?;
+        let limit = routes.document().limits.body_bytes;
+        let clients = &self.settings.tuning.clients;
+        let body = read_body(body, limit, &self.client_memory, clients).await?;
         let header_number = |name: &str| {
             let value = parts.headers.get(name)?.to_str().ok()?;
             value.parse::<u64>().ok()
@@ -137,8 +138,8 @@
         if !self.can_finish(deadline) {
             return Err(CallRefusal::busy("stopping", self.stopping_retry_after()));
         }
-        let max_attempts =
-            header_number(ATTEMPTS_HEADER).map_or(route.attempts, |attempts| attempts as u32);
+        let stated_attempts = header_number(ATTEMPTS_HEADER).filter(|_| origin == CallOrigin::Vm);
+        let max_attempts = stated_attempts.map_or(route.attempts, |attempts| attempts as u32);
         let forwarded_repeatable =
             origin == CallOrigin::Vm && parts.headers.contains_key(REPEATABLE_HEADER);
         let build = header_number(BUILD_HEADER).filter(|_| origin == CallOrigin::Vm);
@@ -156,7 +157,7 @@
             method: parts.method,
             uri: parts.uri,
             headers,
-            body,
+            body: Mutex::new(body),
             origin,
             received_at: started.checked_sub(elapsed).unwrap_or(started),
             deadline,
@@ -165,7 +166,7 @@
             build: build.map_or_else(OnceLock::new, OnceLock::from),
             admitted: OnceLock::new(),
             runs: AtomicU32::new(0),
-            maybe_running: AtomicBool::new(false),
+            running: RunningAttempts::default(),
             reached_server: AtomicBool::new(false),
             charge,
             metadata,
@@ -212,7 +213,7 @@
             }
             Some(Err(refusal)) => self.refuse_call(&call, refusal),
             None => {
-                let refusal = match call.maybe_running.load(Ordering::Relaxed) {
+                let refusal = match call.may_have_run() {
                     true => CallRefusal::unknown(StatusCode::GATEWAY_TIMEOUT, "timed_out"),
                     false => CallRefusal::busy("not_sent_in_time", UNSENT_RETRY_AFTER),
                 };
@@ -261,53 +262,68 @@
             {
                 self.lock().suspects.record_trial(part, now);
             }
-            let name = target_name(&target);
-            let target_id = TargetId::of(&target);
-            targets += 1;
-            let reason = match self.attempt(call, target, tried, last_event_id).await {
-                AttemptOutcome::Whole(answer) => return Ok(UpstreamAnswer::Whole(answer)),
-                AttemptOutcome::Stream(stream) => return Ok(UpstreamAnswer::Stream(stream)),
-                AttemptOutcome::NotRun {
-                    reason,
-                    reached_server,
-                } => {
-                    call.reached_server
-                        .fetch_or(reached_server, Ordering::Relaxed);
-                    let unreached = !reached_server && matches!(target_id, TargetId::Server(_));
-                    tried.unreached_servers += usize::from(unreached);
-                    target_id.exclude(tried);
-                    reason
-                }
-                AttemptOutcome::Withdrawn { reason, excluded } => {
-                    match excluded {
-                        true => target_id.exclude(tried),
-                        false => targets -= 1,
-                    }
-                    withdrawals += 1;
-                    // A server counts as tried with the part, and no second trial is due yet.
-                    withdrawn = Some(match is_server {
-                        true => PartVerdict::Free,
-                        false => verdict,
-                    });
-                    reason
-                }
-                AttemptOutcome::Failed(answer) => {
-                    call.reached_server.store(true, Ordering::Relaxed);
-                    call.runs.fetch_add(1, Ordering::Relaxed);
-                    // A server that failed a call often fails it again.
-                    target_id.exclude(tried);
-                    let reason = format!("the server failed with {}", answer.status());
-                    failed = Some(answer);
-                    reason
-                }
-                AttemptOutcome::Broken { reason } => {
-                    call.reached_server.store(true, Ordering::Relaxed);
-                    call.runs.fetch_add(1, Ordering::Relaxed);
-                    target_id.exclude(tried);
-                    reason
-                }
+            let class = self.hedge_class(call, &target);
+            let ended = match class {
+                None => self.attempt_once(call, target, tried, last_event_id).await,
+                // Boxed, so that calls that are not hedged have no memory for two attempts.
+                Some(class) => Box::pin(self.attempt_hedged(call, target, tried, class)).await,
             };
-            self.report_attempt(call, &name, &reason);
+            for attempt in ended
+                .earlier
+                .map(|earlier| *earlier)
+                .into_iter()
+                .chain([ended.last])
+            {
+                let EndedAttempt { target, outcome } = attempt;
+                targets += 1;
+                let is_server = matches!(target, EndedTarget::Server { .. });
+                let reason = match outcome {
+                    AttemptOutcome::Whole(answer) => return Ok(UpstreamAnswer::Whole(answer)),
+                    AttemptOutcome::Stream(stream) => return Ok(UpstreamAnswer::Stream(stream)),
+                    AttemptOutcome::NotRun {
+                        reason,
+                        reached_server,
+                    } => {
+                        call.reached_server
+                            .fetch_or(reached_server, Ordering::Relaxed);
+                        let unreached = !reached_server && is_server;
+                        tried.unreached_servers += usize::from(unreached);
+                        target.exclude(tried);
+                        reason
+                    }
+                    AttemptOutcome::Withdrawn { reason, excluded } => {
+                        match excluded {
+                            true => target.exclude(tried),
+                            false => targets -= 1,
+                        }
+                        withdrawals += 1;
+                        // A server counts as tried with the part, and no second trial is due
+                        // yet.
+                        withdrawn = Some(match is_server {
+                            true => PartVerdict::Free,
+                            false => verdict,
+                        });
+                        reason
+                    }
+                    AttemptOutcome::Failed(answer) => {
+                        call.reached_server.store(true, Ordering::Relaxed);
+                        call.runs.fetch_add(1, Ordering::Relaxed);
+                        // A server that failed a call often fails it again.
+                        target.exclude(tried);
+                        let reason = format!("the server failed with {}", answer.status());
+                        failed = Some(answer);
+                        reason
+                    }
+                    AttemptOutcome::Broken { reason } => {
+                        call.reached_server.store(true, Ordering::Relaxed);
+                        call.runs.fetch_add(1, Ordering::Relaxed);
+                        target.exclude(tried);
+                        reason
+                    }
+                };
+                self.report_attempt(call, target.name(), &reason);
+            }
+            call.running.clear();
             let ran = call.runs.load(Ordering::Relaxed) > 0;
             if ran && !call.may_run_again() {
                 break;
@@ -392,35 +408,6 @@
     }
 }
 
-/// Identity of a target, used to exclude it after a failure.
-enum TargetId {
-    Server(verbenaring_policy::dispatch::server::ServerKey),
-    Vm(verbenaring_policy::id::VmId),
-}
-
-impl TargetId {
-    fn of(target: &CallTarget) -> Self {
-        match target {
-            CallTarget::Server(server) => TargetId::Server(server.work.key),
-            CallTarget::Vm(vm) => TargetId::Vm(vm.vm.clone()),
-        }
-    }
-
-    fn exclude(self, tried: &mut TriedTargets) {
-        match self {
-            TargetId::Server(server) => tried.servers.push(server),
-            TargetId::Vm(vm) => tried.vms.push(vm),
-        }
-    }
-}
-
-fn target_name(target: &CallTarget) -> String {
-    match target {
-        CallTarget::Server(server) => server.id.to_string(),
-        CallTarget::Vm(vm) => vm.vm.to_string(),
-    }
-}
-
 /// Final answer of a call after its last attempt: the failed answer of a server
 /// if there is one, else a refusal.
 fn final_answer<P: WireProtocol>(
@@ -437,29 +424,13 @@
     Err(refusal)
 }
 
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, CallRefusal> {
-    let collected = timeout(BODY_TIMEOUT, Limited::new(body, limit).collect()).await;
-    match collected {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(CallRefusal::not_run(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            "body_too_large",
-        )),
-        Ok(Err(_)) => Err(CallRefusal::not_run(StatusCode::BAD_REQUEST, "body_broken")),
-        Err(_) => Err(CallRefusal::not_run(
-            StatusCode::REQUEST_TIMEOUT,
-            "body_timeout",
-        )),
-    }
-}
-
 /// What may crash servers: the request as a whole, by method, host, target and body, and
 /// the shared parts of its prompt.
 fn call_parts(
     method: &Method,
     host: &str,
     uri: &Uri,
-    body: &Bytes,
+    body: &RequestBody,
     metadata: &CallMetadata,
 ) -> CallParts {
     let target = uri.path_and_query().map_or("", |target| target.as_str());
@@ -469,7 +440,9 @@
         // Separates the fields; none of them holds this byte.
         hasher.update(&[0]);
     }
-    hasher.update(body);
+    for part in body.parts() {
+        hasher.update(part);
+    }
     let [b0, b1, b2, b3, ..] = *hasher.finalize().as_bytes();
     let shared = metadata.prompt.split_last();
     let shared = shared.map_or(&[][..], |(_, shared)| shared);
--- a/crates/verbenaring-core/src/path/exchange.rs
+++ b/crates/verbenaring-core/src/path/exchange.rs
@@ -1,11 +1,10 @@
 //! One attempt of a call: sends it to a server or a VM and reads the answer.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, HeaderValue};
 use hyper::http::response::Parts;
@@ -17,7 +16,7 @@
 use verbenaring_protocol::header;
 
 use super::call::{
-    ATTEMPTS_HEADER, BUILD_HEADER, ELAPSED_HEADER, NO_CONTACT_HEADER, PendingCall,
+    ATTEMPTS_HEADER, AttemptRole, BUILD_HEADER, ELAPSED_HEADER, NO_CONTACT_HEADER, PendingCall,
     REACHED_SERVER_HEADER, REPEATABLE_HEADER, TriedTargets, strip_connection_headers,
 };
 use super::choose::{CallTarget, ChosenServer, ChosenVm};
@@ -26,6 +25,7 @@
 use super::work::WorkGuard;
 use crate::node::FrontNode;
 use crate::upstream::pool::{ConnectOptions, ConnectionLease, SendError};
+use crate::upstream::request_body::RequestBody;
 use crate::wire::{AnswerKind, AttemptMetadata, WireProtocol};
 
 /// Idle time after which a connection is not reused for a call that must not be
@@ -90,11 +90,12 @@
 
 /// Request of an attempt with its destination.
 pub(crate) struct AttemptRequest {
-    pub(crate) request: Request<Full<Bytes>>,
+    pub(crate) request: Request<RequestBody>,
     pub(crate) address: std::net::SocketAddr,
     pub(crate) options: ConnectOptions,
     pub(super) vm: Option<VmId>,
     pub(super) forecast: Duration,
+    pub(crate) role: AttemptRole,
     /// Work at a server; `None` if the target is a VM.
     pub(crate) work: Option<InFlightCall>,
 }
@@ -108,10 +109,12 @@
         target: CallTarget,
         tried: &TriedTargets,
         last_event_id: Option<&str>,
+        role: AttemptRole,
     ) -> AttemptOutcome<P> {
         let (attempt, mut guard) = match target {
             CallTarget::Server(server) => {
                 let attempt = self.server_request(call, &server, last_event_id);
+                let attempt = AttemptRequest { role, ..attempt };
                 (attempt, WorkGuard::at_server(self, call, &server))
             }
             CallTarget::Vm(vm) => {
@@ -158,7 +161,7 @@
             }
         };
         if let AttemptOutcome::NotRun { .. } | AttemptOutcome::Withdrawn { .. } = outcome {
-            call.maybe_running.store(false, Ordering::Relaxed);
+            call.running.set(role, false);
         }
         let attempts = &self.metrics.attempts;
         attempts.with_label_values(&[target, result]).inc();
@@ -313,7 +316,11 @@
         let body = match collected {
             Ok(body) => body,
             Err(error) => {
-                guard.set_end(CallOutcome::Broken);
+                // Too little memory here says nothing about the server.
+                guard.set_end(match error {
+                    CollectError::NoMemory => CallOutcome::Abandoned,
+                    _ => CallOutcome::Broken,
+                });
                 let reason = format!("the answer broke off: {error}");
                 return (AttemptOutcome::Broken { reason }, "unknown");
             }
@@ -369,6 +376,7 @@
             },
             vm: None,
             forecast: server.forecast,
+            role: AttemptRole::First,
             work: Some(server.work),
         }
     }
@@ -409,6 +417,7 @@
             },
             vm: Some(vm.vm),
             forecast: vm.forecast,
+            role: AttemptRole::First,
             work: None,
         }
     }
@@ -417,8 +426,8 @@
 fn build_request<P: WireProtocol>(
     call: &PendingCall,
     metadata: &AttemptMetadata<'_>,
-) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(call.body.clone()));
+) -> Request<RequestBody> {
+    let mut request = Request::new(call.body());
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = call.uri.clone();
     *request.headers_mut() = call.headers.clone();
--- a/crates/verbenaring-core/src/path/mod.rs
+++ b/crates/verbenaring-core/src/path/mod.rs
@@ -3,6 +3,7 @@
 
 mod access;
 mod admit;
+mod attempts;
 pub mod call;
 pub mod choose;
 mod collect;
@@ -10,6 +11,7 @@
 pub mod event;
 pub mod exchange;
 pub mod framing;
+mod hedge;
 pub mod origin;
 pub mod overdue;
 pub(crate) mod quota;
@@ -17,4 +19,5 @@
 pub mod relay;
 pub mod reserve;
 pub mod statement;
+mod upload;
 pub mod work;
--- a/crates/verbenaring-core/src/state.rs
+++ b/crates/verbenaring-core/src/state.rs
@@ -9,6 +9,7 @@
 use verbenaring_policy::dispatch::allowance::{AllowanceRole, AllowanceTable};
 use verbenaring_policy::dispatch::doubt::DoubtfulServers;
 use verbenaring_policy::dispatch::evidence::CallParts;
+use verbenaring_policy::dispatch::hedge::HedgePlanner;
 use verbenaring_policy::dispatch::origin::StreamOrigins;
 use verbenaring_policy::dispatch::ownership::RegionView;
 use verbenaring_policy::dispatch::presence::{PresenceTable, VmState};
@@ -68,6 +69,8 @@
     pub held_statements: HeldStatements,
     /// This VM's accounts of the tenants' quotas.
     pub allowances: AllowanceTable,
+    /// Budgets and delays of second attempts.
+    pub hedges: HedgePlanner,
     region: RegionName,
     vm_hash: u64,
     capacity: u32,
@@ -102,6 +105,7 @@
                 name_hash(settings.vm.as_str()) as u32,
                 Moment::default(),
             ),
+            hedges: HedgePlanner::new(settings.tuning.hedge),
             vm_hash: name_hash(settings.vm.as_str()),
             capacity: settings.capacity(),
             region,
@@ -255,5 +259,6 @@
         self.retry_shares.expire(now);
         self.held_statements.expire(now);
         self.allowances.expire(now);
+        self.hedges.expire(now);
     }
 }
--- a/crates/verbenaring-policy/src/dispatch/allowance.rs
+++ b/crates/verbenaring-policy/src/dispatch/allowance.rs
@@ -15,49 +15,24 @@
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
 
+use super::allowance_account::TenantAccount;
 pub use super::allowance_meter::EXCHANGE_TIME;
-use super::allowance_meter::{SLOW_TIME, TenantMeter};
+use super::allowance_meter::TenantMeter;
 pub use super::allowance_parts::{
     AllowanceRole, AllowanceScope, AllowanceStatement, MAX_STATED_TENANTS, TenantUse,
 };
-use super::allowance_parts::{HeldParts, MAX_FRESH_AGE, OthersView, UseSum};
+use super::allowance_parts::{HeldParts, USE_AGE, UseSum};
 use super::prompt::name_hash;
-use super::tenant::{Allowance, Tenant};
+use super::tenant::Tenant;
 use crate::id::TenantName;
 use crate::time::Moment;
 
-/// Part of the quota that follows the demand of the last second.
-const FAST_WEIGHT: f64 = 0.45;
-/// Part that follows the demand of a longer time, for VMs with rare calls.
-const SLOW_WEIGHT: f64 = 0.3;
-/// Both. The rest is divided evenly, for VMs whose demand has just begun.
-const DEMAND_WEIGHT: f64 = FAST_WEIGHT + SLOW_WEIGHT;
-/// Updates of the demand that are kept; they cover the age at which a VM counts as lost and
-/// [`EXCHANGE_TIME`].
-const KEPT_DEMANDS: usize = 34;
-/// Age at which a VM counts as lost, in seconds.
-const LOST_AFTER_S: f64 = MAX_FRESH_AGE.as_millis() as f64 / 1_000.0;
-/// Use of the permitted excess of a tenth: it makes up for what the delay of statements
-/// leaves unused.
-const HEADROOM: f64 = 1.02;
-/// Spending that may be missing in the level while it is full, as time of the rate.
-const UNSEEN_TIME: Duration = Duration::from_millis(900);
-/// Excess that is made up for by refusals, as time of the rate.
-const MAX_DEBT: Duration = Duration::from_secs(8);
-/// Time in which the levels that VMs follow approach each other.
-const LEVEL_TIME: Duration = Duration::from_secs(2);
 /// Time after the start within which a VM that hears no other may not know of them.
 const START_TIME: Duration = Duration::from_secs(3);
 /// Number of VMs that is assumed until then.
 const ASSUMED_VMS: usize = 256;
-/// Shortest time without calls after which an account is dropped.
-const MIN_IDLE_TIME: Duration = Duration::from_secs(10);
-/// Longest such time.
-const MAX_IDLE_TIME: Duration = Duration::from_secs(600);
-/// Shortest suggested wait of a refused caller.
-const MIN_WAIT: Duration = Duration::from_millis(200);
-/// Longest suggested wait of a refused caller.
-const MAX_WAIT: Duration = Duration::from_secs(8);
+/// Time after which the list of stated tenants is made again if it is long.
+const LIST_TIME: Duration = Duration::from_millis(500);
 
 /// What a call was charged; returned if it reaches no server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -103,164 +78,20 @@
     pub refused: u64,
 }
 
-#[derive(Debug)]
-struct TenantAccount {
-    name: TenantName,
-    limits: Allowance,
-    meter: TenantMeter,
-    level: f64,
-    /// Part of the quota that VMs hold which are not heard.
-    lost_share: f64,
-    lost_vms: f64,
-    /// Part of the rest that this VM may use.
-    share: f64,
-    /// Demand per second at the VMs that are heard.
-    demand: f64,
-    /// Average demand per second of a longer time.
-    slow_demand: f64,
-    /// Latest demands per second of all VMs, heard or not.
-    demands: VecDeque<f64>,
-    updated_at: Moment,
-    used_at: Moment,
-    charged: u64,
-    refused: u64,
-}
-
-impl TenantAccount {
-    fn rate(&self) -> f64 {
-        self.limits.rate * HEADROOM
-    }
-
-    fn burst(&self) -> f64 {
-        self.limits.burst
-    }
-
-    /// Applies the time since the last update.
-    fn update(&mut self, others: &OthersView, now: Moment) {
-        let elapsed = now.since(self.updated_at).as_secs_f64();
-        self.updated_at = now;
-        let own_demand = self.meter.demand_rate();
-        let own_spent = self.meter.spent_rate();
-        let (demand, spent) = match others.includes_own {
-            true => (others.fresh.demand, others.fresh.spent),
-            false => (
-                others.fresh.demand + own_demand,
-                others.fresh.spent + own_spent,
-            ),
-        };
-        self.demand = demand;
-        let part = (elapsed / SLOW_TIME.as_secs_f64()).min(1.0);
-        self.slow_demand += (demand - self.slow_demand) * part;
-        if self.demands.len() == KEPT_DEMANDS {
-            self.demands.pop_front();
-        }
-        self.demands.push_back(demand + others.lost_demand);
-        self.hold_lost_share(others, spent);
-        self.share = self.own_share(demand, others.fresh_vms);
-        let heard = 1.0 - self.lost_share;
-        let cap = self.burst() * heard + spent.clamp(0.0, self.rate()) * UNSEEN_TIME.as_secs_f64();
-        let floor = -MAX_DEBT.as_secs_f64() * self.rate();
-        let level = self.level + elapsed * (self.rate() * heard - spent);
-        self.level = level.min(cap).max(floor);
-        if others.fresh.level_vms > 0.0 {
-            let mean = match others.includes_own {
-                true => others.fresh.level / others.fresh.level_vms,
-                false => (others.fresh.level + self.level) / (others.fresh.level_vms + 1.0),
-            };
-            let part = 1.0 - (-elapsed / LEVEL_TIME.as_secs_f64()).exp();
-            self.level += (mean.min(cap) - self.level) * part;
-        }
-    }
-
-    /// Takes what VMs may use that are not heard out of the level. Their part does not
-    /// shrink by demand that they do not know of. What the others, which have spent `spent`
-    /// per second, used since these VMs were heard comes out of the part of the others.
-    fn hold_lost_share(&mut self, others: &OthersView, spent: f64) {
-        let lost_vms = others.lost_vms;
-        let by_vms = lost_vms / (others.fresh_vms + lost_vms);
-        let least = self.demands.iter().copied().fold(f64::INFINITY, f64::min);
-        let least = least.max(others.lost_demand);
-        let by_demand = match least > 0.0 {
-            true => others.lost_demand / least,
-            false => by_vms,
-        };
-        let mut lost_share = DEMAND_WEIGHT * by_demand + (1.0 - DEMAND_WEIGHT) * by_vms;
-        if lost_vms > 0.0 && lost_vms >= self.lost_vms {
-            lost_share = lost_share.max(self.lost_share);
-        }
-        if lost_share > self.lost_share && self.level > 0.0 {
-            let kept = (1.0 - lost_share) / (1.0 - self.lost_share);
-            let used = spent.max(0.0) * LOST_AFTER_S;
-            self.level = self.level * kept - used * (1.0 - kept);
-        }
-        self.lost_share = lost_share.min(1.0 - f64::EPSILON);
-        self.lost_vms = lost_vms;
-    }
-
-    /// Part of this VM among those that are heard. All of these know at least the demand
-    /// that it had for some time, so that the parts add up to at most 1.
-    fn own_share(&self, demand: f64, fresh_vms: f64) -> f64 {
-        let known = self.meter.known_demand_rate();
-        let by_vms = 1.0 / fresh_vms;
-        let by_demand = match demand > 0.0 {
-            true => (known / demand.max(known)).min(1.0),
-            false => by_vms,
-        };
-        let slow = self.meter.slow_demand_rate();
-        let by_slow_demand = match self.slow_demand > 0.0 {
-            true => (slow / self.slow_demand).min(1.0),
-            false => by_vms,
-        };
-        // The least demand of VMs with rare calls is 0 most of the time.
-        let by_demand = by_demand.max(by_slow_demand);
-        FAST_WEIGHT * by_demand + SLOW_WEIGHT * by_slow_demand + (1.0 - DEMAND_WEIGHT) * by_vms
-    }
-
-    /// Whether a call may be charged. `draw` is a random number from 0 to 1.
-    fn covers(&self, cost: f64, draw: f64) -> bool {
-        let unseen = self.meter.unseen();
-        let part = self.share * self.level;
-        if unseen + cost <= part {
-            return true;
-        }
-        // Demand that has just begun here counts before the others know of it; this call
-        // is part of the average demand.
-        let time = EXCHANGE_TIME.as_secs_f64();
-        let new_demand = self.meter.demand_rate() - self.meter.known_demand_rate();
-        let expected =
-            self.demand.max(self.meter.demand_rate()) * time + (new_demand * time - cost).max(0.0);
-        if unseen + cost > self.level {
-            return false;
-        }
-        // While the level covers all calls, one more than those that others allow for may
-        // be let through; calls do not arrive evenly.
-        if expected < self.level {
-            return unseen <= part.max(0.0) + cost;
-        }
-        unseen <= part.max(0.0) && draw * expected < self.level - cost
-    }
-
-    fn wait(&self, cost: f64) -> Duration {
-        let missing = (cost + self.meter.unseen() - self.level).max(0.0);
-        let wait = Duration::try_from_secs_f64(missing / self.rate());
-        wait.unwrap_or(MAX_WAIT).clamp(MIN_WAIT, MAX_WAIT)
-    }
-
-    fn idle_time(&self) -> Duration {
-        let fill = Duration::try_from_secs_f64(self.limits.burst / self.limits.rate);
-        fill.unwrap_or(MAX_IDLE_TIME)
-            .clamp(MIN_IDLE_TIME, MAX_IDLE_TIME)
-    }
-}
-
 /// Accounts of the tenants with a quota, and what other VMs state of theirs.
 #[derive(Debug)]
 pub struct AllowanceTable {
     accounts: HashMap<u64, TenantAccount>,
     parts: HeldParts,
+    /// Hashes of the accounts' tenants by the hashes that are stated.
+    by_short_hash: HashMap<u32, u64>,
     own: u32,
     started_at: Moment,
+    enabled: bool,
+    /// Tenants that are stated, of which `cursor` is the next.
+    order: Vec<u32>,
     cursor: usize,
+    listed_at: Moment,
 }
 
 impl AllowanceTable {
@@ -270,9 +101,13 @@
         Self {
             accounts: HashMap::new(),
             parts: HeldParts::new(ASSUMED_VMS),
+            by_short_hash: HashMap::new(),
             own,
             started_at: now,
+            enabled: false,
+            order: Vec::new(),
             cursor: 0,
+            listed_at: now,
         }
     }
 
@@ -356,6 +191,7 @@
             refused: 0,
         };
         self.accounts.insert(hash, account);
+        self.by_short_hash.insert(hash as u32, hash);
         self.refresh(hash, now);
     }
 
@@ -374,46 +210,65 @@
         }
     }
 
-    /// Takes over what another VM states.
-    pub fn record(&mut self, statement: &AllowanceStatement, now: Moment) {
+    /// Takes over what another VM states, which does so again after `interval`.
+    pub fn record(&mut self, statement: &AllowanceStatement, interval: Duration, now: Moment) {
         if statement.source != self.own {
-            self.parts.record(statement, now);
+            self.parts.record(statement, interval, now);
         }
     }
 
-    /// Whether there is anything to state.
-    pub fn is_idle(&self) -> bool {
-        self.accounts.is_empty() && self.parts.tenants().next().is_none()
+    /// Sets whether any tenant has a quota.
+    pub fn set_enabled(&mut self, enabled: bool) {
+        self.enabled = enabled;
+    }
+
+    /// Whether this VM states the use of quotas: VMs without calls do as well, since a VM
+    /// that is not heard counts as lost.
+    pub fn is_stated(&self, now: Moment) -> bool {
+        self.enabled || self.parts.hears_any(now)
+    }
+
+    /// Tenants that are stated, in order.
+    fn stated_tenants(&mut self, now: Moment) -> Vec<u32> {
+        let accounts = self.accounts.iter();
+        let accounts = accounts.map(|(hash, account)| (*hash as u32, account.used_at));
+        let accounts: Vec<(u32, Moment)> = accounts.collect();
+        let mut tenants: BTreeSet<u32> = self.parts.tenants().collect();
+        if tenants.len() + accounts.len() <= MAX_STATED_TENANTS {
+            tenants.extend(accounts.iter().map(|(tenant, _)| *tenant));
+        } else {
+            let active = accounts
+                .iter()
+                .filter(|(_, used_at)| now.since(*used_at) < USE_AGE);
+            tenants.extend(active.map(|(tenant, _)| *tenant));
+        }
+        tenants.into_iter().collect()
     }
 
     /// What this VM states of the VMs of a scope: of [`MAX_STATED_TENANTS`] tenants, the
     /// next ones in turn if there are more.
     pub fn statement(&mut self, scope: AllowanceScope, now: Moment) -> AllowanceStatement {
-        let hashes: Vec<u64> = self.accounts.keys().copied().collect();
-        let mut tenants = BTreeSet::new();
-        let mut by_short = HashMap::new();
-        for hash in hashes {
-            self.update(hash, now);
-            tenants.insert(hash as u32);
-            by_short.insert(hash as u32, hash);
+        if now.since(self.listed_at) >= LIST_TIME || self.order.len() <= MAX_STATED_TENANTS {
+            self.order = self.stated_tenants(now);
+            self.listed_at = now;
         }
-        if scope != AllowanceScope::Vm {
-            tenants.extend(self.parts.tenants());
-        }
-        let tenants: Vec<u32> = tenants.into_iter().collect();
+        let tenants = std::mem::take(&mut self.order);
         let count = tenants.len().min(MAX_STATED_TENANTS);
         let start = match tenants.len() > count {
             true => self.cursor % tenants.len(),
             false => 0,
         };
-        let stated = (0..count).map(|index| tenants[(start + index) % tenants.len()]);
-        let uses = stated.filter_map(|tenant| {
-            let account = by_short
-                .get(&tenant)
-                .and_then(|hash| self.accounts.get(hash));
-            self.stated_use(tenant, account, scope, now)
-        });
-        let uses = uses.collect();
+        let mut uses = Vec::with_capacity(count);
+        for index in 0..count {
+            let tenant = tenants[(start + index) % tenants.len()];
+            let hash = self.by_short_hash.get(&tenant).copied();
+            if let Some(hash) = hash {
+                self.update(hash, now);
+            }
+            let account = hash.and_then(|hash| self.accounts.get(&hash));
+            uses.extend(self.stated_use(tenant, account, scope, now));
+        }
+        self.order = tenants;
         if scope != AllowanceScope::Far {
             self.cursor = start + count;
         }
@@ -462,7 +317,10 @@
     }
 
     /// State of the tenants' allowances, those with most refusals first.
-    pub fn usages(&self) -> Vec<AllowanceUsage> {
+    pub fn usages(&mut self, now: Moment) -> Vec<AllowanceUsage> {
+        for account in self.accounts.values_mut() {
+            let _ = account.meter.advance(now);
+        }
         let usages = self.accounts.values().map(|account| AllowanceUsage {
             tenant: account.name.clone(),
             rate: account.limits.rate,
@@ -484,6 +342,9 @@
     pub fn expire(&mut self, now: Moment) {
         self.accounts
             .retain(|_, account| now.since(account.used_at) < account.idle_time());
+        let accounts = &self.accounts;
+        self.by_short_hash
+            .retain(|_, hash| accounts.contains_key(hash));
         self.parts.expire(now);
     }
 }
--- a/crates/verbenaring-policy/src/dispatch/forecast.rs
+++ b/crates/verbenaring-policy/src/dispatch/forecast.rs
@@ -22,9 +22,9 @@
 const LEARNING_STEP: f64 = 0.04;
 /// Step size of a time that has no samples yet. It shrinks with each sample: a VM among
 /// many gets a few samples a second, and engines differ several times in speed.
-const FIRST_STEP: f64 = 0.5;
+const FIRST_STEP: f64 = 0.25;
 /// Factor by which the step size of a time shrinks with each of its samples.
-const STEP_DECAY: f64 = 0.9;
+const STEP_DECAY: f64 = 0.93;
 /// Base time before the first sample, in ms; typical for a loaded engine.
 const INITIAL_BASE_MS: f64 = 50.0;
 /// Time per 1,000 unread tokens before the first sample, in ms.
--- a/crates/verbenaring-policy/src/dispatch/mod.rs
+++ b/crates/verbenaring-policy/src/dispatch/mod.rs
@@ -13,13 +13,16 @@
 //! used if it answers sooner or is much less busy ([`spill`]), and another VM of the region
 //! if this one has lost [`contact`] with the servers. While callers ask for more than the
 //! engines can do, [`shortage`] says which calls are admitted. Retries come from the VM's
-//! share of a budget ([`retry_share`]), and the quotas of tenants bind all VMs together
-//! ([`allowance`]). [`presence`] tracks the
+//! share of a budget ([`retry_share`]), calls that take longer than others get a second
+//! attempt ([`hedge`]), and the quotas of tenants bind all VMs together ([`allowance`]).
+//! [`presence`] tracks the
 //! other VMs, [`standstill`] notices when this one did not run, [`relay`] decides to
 //! which of them a VM reports, [`watcher`] decides which VMs watch the configuration
-//! source, and [`changes`] passes their view of the servers on.
+//! source, and [`changes`] passes their view of the servers on. Before a configuration is
+//! published, [`review`] finds what in it has no effect.
 
 pub mod allowance;
+mod allowance_account;
 mod allowance_meter;
 mod allowance_parts;
 pub mod brittle;
@@ -28,11 +31,13 @@
 pub mod candidate;
 pub mod changes;
 pub mod contact;
+pub mod difference;
 pub mod doubt;
 pub mod evidence;
 pub mod forecast;
 mod former;
 pub mod health;
+pub mod hedge;
 pub mod in_flight;
 pub mod limit;
 pub mod origin;
@@ -47,6 +52,7 @@
 pub mod relay;
 mod retry_pool;
 pub mod retry_share;
+pub mod review;
 pub mod run;
 pub mod server;
 pub mod settings;
--- a/crates/verbenaring-policy/src/dispatch/shortage.rs
+++ b/crates/verbenaring-policy/src/dispatch/shortage.rs
@@ -6,13 +6,12 @@
 //! not end before their deadline, and the calls that are worth most are lost with the
 //! others.
 //!
-//! A VM compares the work that it is asked for, by urgency, with the work that the engines
-//! of its region are given. As far as callers are spread over the VMs, the ratio of the two
-//! at this VM is that of the region. Urgent levels are admitted as a whole as long as the
-//! work of all levels up to them keeps the engines below the target; of the level that
-//! exceeds it a part is admitted; of those behind it nothing. Calls are chosen at random, so
-//! that no session is refused again and again. What is not admitted goes to another region
-//! that has room, or is refused at once.
+//! A VM admits a share of the work that it is asked for, the most urgent first: levels
+//! before the share are admitted as a whole, of the level that crosses it a part, of those
+//! behind it nothing. A controller moves the share so that the engines of the region, which
+//! all VMs see alike, stay at the target. Calls of the level that crosses are chosen at
+//! random, so that no session is refused again and again. What is not admitted goes to
+//! another region that has room, or is refused at once.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -20,8 +19,15 @@
 use super::rate::WorkRate;
 use crate::time::Moment;
 
-/// Work below which a level says nothing about the mix of the calls, in tokens a second.
-const MIN_RATE: f64 = 1.0;
+/// Change of the admitted share per unit of the relative error, at once.
+const PROPORTIONAL_GAIN: f64 = 1.0;
+/// The same per second. The busy fraction follows the admitted work with a time constant of
+/// 1.5 s and is reported 0.3 s late; the loop settles within a few seconds.
+const INTEGRAL_GAIN: f64 = 0.5;
+/// Longest time that one step of the controller covers.
+const MAX_STEP: Duration = Duration::from_millis(500);
+/// Relative error that counts at most, for engines that are far above the target.
+const MAX_ERROR: f64 = 1.0;
 /// Share of the room of another region that one region uses: others may use it as well,
 /// and its state is known a few hundred ms late.
 const SPILL_SHARE: f64 = 0.5;
@@ -49,7 +55,7 @@
 pub struct Admission {
     /// Part of the calls, from 0 to 1.
     pub part: f64,
-    /// Busy fraction by which the work asked for exceeds the target.
+    /// Busy fraction that the work which is not admitted would add.
     pub excess: f64,
 }
 
@@ -74,11 +80,23 @@
     }
 }
 
-/// Work that callers ask this VM for, and what of it was admitted, for one service.
-#[derive(Debug, Default)]
+/// Share of the work asked of this VM that is admitted, for one service.
+#[derive(Debug)]
 pub struct ShortageGate {
     levels: BTreeMap<CallRank, LevelDemand>,
-    admitted: WorkRate,
+    /// Integral part of the controller, from 0 to 1.
+    share: f64,
+    updated_at: Moment,
+}
+
+impl Default for ShortageGate {
+    fn default() -> Self {
+        Self {
+            levels: BTreeMap::new(),
+            share: 1.0,
+            updated_at: Moment::default(),
+        }
+    }
 }
 
 impl ShortageGate {
@@ -89,21 +107,19 @@
         level.asked_at = now;
     }
 
-    /// Records that a call is sent to an engine of the region.
-    pub fn record_admitted(&mut self, tokens: u32, now: Moment) {
-        self.admitted.add(tokens, now);
-    }
-
-    /// What is admitted of a level while the engines are `busy` and are to be kept below
+    /// What is admitted of a level while the engines are `busy` and are to be kept at
     /// `target`.
-    pub fn admission(&self, rank: CallRank, busy: f64, target: f64, now: Moment) -> Admission {
-        let admitted = self.admitted.per_second(now);
-        if admitted < MIN_RATE {
+    pub fn admission(&mut self, rank: CallRank, busy: f64, target: f64, now: Moment) -> Admission {
+        let elapsed = now.since(self.updated_at).min(MAX_STEP);
+        self.updated_at = now;
+        let error = ((target - busy) / target).max(-MAX_ERROR);
+        let step = INTEGRAL_GAIN * error * elapsed.as_secs_f64();
+        self.share = (self.share + step).clamp(0.0, 1.0);
+        let share = (self.share + PROPORTIONAL_GAIN * error).clamp(0.0, 1.0);
+        if share >= 1.0 {
             return Admission::ALL;
         }
-        // Busy fraction that a unit of the work asked for causes.
-        let scale = busy / admitted;
-        let asked = |level: &LevelDemand| level.asked.per_second(now) * scale;
+        let asked = |level: &LevelDemand| level.asked.per_second(now);
         let urgent: f64 = self
             .levels
             .range(..rank)
@@ -111,13 +127,13 @@
             .sum();
         let own = self.levels.get(&rank).map_or(0.0, asked);
         let total: f64 = self.levels.values().map(asked).sum();
-        let left = target - urgent;
+        let left = share * total - urgent;
         Admission {
             part: match own > f64::EPSILON {
                 true => (left / own).clamp(0.0, 1.0),
                 false => f64::from(u8::from(left > 0.0)),
             },
-            excess: (total - target).max(0.0),
+            excess: busy.max(target) * (1.0 - share),
         }
     }
 
