Quotas: room for bursts at one VM, and the known level for a process that starts

Cause: calls were refused while the level of the whole quota was full: a VM could use its part of the demand of 0.8 s only, and calls do not come evenly. A process that started beside others began with what its own uptime earns, although the others state the level.

Ruled out: a quarter of the unused level for each VM without a further limit.

Change: while the level covers the expected demand, all VMs are heard and others are known, a VM may use a part of what is left; three times its part of 0.08 of what the quota allows in 8 s at most. A process that starts takes the level that others state.

--- a/crates/verbenaring-policy/src/dispatch/allowance.rs
+++ b/crates/verbenaring-policy/src/dispatch/allowance.rs
@@ -173,7 +173,9 @@
         let view = self.parts.view(hash as u32, 0.0, now);
         let uptime = now.since(self.started_at).as_secs_f64();
         let earned = limits.rate * uptime;
-        let level = view.fresh.mean_level().unwrap_or(limits.burst).min(earned);
+        // Others that state a level have followed the spending before this process started.
+        let known = view.fresh.mean_level();
+        let level = known.unwrap_or_else(|| limits.burst.min(earned));
         let account = TenantAccount {
             name: tenant.name.clone(),
             limits,
@@ -181,6 +183,7 @@
             level,
             lost_share: 0.0,
             lost_vms: 0.0,
+            heard_vms: 1.0,
             share: 0.0,
             demand: 0.0,
             slow_demand: 0.0,
--- a/crates/verbenaring-policy/src/dispatch/allowance_account.rs
+++ b/crates/verbenaring-policy/src/dispatch/allowance_account.rs
@@ -9,6 +9,14 @@
 use crate::id::TenantName;
 use crate::time::Moment;
 
+/// Part of the level beyond the expected demand of all VMs that one VM may use.
+const SPARE_SHARE: f64 = 0.25;
+/// Excess over what the quota allows in [`SPARE_TIME`] that VMs may cause together by this.
+const SPARE_EXCESS: f64 = 0.08;
+/// Time in which the excess counts.
+const SPARE_TIME: Duration = Duration::from_secs(8);
+/// Factor on each VM's part of the excess: calls do not come in bursts at all VMs at once.
+const SPARE_FACTOR: f64 = 3.0;
 /// Part of the quota that follows the demand of the last second.
 const FAST_WEIGHT: f64 = 0.45;
 /// Part that follows the demand of a longer time, for VMs with rare calls.
@@ -49,6 +57,8 @@
     /// Part of the quota that VMs hold which are not heard.
     pub(super) lost_share: f64,
     pub(super) lost_vms: f64,
+    /// VMs that are heard, this one included.
+    pub(super) heard_vms: f64,
     /// Part of the rest that this VM may use.
     pub(super) share: f64,
     /// Demand per second at the VMs that are heard.
@@ -93,6 +103,7 @@
         }
         self.demands.push_back(demand + others.lost_demand);
         self.hold_lost_share(others, spent);
+        self.heard_vms = others.fresh_vms;
         self.share = self.own_share(demand, others.fresh_vms);
         let heard = 1.0 - self.lost_share;
         let cap = self.burst() * heard + spent.clamp(0.0, self.rate()) * UNSEEN_TIME.as_secs_f64();
@@ -173,14 +184,24 @@
         if unseen + cost > self.level {
             return false;
         }
-        // While the level covers all calls, one more than those that others allow for may
-        // be let through; calls do not arrive evenly.
+        // Calls do not arrive evenly. While the level covers all of them, a VM may use a part
+        // of what is left, and at least one call more than others allow for.
         if expected < self.level {
-            return unseen <= part.max(0.0) + cost;
+            // VMs that are not heard may count on the same units.
+            let spare = match self.heard_vms > 1.0 && self.lost_vms < 1.0 {
+                true => ((self.level - expected) * SPARE_SHARE).min(self.spare_limit()),
+                false => 0.0,
+            };
+            return unseen <= part.max(0.0) + cost.max(spare);
         }
         unseen <= part.max(0.0) && draw * expected < self.level - cost
     }
 
+    fn spare_limit(&self) -> f64 {
+        let allowed = self.limits.rate * SPARE_TIME.as_secs_f64() + self.burst();
+        allowed * SPARE_EXCESS * SPARE_FACTOR / self.heard_vms
+    }
+
     pub(super) fn wait(&self, cost: f64) -> Duration {
         let missing = (cost + self.meter.unseen() - self.level).max(0.0);
         let wait = Duration::try_from_secs_f64(missing / self.rate());
