Gate in proportion to the admitted share, former learning of times, turns of tenants by scope

Cause: three faults. (1) The gate had no tests; in a model of the load it refused urgent calls at three times what engines can do, as its steps were the same for small and large shares.

Ruled out: an easier bound for the tests; a faster gain everywhere (it swings about the target).

Tests of the gate name their loads; tests of many tenants, two cases of which fail and are listed.

--- a/crates/verbenaring-policy/src/dispatch/allowance.rs
+++ b/crates/verbenaring-policy/src/dispatch/allowance.rs
@@ -88,9 +88,10 @@
     own: u32,
     started_at: Moment,
     enabled: bool,
-    /// Tenants that are stated, of which `cursor` is the next.
+    /// Tenants that are stated.
     order: Vec<u32>,
-    cursor: usize,
+    /// Position of the next one to be stated, by scope.
+    cursors: HashMap<AllowanceScope, usize>,
     listed_at: Moment,
 }
 
@@ -106,7 +107,7 @@
             started_at: now,
             enabled: false,
             order: Vec::new(),
-            cursor: 0,
+            cursors: HashMap::new(),
             listed_at: now,
         }
     }
@@ -257,10 +258,12 @@
         }
         let tenants = std::mem::take(&mut self.order);
         let count = tenants.len().min(MAX_STATED_TENANTS);
+        let cursor = self.cursors.entry(scope).or_default();
         let start = match tenants.len() > count {
-            true => self.cursor % tenants.len(),
+            true => *cursor % tenants.len(),
             false => 0,
         };
+        *cursor = start + count;
         let mut uses = Vec::with_capacity(count);
         for index in 0..count {
             let tenant = tenants[(start + index) % tenants.len()];
@@ -272,9 +275,6 @@
             uses.extend(self.stated_use(tenant, account, scope, now));
         }
         self.order = tenants;
-        if scope != AllowanceScope::Far {
-            self.cursor = start + count;
-        }
         let (vms, lost_vms) = match scope {
             AllowanceScope::Vm => (0, 0),
             AllowanceScope::Near => self.parts.group_vms(true, now),
--- a/crates/verbenaring-policy/src/dispatch/forecast.rs
+++ b/crates/verbenaring-policy/src/dispatch/forecast.rs
@@ -20,11 +20,6 @@
 /// or down by half of it, so halving or doubling takes about 35 samples, which a
 /// busy VM gets in a second.
 const LEARNING_STEP: f64 = 0.04;
-/// Step size of a time that has no samples yet. It shrinks with each sample: a VM among
-/// many gets a few samples a second, and engines differ several times in speed.
-const FIRST_STEP: f64 = 0.25;
-/// Factor by which the step size of a time shrinks with each of its samples.
-const STEP_DECAY: f64 = 0.93;
 /// Base time before the first sample, in ms; typical for a loaded engine.
 const INITIAL_BASE_MS: f64 = 50.0;
 /// Time per 1,000 unread tokens before the first sample, in ms.
@@ -54,18 +49,9 @@
 #[derive(Debug, Clone, Copy)]
 pub struct FirstEventModel {
     times: LearnedTimes,
-    steps: LearningSteps,
     last_urgent_at: Option<Moment>,
 }
 
-/// Step sizes of the terms of a [`FirstEventModel`].
-#[derive(Debug, Clone, Copy)]
-struct LearningSteps {
-    base: f64,
-    own: f64,
-    ahead: f64,
-}
-
 /// Terms of a [`FirstEventModel`].
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct LearnedTimes {
@@ -85,11 +71,6 @@
                 own_ktoken_ms: INITIAL_KTOKEN_MS,
                 ahead_ktoken_ms: INITIAL_KTOKEN_MS,
             },
-            steps: LearningSteps {
-                base: LEARNING_STEP,
-                own: FIRST_STEP,
-                ahead: FIRST_STEP,
-            },
             last_urgent_at: None,
         }
     }
@@ -138,25 +119,18 @@
             true => 0.5,
             false => -0.5,
         };
-        let (times, steps) = (&mut self.times, &mut self.steps);
+        let factor = 1.0 + LEARNING_STEP * direction;
+        let times = &mut self.times;
         let own_ms = times.own_ktoken_ms * to_thousands(sample.own_tokens);
         let ahead_ms = times.ahead_ktoken_ms * to_thousands(sample.ahead_tokens);
-        let (term, step, bounds) = if ahead_ms > own_ms.max(times.base_ms) {
-            let term = &mut times.ahead_ktoken_ms;
-            (term, &mut steps.ahead, KTOKEN_MS_BOUNDS)
+        let (term, bounds) = if ahead_ms > own_ms.max(times.base_ms) {
+            (&mut times.ahead_ktoken_ms, KTOKEN_MS_BOUNDS)
         } else if own_ms > times.base_ms {
-            // Tokens ahead are read by the same engines; without samples of their own,
-            // they are assumed to take as much longer or shorter.
-            if steps.ahead > LEARNING_STEP {
-                let ahead_ms = times.ahead_ktoken_ms * (1.0 + steps.own * direction);
-                times.ahead_ktoken_ms = ahead_ms.clamp(KTOKEN_MS_BOUNDS.0, KTOKEN_MS_BOUNDS.1);
-            }
-            (&mut times.own_ktoken_ms, &mut steps.own, KTOKEN_MS_BOUNDS)
+            (&mut times.own_ktoken_ms, KTOKEN_MS_BOUNDS)
         } else {
-            (&mut times.base_ms, &mut steps.base, BASE_MS_BOUNDS)
+            (&mut times.base_ms, BASE_MS_BOUNDS)
         };
-        *term = (*term * (1.0 + *step * direction)).clamp(bounds.0, bounds.1);
-        *step = (*step * STEP_DECAY).max(LEARNING_STEP);
+        *term = (*term * factor).clamp(bounds.0, bounds.1);
     }
 }
 
--- a/crates/verbenaring-policy/src/dispatch/shortage.rs
+++ b/crates/verbenaring-policy/src/dispatch/shortage.rs
@@ -19,11 +19,18 @@
 use super::rate::WorkRate;
 use crate::time::Moment;
 
-/// Change of the admitted share per unit of the relative error, at once.
-const PROPORTIONAL_GAIN: f64 = 1.0;
+/// Relative change of the admitted share per unit of the relative error, at once. The share
+/// is changed in proportion to itself, as the same step counts more the more is asked for.
+const PROPORTIONAL_GAIN: f64 = 0.7;
 /// The same per second. The busy fraction follows the admitted work with a time constant of
 /// 1.5 s and is reported 0.3 s late; the loop settles within a few seconds.
-const INTEGRAL_GAIN: f64 = 0.5;
+const INTEGRAL_GAIN: f64 = 0.6;
+/// Relative error from which the load has gone rather than varied.
+const LARGE_ERROR: f64 = 0.2;
+/// Integral gain per second from there on, so that refusals do not outlast the load.
+const RECOVERY_GAIN: f64 = 3.0;
+/// Least share, from which the controller returns within seconds.
+const MIN_SHARE: f64 = 0.02;
 /// Longest time that one step of the controller covers.
 const MAX_STEP: Duration = Duration::from_millis(500);
 /// Relative error that counts at most, for engines that are far above the target.
@@ -84,7 +91,7 @@
 #[derive(Debug)]
 pub struct ShortageGate {
     levels: BTreeMap<CallRank, LevelDemand>,
-    /// Integral part of the controller, from 0 to 1.
+    /// Integral part of the controller, from [`MIN_SHARE`] to 1.
     share: f64,
     updated_at: Moment,
 }
@@ -113,9 +120,13 @@
         let elapsed = now.since(self.updated_at).min(MAX_STEP);
         self.updated_at = now;
         let error = ((target - busy) / target).max(-MAX_ERROR);
-        let step = INTEGRAL_GAIN * error * elapsed.as_secs_f64();
-        self.share = (self.share + step).clamp(0.0, 1.0);
-        let share = (self.share + PROPORTIONAL_GAIN * error).clamp(0.0, 1.0);
+        let gain = match error > LARGE_ERROR {
+            true => RECOVERY_GAIN,
+            false => INTEGRAL_GAIN,
+        };
+        let step = gain * error * elapsed.as_secs_f64();
+        self.share = (self.share * step.exp()).clamp(MIN_SHARE, 1.0);
+        let share = self.share * (PROPORTIONAL_GAIN * error).exp();
         if share >= 1.0 {
             return Admission::ALL;
         }
--- a/crates/verbenaring-policy/tests/allowances/fleet.rs
+++ b/crates/verbenaring-policy/tests/allowances/fleet.rs
@@ -195,6 +195,16 @@
         self.rng.random_range(0..in_region) * REGIONS + region
     }
 
+    /// Opens accounts of other tenants at all VMs by one small call each.
+    pub fn call_others(&mut self, others: &[Tenant]) {
+        let now = self.now();
+        for vm in &mut self.vms {
+            for other in others {
+                let _ = vm.table.charge(other, Some(1), 0.5, now);
+            }
+        }
+    }
+
     pub fn call(&mut self, vm: usize, cost: u64) -> bool {
         if self.now_ms < self.vms[vm].frozen_until {
             return false;
--- a/crates/verbenaring-policy/tests/allowances/main.rs
+++ b/crates/verbenaring-policy/tests/allowances/main.rs
@@ -3,4 +3,5 @@
 
 mod failures;
 mod fleet;
+mod many_tenants;
 mod use_of_quota;
--- a/crates/verbenaring-policy/tests/dispatch/main.rs
+++ b/crates/verbenaring-policy/tests/dispatch/main.rs
@@ -23,6 +23,7 @@
 mod routes;
 mod run;
 mod servers;
+mod shortage;
 mod silence;
 mod stale_reports;
 mod standstill;
