--- a/crates/verbenaring-core/src/path/call.rs
+++ b/crates/verbenaring-core/src/path/call.rs
@@ -216,7 +216,7 @@
     pub fn call_rank(&self) -> CallRank {
         let tenant = self.tenant.as_ref().and_then(|tenant| tenant.rank);
         CallRank {
-            team: tenant.unwrap_or_default(),
+            tenant: tenant.unwrap_or_default(),
             route: self.route.rank,
         }
     }
--- a/crates/verbenaring-policy/src/dispatch/shortage.rs
+++ b/crates/verbenaring-policy/src/dispatch/shortage.rs
@@ -41,11 +41,11 @@
 /// Time without calls after which a level is forgotten.
 const IDLE_TIME: Duration = Duration::from_secs(10);
 
-/// Urgency of a call: the rank of its team goes before that of its route; 0 first.
+/// Urgency of a call: the rank of its tenant goes before that of its route; 0 first.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CallRank {
-    /// Rank of the team; 0 if the call belongs to none or the team has none.
-    pub team: u8,
+    /// Rank of the tenant; 0 if the call belongs to none or the tenant has none.
+    pub tenant: u8,
     /// Rank of the route.
     pub route: u8,
 }
--- a/crates/verbenaring-policy/tests/dispatch/shortage.rs
+++ b/crates/verbenaring-policy/tests/dispatch/shortage.rs
@@ -16,8 +16,14 @@
 /// Tokens a second that keep the engines busy all of the time, in thousandths.
 const TOKENS_PER_S: f64 = 100_000.0;
 
-const LONG: CallRank = CallRank { team: 1, route: 0 };
-const SHORT: CallRank = CallRank { team: 1, route: 2 };
+const LONG: CallRank = CallRank {
+    tenant: 1,
+    route: 0,
+};
+const SHORT: CallRank = CallRank {
+    tenant: 1,
+    route: 2,
+};
 
 /// Work asked for at a rank, as a fraction of what the engines can do.
 type Demand = (CallRank, f64);
@@ -131,13 +137,16 @@
     }
 }
 
-/// Guards against a route's rank that goes before that of a team.
+/// Guards against a route's rank that goes before that of a tenant.
 #[test]
-fn the_rank_of_the_team_goes_first() {
-    let first_team = CallRank { team: 0, route: 2 };
+fn the_rank_of_the_tenant_goes_first() {
+    let first_tenant = CallRank {
+        tenant: 0,
+        route: 2,
+    };
     let mut region = Region::new(1);
-    region.run(6.0, &[(first_team, 0.5), (LONG, 1.0)]);
-    let outcome = region.run(10.0, &[(first_team, 0.5), (LONG, 1.0)]);
+    region.run(6.0, &[(first_tenant, 0.5), (LONG, 1.0)]);
+    let outcome = region.run(10.0, &[(first_tenant, 0.5), (LONG, 1.0)]);
     assert!(outcome.parts[0] >= 0.95, "{outcome:?}");
     assert!(outcome.parts[1] <= 0.5, "{outcome:?}");
 }
