--- a/review/standins-2/case_drain.rs
+++ b/review/standins-2/case_drain.rs
@@ -1,4 +1,4 @@
-//! Case: a server leaves while one VM is cut off from the store, and the other VM is restarted.
+//! Case 9: a server leaves while one VM is cut off from the store, and the other VM is restarted.
 
 use std::path::Path;
 use std::thread;
@@ -49,6 +49,8 @@
             cores: 0.25,
             memory_mb: 260,
             descriptors: 4_100,
+            drain_ms: 3_000,
+            retry_extra: 54,
         };
         Vm::start(folder, &plan)
     };
--- a/review/standins-2/case_flood.rs
+++ b/review/standins-2/case_flood.rs
@@ -1,4 +1,4 @@
-//! Case: clients send chunked bodies in very small chunks and stop just short of their end.
+//! Case 7: clients send chunked bodies in very small chunks and stop just short of their end.
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -203,6 +203,8 @@
                             cores: CORES,
                             memory_mb: MEMORY_MB,
                             descriptors: DESCRIPTORS,
+                            drain_ms: 5_000,
+                            retry_extra: 350,
                         };
                         Vm::start(folder, &plan)
                     };
--- a/review/standins-2/case_gone.rs
+++ b/review/standins-2/case_gone.rs
@@ -1,4 +1,4 @@
-//! Case 6: a model server crashes, and clients whose streams it ran leave soon after.
+//! Case 10: a model server crashes, and clients whose streams it ran leave soon after.
 
 use std::io::{Read, Write};
 use std::net::TcpStream;
@@ -121,6 +121,8 @@
         cores: 0.25,
         memory_mb: 260,
         descriptors: 4_100,
+        drain_ms: 3_000,
+        retry_extra: 54,
     };
     let mut vm = Vm::start(folder, &plan);
     if !vm.await_ready() {
--- a/review/standins-2/case_hold.rs
+++ b/review/standins-2/case_hold.rs
@@ -1,4 +1,4 @@
-//! Case: clients send chunked bodies piece by piece, slowly, and ordinary clients try to connect.
+//! Case 8: clients send chunked bodies piece by piece, slowly, and ordinary clients try to connect.
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -98,6 +98,8 @@
         cores: CORES,
         memory_mb: MEMORY_MB,
         descriptors: DESCRIPTORS,
+        drain_ms: 5_000,
+        retry_extra: 350,
     };
     let mut vm = Vm::start(folder, &plan);
     if !vm.await_ready() {
--- a/review/standins-2/case_upgrade.rs
+++ b/review/standins-2/case_upgrade.rs
@@ -1,4 +1,4 @@
-//! Case: machines are replaced by the new build one after the other, and the operator sends a
+//! Case 6: machines are replaced by the new build one after the other, and the operator sends a
 //! manifest meanwhile.
 
 use std::path::Path;
@@ -15,9 +15,9 @@
 const EARLIER_PROGRAM: &str = "target/review-2/earlier/release/verbenaring-front";
 /// VMs of the region. The last one has less of everything, as in the grown deployments.
 const VMS: usize = 5;
-/// `contactMs` and `applyMs` of the deployment.
-const CONTACT: Duration = Duration::from_millis(5_000);
-const APPLY: Duration = Duration::from_millis(3_000);
+/// `contactMs` and `applyMs` of the site file `bungline-grown`.
+const CONTACT: Duration = Duration::from_millis(6_000);
+const APPLY: Duration = Duration::from_millis(5_000);
 /// Requests through each VM afterwards.
 const REQUESTS: usize = 10;
 
@@ -69,6 +69,8 @@
             cores: if small { 0.12 } else { 0.5 },
             memory_mb: if small { 160 } else { 512 },
             descriptors: if small { 4_100 } else { 8_192 },
+            drain_ms: 5_000,
+            retry_extra: 220,
         };
         Vm::start_program(folder, &plan, program)
     };
--- a/review/standins-2/vm.rs
+++ b/review/standins-2/vm.rs
@@ -35,6 +35,9 @@
     pub cores: f64,
     pub memory_mb: u32,
     pub descriptors: u32,
+    /// `drainMs` and `retryExtra` of the site.
+    pub drain_ms: u32,
+    pub retry_extra: u32,
 }
 
 /// Zones and regions of the site file `bungline`.
@@ -47,16 +50,17 @@
 
     pub fn start_program(folder: &Path, plan: &VmPlan<'_>, program: &str) -> Self {
         let VmPlan { name, zone, ip, ports, store, cores, memory_mb, descriptors, .. } = plan;
+        let VmPlan { drain_ms, retry_extra, .. } = plan;
         let at = |port: usize| format!("{ip}:{}", ports[port]);
         let seeds: Vec<String> = plan.seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
-        // Bounds of the site file `bungline`.
+        // The other bounds are the same in all site files.
         let settings = format!(
             r#"{{"vm":"{name}","data_centre":"{zone}","data_centres":{ZONES},
 "caller_address":"{}","ready_address":"{}","directory_address":"{}","peer_address":"{}",
 "report_address":"{}","metrics_address":"{}","seeds":[{}],"store_address":"{store}",
 "max_descriptors":{descriptors},
 "resources":{{"cores":{cores},"memory_mb":{memory_mb},"link_mbps":1000.0}},
-"bounds":{{"drain_ms":3000,"grace_s":8,"retry_share":0.2,"retry_extra":54,"cold_factor":1.5,"cold_slack":3}}}}"#,
+"bounds":{{"drain_ms":{drain_ms},"grace_s":8,"retry_share":0.2,"retry_extra":{retry_extra},"cold_factor":1.5,"cold_slack":3}}}}"#,
             at(0),
             at(1),
             at(2),
