--- a/review/standins-2/case_flood.rs
+++ b/review/standins-2/case_flood.rs
@@ -22,10 +22,10 @@
 /// Threads that send for them.
 const SENDERS: usize = 12;
 /// Bytes of a body and of a chunk; `maxBodyBytes` is 4,194,304.
-const BODY_BYTES: usize = 60_000;
+const BODY_BYTES: usize = 15_900;
 const CHUNK_BYTES: usize = 2;
 /// Header lines of a request, under 4 KB in all; `maxHeaderBytes` is 16,384.
-const HEADERS: usize = 90;
+const HEADERS: usize = 94;
 /// Longest time of one flood.
 const FLOOD_TIME: Duration = Duration::from_secs(20);
 /// Times that each process is flooded: it is started again as often as the platform ends it.
@@ -50,7 +50,7 @@
         "POST /orders/{index} HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: flood{index}\r\nDeadline-Ms: 6000\r\nTransfer-Encoding: chunked\r\n"
     );
     for header in 0..HEADERS {
-        text += &format!("x-note-{header}: value {header}\r\n");
+        text += &format!("x-note-{header}: value of line {header}, 20 more\r\n");
     }
     text += "\r\n";
     // The last chunk, which ends the body, is never sent.
