--- a/review/standins-2/case_drain.rs
+++ b/review/standins-2/case_drain.rs
@@ -9,7 +9,7 @@
 use crate::plain::{PlainRuns, PlainServer};
 use crate::store::Store;
 use crate::vm::{Vm, VmPlan};
-use crate::{ms, Outcome, Record};
+use crate::{Outcome, Record, ms};
 
 /// Bounds of the site file `bungline`.
 const CONTACT: Duration = Duration::from_millis(5_000);
@@ -30,11 +30,16 @@
     let stays = PlainServer::start("i-stays", "yard-app", 1_700_000_000_001, &runs);
     let leaves = PlainServer::start("i-leaves", "yard-app", 1_700_000_000_002, &runs);
     for server in [&stays, &leaves] {
-        store.put(&format!("servers/{}", server.id), &server.entry("tas-south-a"));
+        store.put(
+            &format!("servers/{}", server.id),
+            &server.entry("tas-south-a"),
+        );
     }
     let gate = Gate::start(store.address);
     let [high, low] = (std::process::id() as u16).to_be_bytes();
-    let ips: Vec<String> = (1..=2).map(|index| format!("127.{}.{low}.{index}", 100 + high % 100)).collect();
+    let ips: Vec<String> = (1..=2)
+        .map(|index| format!("127.{}.{low}.{index}", 100 + high % 100))
+        .collect();
     let ports = free_ports(6);
     let seeds: Vec<String> = ips.iter().map(|ip| format!("{ip}:{}", ports[3])).collect();
     let start = |index: usize| {
@@ -45,7 +50,11 @@
             ip: &ips[index],
             ports: &ports,
             seeds: &seeds,
-            store: if index == 1 { gate.address } else { store.address },
+            store: if index == 1 {
+                gate.address
+            } else {
+                store.address
+            },
             cores: 0.25,
             memory_mb: 260,
             descriptors: 4_100,
@@ -65,7 +74,11 @@
     let now = || ms(begin, Instant::now());
     if trouble {
         gate.set_cut(true);
-        record.line(&format!("{} {} is cut off from the store", now(), second.name));
+        record.line(&format!(
+            "{} {} is cut off from the store",
+            now(),
+            second.name
+        ));
     }
     thread::sleep(Duration::from_millis(200));
     if trouble {
@@ -130,7 +143,11 @@
             ms(confirmed, run.arrived)
         ));
     }
-    record.line(&format!("{} of {} requests reached a server later than drainMs after it had left", late.len(), runs.len()));
+    record.line(&format!(
+        "{} of {} requests reached a server later than drainMs after it had left",
+        late.len(),
+        runs.len()
+    ));
     if answered < REQUESTS / 2 {
         return Outcome::NotRun(format!("only {answered} requests were answered"));
     }
--- a/review/standins-2/case_flood.rs
+++ b/review/standins-2/case_flood.rs
@@ -11,7 +11,7 @@
 use crate::plain::{PlainRuns, PlainServer};
 use crate::store::Store;
 use crate::vm::{Vm, VmPlan};
-use crate::{ms, Outcome, Record};
+use crate::{Outcome, Record, ms};
 
 /// The smallest machines of the site file `flopline-prairie-grown`.
 const MEMORY_MB: u32 = 112;
@@ -67,7 +67,11 @@
     for _ in clients {
         if let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_secs(1)) {
             let _ = stream.set_nonblocking(true);
-            senders.push(Sender { stream, sent: 0, closed: false });
+            senders.push(Sender {
+                stream,
+                sent: 0,
+                closed: false,
+            });
         }
     }
     while !ended.load(Ordering::Relaxed) {
@@ -133,15 +137,26 @@
                 for sender in 0..SENDERS {
                     let (address, ended, connected) = (vm.callers, &ended, &connected);
                     scope.spawn(move || {
-                        let sent = flood(address, sender * per_sender..(sender + 1) * per_sender, ended);
+                        let sent = flood(
+                            address,
+                            sender * per_sender..(sender + 1) * per_sender,
+                            ended,
+                        );
                         connected.fetch_add(sent, Ordering::Relaxed);
                     });
                 }
             }
-            let time = if trouble { FLOOD_TIME } else { Duration::from_secs(4) };
+            let time = if trouble {
+                FLOOD_TIME
+            } else {
+                Duration::from_secs(4)
+            };
             while began.elapsed() < time && over.is_none() && vm.runs() {
                 if !trouble {
-                    let _ = ordinary(vm.callers, &format!("{name}-{round}-{}", began.elapsed().as_millis()));
+                    let _ = ordinary(
+                        vm.callers,
+                        &format!("{name}-{round}-{}", began.elapsed().as_millis()),
+                    );
                 }
                 let now = resident(vm.id()).unwrap_or(0);
                 peak = peak.max(now);
@@ -171,7 +186,11 @@
         }
         thread::sleep(Duration::from_millis(500));
     }
-    record.line(&format!("{}: ordinary request afterwards: {:?}", vm.name, ordinary(vm.callers, "after")));
+    record.line(&format!(
+        "{}: ordinary request afterwards: {:?}",
+        vm.name,
+        ordinary(vm.callers, "after")
+    ));
     Some(ends)
 }
 
@@ -182,7 +201,9 @@
     let server = PlainServer::start("i-1", "table-desk", 1_700_000_000_001, &runs);
     store.put("servers/i-1", &server.entry("tas-south-a"));
     let [high, low] = (std::process::id() as u16).to_be_bytes();
-    let ips: Vec<String> = (1..=VMS).map(|index| format!("127.{}.{low}.{index}", 100 + high % 100)).collect();
+    let ips: Vec<String> = (1..=VMS)
+        .map(|index| format!("127.{}.{low}.{index}", 100 + high % 100))
+        .collect();
     let ports = free_ports(6);
     let seeds: Vec<String> = ips.iter().map(|ip| format!("{ip}:{}", ports[3])).collect();
     let begin = Instant::now();
@@ -212,13 +233,21 @@
                 })
             })
             .collect();
-        plays.into_iter().map(|play| play.join().ok().flatten()).collect()
+        plays
+            .into_iter()
+            .map(|play| play.join().ok().flatten())
+            .collect()
     });
-    record.line(&format!("ends of each process by itself: {ends:?}; allowed: fewer than 3 on two machines"));
+    record.line(&format!(
+        "ends of each process by itself: {ends:?}; allowed: fewer than 3 on two machines"
+    ));
     if ends.iter().any(Option::is_none) {
         return Outcome::NotRun("a VM does not become ready".to_owned());
     }
-    match ends.iter().all(|ends| ends.is_some_and(|ends| ends >= FLOODS)) {
+    match ends
+        .iter()
+        .all(|ends| ends.is_some_and(|ends| ends >= FLOODS))
+    {
         true => Outcome::Broken,
         false => Outcome::Held,
     }
--- a/review/standins-2/case_gone.rs
+++ b/review/standins-2/case_gone.rs
@@ -8,11 +8,11 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::engine::{entry, Engine, Records};
+use crate::engine::{Engine, Records, entry};
 use crate::net::free_ports;
 use crate::store::Store;
 use crate::vm::{Vm, VmPlan};
-use crate::{ms, Outcome, Record};
+use crate::{Outcome, Record, ms};
 
 /// Streams, sent as fast as they can be.
 const STREAMS: usize = 40;
@@ -77,7 +77,9 @@
     loop {
         let left = until.saturating_duration_since(Instant::now());
         if left.is_zero() {
-            let begun = clients.lock().expect("clients")[index].first_event.is_some();
+            let begun = clients.lock().expect("clients")[index]
+                .first_event
+                .is_some();
             let wants = match trouble {
                 true => begun && heard.elapsed() >= STOPPED,
                 false => index < LEAVING,
@@ -125,15 +127,26 @@
     let store = Store::start();
     store.put("op/config", &manifest());
     let records = Records::default();
-    let engines = [("i-1", 11), ("i-2", 12)].map(|(id, born)| Engine::start(id, 1_700_000_000_000 + born, &records));
+    let engines = [("i-1", 11), ("i-2", 12)]
+        .map(|(id, born)| Engine::start(id, 1_700_000_000_000 + born, &records));
     for engine in &engines {
-        store.put(&format!("servers/{}", engine.id), &engine.entry("nsw-coast-a"));
+        store.put(
+            &format!("servers/{}", engine.id),
+            &engine.entry("nsw-coast-a"),
+        );
     }
     // The other servers of the deployment, in regions whose VMs take no part here.
     for index in 0..7 {
-        let zone = if index < 4 { "tas-south-a" } else { "vic-east-a" };
+        let zone = if index < 4 {
+            "tas-south-a"
+        } else {
+            "vic-east-a"
+        };
         let address = format!("127.77.0.{}:9", index + 1);
-        store.put(&format!("servers/i-far-{index}"), &entry(&address, zone, 1_700_000_000_100 + index));
+        store.put(
+            &format!("servers/i-far-{index}"),
+            &entry(&address, zone, 1_700_000_000_100 + index),
+        );
     }
     let ports = free_ports(6);
     let seeds = [format!("127.0.0.1:{}", ports[3])];
@@ -196,10 +209,16 @@
     let runs = records.lock().expect("records").clone();
     let (mut left, mut working, mut late_arrivals) = (0, 0, 0);
     for client in &clients {
-        let at = |moment: Option<Instant>| moment.map_or("-".to_owned(), |moment| ms(begin, moment));
+        let at =
+            |moment: Option<Instant>| moment.map_or("-".to_owned(), |moment| ms(begin, moment));
         record.line(&format!(
             "client {} sent {} status {} first event {} left {} bytes {}",
-            client.attempt, at(client.sent), client.status, at(client.first_event), at(client.left), client.bytes
+            client.attempt,
+            at(client.sent),
+            client.status,
+            at(client.first_event),
+            at(client.left),
+            client.bytes
         ));
         let mut late = false;
         for run in runs.iter().filter(|run| run.attempt == client.attempt) {
--- a/review/standins-2/case_hold.rs
+++ b/review/standins-2/case_hold.rs
@@ -3,8 +3,8 @@
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -12,7 +12,7 @@
 use crate::plain::{PlainRuns, PlainServer};
 use crate::store::Store;
 use crate::vm::{Vm, VmPlan};
-use crate::{ms, Outcome, Record};
+use crate::{Outcome, Record, ms};
 
 /// The smallest machines of the site file `flopline-prairie-grown`.
 const MEMORY_MB: u32 = 112;
@@ -117,7 +117,13 @@
             let per_sender = CLIENTS / SENDERS;
             for sender in 0..SENDERS {
                 let address = vm.callers;
-                scope.spawn(move || hold(address, sender * per_sender..(sender + 1) * per_sender, until));
+                scope.spawn(move || {
+                    hold(
+                        address,
+                        sender * per_sender..(sender + 1) * per_sender,
+                        until,
+                    )
+                });
             }
         }
         for client in 0..ORDINARY {
@@ -154,7 +160,10 @@
     answers.sort_unstable();
     let gaps = answers.windows(2).map(|pair| (pair[1] - pair[0], pair[0]));
     let (gap, from) = gaps.max().expect("answers");
-    let (ready, not_ready) = (ready.load(Ordering::Relaxed), not_ready.load(Ordering::Relaxed));
+    let (ready, not_ready) = (
+        ready.load(Ordering::Relaxed),
+        not_ready.load(Ordering::Relaxed),
+    );
     record.line(&format!(
         "{ORDINARY} clients tried new channels: {} answered, {} closed without an answer",
         answers.len() - 2,
--- a/review/standins-2/case_upgrade.rs
+++ b/review/standins-2/case_upgrade.rs
@@ -8,8 +8,8 @@
 use crate::net::{exchange, free_ports};
 use crate::plain::{PlainRuns, PlainServer};
 use crate::store::Store;
-use crate::vm::{signal_term, Vm, VmPlan, PROGRAM};
-use crate::{ms, Outcome, Record};
+use crate::vm::{PROGRAM, Vm, VmPlan, signal_term};
+use crate::{Outcome, Record, ms};
 
 /// Build that runs before the upgrade; `build-2.sh` makes it.
 const EARLIER_PROGRAM: &str = "target/review-2/earlier/release/verbenaring-front";
@@ -28,7 +28,9 @@
         )
     };
     let service_spec = |name: &str| {
-        format!(r#"{{"name":"{name}","healthPath":"/healthz","maxConns":100,"proto":"h1","tls":false,"coldS":0.0,"coldPerS":0.0}}"#)
+        format!(
+            r#"{{"name":"{name}","healthPath":"/healthz","maxConns":100,"proto":"h1","tls":false,"coldS":0.0,"coldPerS":0.0}}"#
+        )
     };
     format!(
         r#"{{"version":{version},"routes":[{},{}],"services":[{},{}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}}}"#,
@@ -50,12 +52,21 @@
     let former = PlainServer::start("i-former", "yard-app", 1_700_000_000_001, &runs);
     let next = PlainServer::start("i-next", "yard-app-2", 1_700_000_000_002, &runs);
     for server in [&former, &next] {
-        store.put(&format!("servers/{}", server.id), &server.entry("vic-east-a"));
+        store.put(
+            &format!("servers/{}", server.id),
+            &server.entry("vic-east-a"),
+        );
     }
     let [high, low] = (std::process::id() as u16).to_be_bytes();
-    let ips: Vec<String> = (1..=VMS).map(|index| format!("127.{}.{low}.{index}", 100 + high % 100)).collect();
+    let ips: Vec<String> = (1..=VMS)
+        .map(|index| format!("127.{}.{low}.{index}", 100 + high % 100))
+        .collect();
     let ports = free_ports(6);
-    let seeds: Vec<String> = ips.iter().take(3).map(|ip| format!("{ip}:{}", ports[3])).collect();
+    let seeds: Vec<String> = ips
+        .iter()
+        .take(3)
+        .map(|ip| format!("{ip}:{}", ports[3]))
+        .collect();
     let start = |index: usize, program: &str| {
         let small = index + 1 == VMS;
         let name = format!("front-vic-east-a-{}", index + 1);
@@ -82,12 +93,19 @@
     let begin = Instant::now();
     // The replacement begins with the last machine.
     let mut replaced = vms.pop().expect("VM");
-    record.line(&format!("{} SIGTERM to {}", ms(begin, Instant::now()), replaced.name));
+    record.line(&format!(
+        "{} SIGTERM to {}",
+        ms(begin, Instant::now()),
+        replaced.name
+    ));
     signal_term(&replaced);
     replaced.wait();
     drop(replaced);
     vms.push(start(VMS - 1, PROGRAM));
-    record.line(&format!("{} it starts as the new build", ms(begin, Instant::now())));
+    record.line(&format!(
+        "{} it starts as the new build",
+        ms(begin, Instant::now())
+    ));
     if !vms[VMS - 1].await_ready() {
         return Outcome::NotRun("the replaced VM does not become ready".to_owned());
     }
@@ -119,7 +137,11 @@
     let runs = runs.lock().expect("runs").clone();
     let stale: Vec<_> = runs.iter().filter(|run| run.server == "i-former").collect();
     for run in &stale {
-        record.line(&format!("{} {} was run by the old service", ms(begin, run.arrived), run.attempt));
+        record.line(&format!(
+            "{} {} was run by the old service",
+            ms(begin, run.arrived),
+            run.attempt
+        ));
     }
     record.line(&format!(
         "{} of {} requests that were sent later than applyMs after the confirmation were run by the old service",
--- a/review/standins-2/engine.rs
+++ b/review/standins-2/engine.rs
@@ -10,7 +10,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::net::{read_more, take_request, Request};
+use crate::net::{Request, read_more, take_request};
 
 const CHUNK_TOKENS: u32 = 512;
 const CHUNK_TIME: Duration = Duration::from_micros(4_570);
--- a/review/standins-2/gate.rs
+++ b/review/standins-2/gate.rs
@@ -2,8 +2,8 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::Duration;
 
--- a/review/standins-2/net.rs
+++ b/review/standins-2/net.rs
@@ -28,7 +28,9 @@
     pub fn query(&self, name: &str) -> Option<String> {
         let query = self.target.split_once('?')?.1;
         let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-        pairs.find(|(key, _)| *key == name).map(|(_, value)| decode_percent(value))
+        pairs
+            .find(|(key, _)| *key == name)
+            .map(|(_, value)| decode_percent(value))
     }
 }
 
@@ -55,7 +57,9 @@
 }
 
 fn find(bytes: &[u8], pattern: &[u8]) -> Option<usize> {
-    bytes.windows(pattern.len()).position(|window| window == pattern)
+    bytes
+        .windows(pattern.len())
+        .position(|window| window == pattern)
 }
 
 /// Splits a whole message off the front of `buffer`; the start line, headers and body.
@@ -68,8 +72,12 @@
         .filter_map(|line| line.split_once(':'))
         .map(|(name, value)| (name.trim().to_owned(), value.trim().to_owned()))
         .collect();
-    let length = headers.iter().find(|(name, _)| name.eq_ignore_ascii_case("content-length"));
-    let length: usize = length.and_then(|(_, value)| value.parse().ok()).unwrap_or(0);
+    let length = headers
+        .iter()
+        .find(|(name, _)| name.eq_ignore_ascii_case("content-length"));
+    let length: usize = length
+        .and_then(|(_, value)| value.parse().ok())
+        .unwrap_or(0);
     let end = head_end + 4 + length;
     if buffer.len() < end {
         return None;
--- a/review/standins-2/plain.rs
+++ b/review/standins-2/plain.rs
@@ -58,7 +58,12 @@
 
     /// Entry in the store.
     pub fn entry(&self, zone: &str) -> String {
-        let Self { service, address, born, .. } = self;
+        let Self {
+            service,
+            address,
+            born,
+            ..
+        } = self;
         format!(
             r#"{{"service":"{service}","addr":"{address}","zone":"{zone}","version":"v1","slots":6,"state":"ready","coldLeftMs":0,"seq":1,"born":{born}}}"#
         )
@@ -71,7 +76,10 @@
             while let Some(request) = take_request(&mut buffer) {
                 let answer = match request.path() {
                     "/api/report" => {
-                        let body = format!(r#"{{"busy":false,"seq":1,"waiting":0,"running":0,"born":{}}}"#, self.born);
+                        let body = format!(
+                            r#"{{"busy":false,"seq":1,"waiting":0,"running":0,"born":{}}}"#,
+                            self.born
+                        );
                         format!(
                             "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
                             body.len()
@@ -91,8 +99,13 @@
 
     fn run(&self, request: &crate::net::Request) -> String {
         let attempt = request.header("attempt-id").unwrap_or_default();
-        if request.header("expect-instance").is_some_and(|expected| expected != self.id) {
-            return format!("HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: {attempt}\r\nContent-Length: 0\r\n\r\n");
+        if request
+            .header("expect-instance")
+            .is_some_and(|expected| expected != self.id)
+        {
+            return format!(
+                "HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: {attempt}\r\nContent-Length: 0\r\n\r\n"
+            );
         }
         self.runs.lock().expect("runs").push(PlainRun {
             server: self.id.clone(),
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -7,7 +7,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::net::{encode_base64, read_more, take_request, Json, Request};
+use crate::net::{Json, Request, encode_base64, read_more, take_request};
 
 /// Time for an answer, as the sheets state it.
 const ANSWER_TIME: Duration = Duration::from_millis(4);
@@ -62,8 +62,14 @@
         let mut state = state.lock().expect("store");
         state.revision += 1;
         let revision = state.revision;
-        let item = Item { value, revision, lease };
-        state.events.push((revision, key.to_owned(), item_json(key, &item)));
+        let item = Item {
+            value,
+            revision,
+            lease,
+        };
+        state
+            .events
+            .push((revision, key.to_owned(), item_json(key, &item)));
         state.items.insert(key.to_owned(), item);
         changed.notify_all();
         revision
@@ -113,9 +119,14 @@
                 state.leases += 1;
                 let body = Json::parse(&String::from_utf8_lossy(&request.body));
                 let ttl = body.get("ttlMs").number();
-                ("200 OK", format!(r#"{{"lease":{},"ttlMs":{ttl}}}"#, state.leases))
+                (
+                    "200 OK",
+                    format!(r#"{{"lease":{},"ttlMs":{ttl}}}"#, state.leases),
+                )
+            }
+            path if path.starts_with("/api/kv-keep/") => {
+                ("200 OK", r#"{"ttlMs":15000}"#.to_owned())
             }
-            path if path.starts_with("/api/kv-keep/") => ("200 OK", r#"{"ttlMs":15000}"#.to_owned()),
             _ => ("404 Not Found", "{}".to_owned()),
         }
     }
@@ -134,13 +145,19 @@
         let truncated = matching.len() > PAGE;
         let items = matching[..matching.len().min(PAGE)].join(",");
         let revision = state.revision;
-        let body = format!(r#"{{"items":[{items}],"truncated":{truncated},"storeRevision":{revision}}}"#);
+        let body =
+            format!(r#"{{"items":[{items}],"truncated":{truncated},"storeRevision":{revision}}}"#);
         ("200 OK", body)
     }
 
     fn watch(&self, request: &Request) -> (&'static str, String) {
         let prefix = request.query("pathPrefix").unwrap_or_default();
-        let number = |name: &str| request.query(name).and_then(|text| text.parse().ok()).unwrap_or(0);
+        let number = |name: &str| {
+            request
+                .query(name)
+                .and_then(|text| text.parse().ok())
+                .unwrap_or(0)
+        };
         let after: u64 = number("after");
         let until = Instant::now() + Duration::from_millis(number("waitMs"));
         let (state, changed) = &*self.state;
@@ -180,6 +197,12 @@
 }
 
 fn item_json(key: &str, item: &Item) -> String {
-    let Item { value, revision, lease } = item;
-    format!(r#"{{"key":"{key}","value":"{value}","rev":{revision},"createRev":{revision},"lease":{lease}}}"#)
+    let Item {
+        value,
+        revision,
+        lease,
+    } = item;
+    format!(
+        r#"{{"key":"{key}","value":"{value}","rev":{revision},"createRev":{revision},"lease":{lease}}}"#
+    )
 }
--- a/review/standins-2/vm.rs
+++ b/review/standins-2/vm.rs
@@ -41,7 +41,8 @@
 }
 
 /// Zones and regions of the site file `bungline`.
-const ZONES: &str = r#"{"tas-south-a":"tas-south","vic-east-a":"vic-east","nsw-coast-a":"nsw-coast"}"#;
+const ZONES: &str =
+    r#"{"tas-south-a":"tas-south","vic-east-a":"vic-east","nsw-coast-a":"nsw-coast"}"#;
 
 impl Vm {
     pub fn start(folder: &Path, plan: &VmPlan<'_>) -> Self {
@@ -49,10 +50,28 @@
     }
 
     pub fn start_program(folder: &Path, plan: &VmPlan<'_>, program: &str) -> Self {
-        let VmPlan { name, zone, ip, ports, store, cores, memory_mb, descriptors, .. } = plan;
-        let VmPlan { drain_ms, retry_extra, .. } = plan;
+        let VmPlan {
+            name,
+            zone,
+            ip,
+            ports,
+            store,
+            cores,
+            memory_mb,
+            descriptors,
+            ..
+        } = plan;
+        let VmPlan {
+            drain_ms,
+            retry_extra,
+            ..
+        } = plan;
         let at = |port: usize| format!("{ip}:{}", ports[port]);
-        let seeds: Vec<String> = plan.seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
+        let seeds: Vec<String> = plan
+            .seeds
+            .iter()
+            .map(|seed| format!("\"{seed}\""))
+            .collect();
         // The other bounds are the same in all site files.
         let settings = format!(
             r#"{{"vm":"{name}","data_centre":"{zone}","data_centres":{ZONES},
@@ -72,7 +91,11 @@
         let file = folder.join(format!("{name}.json"));
         std::fs::write(&file, settings).expect("settings");
         let log = folder.join(format!("{name}.log"));
-        let out = File::options().create(true).append(true).open(log).expect("log");
+        let out = File::options()
+            .create(true)
+            .append(true)
+            .open(log)
+            .expect("log");
         let child = Command::new(program)
             .env("VERBENARING_CONFIG", &file)
             .stdin(Stdio::null())
@@ -145,5 +168,8 @@
 
 /// Sends SIGTERM to the process of a VM.
 pub fn signal_term(vm: &Vm) {
-    let _ = Command::new("kill").arg("-TERM").arg(vm.child.id().to_string()).status();
+    let _ = Command::new("kill")
+        .arg("-TERM")
+        .arg(vm.child.id().to_string())
+        .status();
 }
