--- a/review/standins-2/case_gone.rs
+++ b/review/standins-2/case_gone.rs
@@ -160,6 +160,7 @@
         cores: 0.25,
         memory_mb: 260,
         descriptors: 4_100,
+        link_mbps: 1_000.0,
         drain_ms: 3_000,
         retry_extra: 54,
     };
--- a/review/standins-2/case_upgrade.rs
+++ b/review/standins-2/case_upgrade.rs
@@ -80,6 +80,7 @@
             cores: if small { 0.12 } else { 0.5 },
             memory_mb: if small { 160 } else { 512 },
             descriptors: if small { 4_100 } else { 8_192 },
+            link_mbps: if small { 10.0 } else { 200.0 },
             drain_ms: 5_000,
             retry_extra: 220,
         };
