--- a/review/standins-2/vm.rs
+++ b/review/standins-2/vm.rs
@@ -137,10 +137,6 @@
         let _ = self.child.wait();
     }
 
-    pub fn id(&self) -> u32 {
-        self.child.id()
-    }
-
     /// Waits until the process has ended.
     pub fn wait(&mut self) {
         let _ = self.child.wait();
